--- a/portyoke/simhost.py
+++ b/heronlug/adapter.py
@@ -1,11 +1,11 @@
-"""Hosts many dispatchers on standard input and output: ``python -m portyoke.simhost``."""
+"""Hosts many dispatchers on standard input and output: ``python -m heronlug.adapter``."""
 
 import sys
 import traceback
 from typing import BinaryIO
 
-from portyoke.logic import Dispatcher
-from portyoke.wire import HEADER, Kill, Reply, Spawn, WireError, decode_events, decode_header
+from heronlug.logic import Dispatcher
+from heronlug.wire.simulator import HEADER, Kill, Reply, Spawn, WireError, decode_events, decode_header
 
 
 class Host:
@@ -51,7 +51,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (WireError, ValueError) as error:
-        print(f"portyoke.simhost: {error}", file=sys.stderr)
+        print(f"heronlug.adapter: {error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/heronlug/hooks/__init__.py
@@ -0,0 +1,1 @@
+"""The plug-in host."""
--- a/portyoke/interface.py
+++ b/heronlug/interface.py
@@ -1,4 +1,4 @@
-"""The public interface of portyoke: settings, events and actions.
+"""The public interface of heronlug: settings, events and actions.
 
 A host builds one :class:`Settings`, makes one ``Dispatcher(settings, seed)`` and calls
 ``handle(now, event)`` for every event, in the order in which they happened.  The call returns the
--- a/portyoke/logic.py
+++ b/heronlug/logic.py
@@ -1,4 +1,4 @@
-"""All decisions of portyoke.  Settings, events and actions are described in ``portyoke/interface.py``.
+"""All decisions of heronlug.  Settings, events and actions are described in ``heronlug/interface.py``.
 Ordinary jobs go where Upper-Confidence Priority-K sends them; ``docs/design.md`` tells of each exception."""
 
 from collections.abc import Callable
@@ -6,8 +6,8 @@
 from math import exp, inf, log, sqrt
 from random import Random
 
-from portyoke import interface as pk
-from portyoke.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
+from heronlug import interface as pk
+from heronlug.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
 C1 = 0.2  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
--- a/portyoke/records.py
+++ b/heronlug/records.py
@@ -7,7 +7,7 @@
 from typing import Any
 from zlib import crc32
 
-from portyoke import interface as pk
+from heronlug import interface as pk
 
 DIGIT = {f"{value:x}": value for value in range(16)}
 
--- a/portyoke/wire.py
+++ b/heronlug/wire/simulator.py
@@ -1,11 +1,11 @@
-"""Frames of the wire to the records of :mod:`portyoke.interface`, and back.  Nothing is decided here."""
+"""Frames of the wire to the records of :mod:`heronlug.interface`, and back.  Nothing is decided here."""
 
 import json
 import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from portyoke import interface as pk
+from heronlug import interface as pk
 
 HEADER = struct.Struct(">IId")
 REPLY_HEADER = struct.Struct(">II")
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
-from portyoke import (
+from heronlug import (
     Action,
     AttemptEnded,
     Cancel,
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -4,7 +4,7 @@
 
 from drive import KEYED, ONCE, SAFE, Host, entries, with_settings
 
-from portyoke import (
+from heronlug import (
     Cancel,
     Dispatcher,
     Effect,
@@ -20,7 +20,7 @@
     TimerFired,
     WorkerEntry,
 )
-from portyoke.records import Kind, Peers
+from heronlug.records import Kind, Peers
 
 
 def warm_up(host: Host, slots: float = 4.0, rounds: int = 3, latency: float = 100.0) -> None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -4,9 +4,9 @@
 
 from drive import Host, entries, with_settings
 
-from portyoke import ClientGone, Dispatcher, ListKind, Outcome, PeerMessage, Tell
-from portyoke.logic import EJECT_DIALS, ILL, SCORES_PER_US, SILENT
-from portyoke.records import Job, Peers, Worker
+from heronlug import ClientGone, Dispatcher, ListKind, Outcome, PeerMessage, Tell
+from heronlug.logic import EJECT_DIALS, ILL, SCORES_PER_US, SILENT
+from heronlug.records import Job, Peers, Worker
 
 
 def crowd(position: int, workers: int = 4, **changes: Any) -> Host:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from portyoke import (
+from heronlug import (
     ClientGone,
     Effect,
     Fail,
@@ -24,7 +24,7 @@
     WorkerEntry,
     WorkerState,
 )
-from portyoke.interface import NEVER_RAN
+from heronlug.interface import NEVER_RAN
 
 OUTCOMES = [Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-import portyoke as pk
-from portyoke.simhost import Host
-from portyoke.wire import HEADER, Reply, Spawn, WireError, decode_events, decode_header, parse_settings
+import heronlug as pk
+from heronlug.adapter import Host
+from heronlug.wire.simulator import (
+    HEADER,
+    Reply,
+    Spawn,
+    WireError,
+    decode_events,
+    decode_header,
+    parse_settings,
+)
 
 CONF: dict[str, Any] = {
     "instances": 2,
@@ -163,7 +171,7 @@
 
 
 def talk(data: bytes) -> "subprocess.CompletedProcess[bytes]":
-    return subprocess.run([sys.executable, "-m", "portyoke.simhost"], input=data, capture_output=True)
+    return subprocess.run([sys.executable, "-m", "heronlug.adapter"], input=data, capture_output=True)
 
 
 def test_exchange_with_the_process() -> None:
