--- /dev/null
+++ b/heronlug/life/config.py
@@ -0,0 +1,117 @@
+"""What a dispatcher is told: the environment and the configuration file, read and checked once."""
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from heronlug.interface import Settings
+from heronlug.wire.http import split_address
+from heronlug.wire.simulator import parse_settings
+
+
+class ConfigError(ValueError):
+    """A setting that cannot be used; the text names file and key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a start needs."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    settings: Settings
+    sockets: int
+    memory_mb: float
+    conn_idle: float
+    max_open: int
+    max_come_back: float
+    zones: list[str]
+    kinds: list[str]
+    known: Any
+    peer_listen: tuple[str, int] | None = None
+    peers: list[str] = field(default_factory=list)
+    peers_all: str | None = None
+
+
+def _table(raw: Mapping[str, Any], key: str, where: str) -> dict[str, Any]:
+    value = raw.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{where}: {key}: not an object")
+    return value
+
+
+def _number(table: Mapping[str, Any], key: str, default: float, where: str) -> float:
+    value = table.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ConfigError(f"{where}: {key}: {value!r} is no figure of 0 or more")
+    return float(value)
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that ``RELAY_CONFIG`` names; raises :class:`ConfigError`."""
+    where = environ.get("RELAY_CONFIG", "")
+    if not where:
+        raise ConfigError("environment: RELAY_CONFIG: not set")
+    try:
+        raw = orjson.loads(Path(where).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{where}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{where}: not an object")
+    raw = {
+        **raw,
+        **{
+            key: environ[variable]
+            for key, variable in (("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"), ("discovery", "RELAY_DISCOVERY"))
+            if environ.get(variable)
+        },
+    }
+    return parse(raw, where)
+
+
+def parse(raw: Mapping[str, Any], where: str) -> Config:
+    """A configuration from its JSON object; raises :class:`ConfigError` naming the key."""
+    conf, limits = _table(raw, "settings", where), _table(raw, "limits", where)
+    site = _table(conf, "limits", where)
+    key = "listen"
+    try:
+        listen = split_address(str(raw["listen"]))
+        key = "discovery"
+        split_address(str(raw["discovery"]))
+        key = "peer_listen"
+        peer_listen = split_address(str(raw["peer_listen"])) if raw.get("peer_listen") else None
+        key = "peers"
+        peers = [str(peer) for peer in raw.get("peers") or ()]
+        everyone = str(raw["peers_all"]) if raw.get("peers_all") else None
+        for peer in [*peers, *([everyone] if everyone else [])]:
+            split_address(peer)
+        key = "seed"
+        seed = int(str(raw.get("seed") or "0"), 16)
+        key = "settings"
+        settings = parse_settings(orjson.dumps(conf))
+    except (KeyError, ValueError, TypeError) as error:
+        raise ConfigError(f"{where}: {key}: {error}") from None
+    return Config(
+        name=str(raw.get("name", "")),
+        listen=listen,
+        discovery=str(raw["discovery"]),
+        seed=seed,
+        settings=settings,
+        sockets=int(_number(limits, "sockets", 1024, where)) or 1024,
+        memory_mb=_number(limits, "memory_mb", 192, where),
+        conn_idle=_number(site, "conn_idle", 10_000, where),
+        max_open=int(_number(site, "max_open", 20_000, where)),
+        max_come_back=_number(site, "max_retry_after", 0, where) if site.get("retry_after") else 0.0,
+        zones=[str(zone) for zone in conf.get("zones") or ()],
+        kinds=[str(kind) for kind in conf.get("skus") or ()],
+        known=raw.get("known"),
+        peer_listen=peer_listen,
+        peers=peers,
+        peers_all=everyone,
+    )
--- /dev/null
+++ b/heronlug/memory/core.py
@@ -0,0 +1,338 @@
+"""The core: owns each message until its one final answer, and turns decisions into calls on a front.
+
+Events come in through the methods below, actions of the decision module go out through :class:`Front`.  Nothing
+here knows a socket or a protocol.
+"""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
+from zlib import crc32
+
+from heronlug import interface as pk
+from heronlug.logic import Dispatcher
+from heronlug.memory.deadlines import Deadlines, Key
+from heronlug.memory.slots import Slots
+
+Event = pk.Event
+Logger = Callable[..., None]
+
+
+class Final(Enum):
+    """The kinds of final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class HostEntry(NamedTuple):
+    """One line of an inventory, by the host's name."""
+
+    name: str
+    address: str
+    state: pk.WorkerState = pk.WorkerState.READY
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    started_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """A south side host as the inventory last told of it."""
+
+    number: int
+    entry: HostEntry
+    told_off_at: float | None = None  # when we were told that it drains or is gone
+
+    @property
+    def ready(self) -> bool:
+        """Whether it may be sent anything new."""
+        return self.told_off_at is None
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    """A client's request until its final answer has gone out and its last relay has ended."""
+
+    load: Any  # the front's own: what to relay, and whom to answer
+    lane: int
+    give_up_at: float
+    taken_at: float
+    ticket: int = 0
+    final: Final | None = None
+    gone: bool = False  # the client has left, nothing is owed
+    relays: list["Relay"] = field(default_factory=list)
+    guard: Key | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether anything is still owed."""
+        return self.gone or self.final is not None
+
+
+@dataclass(slots=True, eq=False)
+class Relay:
+    """One attempt."""
+
+    message: Message
+    number: int
+    host: Host
+    sent_at: float
+    ticket: int = 0
+    out: bool = True
+    wire: Any = None  # the front's own
+
+
+class Front(Protocol):
+    """What the core asks of a protocol."""
+
+    def send(self, relay: Relay) -> None:
+        """Begin a relay; its one end is told through :meth:`Core.ended`."""
+
+    def cancel(self, relay: Relay) -> None:
+        """Stop waiting for a relay; the core has booked its end already."""
+
+    def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
+        """Give the one final answer."""
+
+
+class Hooks(Protocol):
+    """What plug-ins may see; see :mod:`heronlug.hooks.host`."""
+
+    def admit(self, lane: int, remaining: float, size: int) -> bool:
+        """Whether a message is taken in."""
+
+    def observe(self, lane: int, final: Final, took: float) -> None:
+        """A final answer has gone out."""
+
+
+def _quiet(event: str, **fields: object) -> None:
+    """Log nothing."""
+
+
+class Core:
+    """Messages, relays and hosts of one front, and the module that decides about them."""
+
+    def __init__(
+        self,
+        settings: pk.Settings,
+        seed: int,
+        front: Front,
+        deadlines: Deadlines,
+        *,
+        log: Logger = _quiet,
+        subscribe: Callable[[], None] = lambda: None,
+        tell: Callable[[bytes, int], None] = lambda content, peer: None,
+        max_open: int = 20_000,
+        max_come_back: float = 0.0,
+        hooks: Hooks | None = None,
+    ) -> None:
+        self.settings, self.front, self.deadlines = settings, front, deadlines
+        self.hooks = hooks
+        self.messages: Slots[Message] = Slots()
+        self.relays: Slots[Relay] = Slots()
+        self.hosts: dict[int, Host] = {}
+        self.dispatcher = Dispatcher(settings, seed)
+        self._numbers: dict[str, int] = {}
+        self._queue: deque[Event] = deque()
+        self._pumping = False
+        self._log, self._subscribe, self._tell = log, subscribe, tell
+        self._max_open, self._max_come_back = max_open, max_come_back
+        self.counts = dict.fromkeys(Final, 0)
+
+    # -- the north side
+
+    def take(self, load: Any, lane: int, remaining: float, *, size: int = 0, **fields: Any) -> Message:
+        """Take a message in; from here on it is owed one final answer.  ``fields`` are those of ``JobArrived``."""
+        now = self.deadlines.clock()
+        message = Message(load, lane, now + remaining, now)
+        message.ticket = self.messages.put(message)
+        message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
+        full = remaining <= 0 or len(self.messages) > self._max_open
+        if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
+            self._close(message, Final.REFUSED, b"", self._max_come_back / 2)
+        else:
+            self._give(pk.JobArrived(message.ticket, lane, message.give_up_at, **fields))
+        return message
+
+    def leave(self, message: Message) -> None:
+        """The client has gone: nothing is owed any more."""
+        if not message.closed:
+            message.gone = True
+            self._log("client_gone", message=message.ticket)
+            self._give(pk.ClientGone(message.ticket))
+            self._forget(message)
+
+    # -- the south side
+
+    def may_write(self, relay: Relay) -> bool:
+        """Whether the first byte of a relay may still be written.
+
+        Guards the drain and no-repeat rules at the last moment: the decision was right when it was made, but the
+        host may have been told off, or the message closed, while a connection was being made.
+        """
+        return relay.out and not relay.message.closed and relay.host.ready
+
+    def noted(self, relay: Relay, kind: pk.NoteKind, share: float = 0.0) -> None:
+        """The host tells that a relay has started, or how far it has come."""
+        if relay.out:
+            self._give(pk.Note(relay.message.ticket, relay.number, relay.host.number, kind, share))
+
+    def ended(self, relay: Relay, outcome: pk.Outcome, result: bytes = b"") -> None:
+        """The one end of a relay; further ones are ignored.  A first ``SERVED`` answers the message."""
+        if not relay.out:
+            return
+        relay.out = False
+        self.relays.take(relay.ticket)
+        message, now = relay.message, self.deadlines.clock()
+        if outcome != pk.Outcome.SERVED:
+            self._log(
+                "relay_ended", message=message.ticket, relay=relay.number, host=relay.host.entry.name,
+                outcome=outcome.name.lower(), ms=round(now - relay.sent_at, 1),
+            )  # fmt: skip
+        elif not message.closed:
+            self._close(message, Final.SERVED, result)
+        latency = max(0.0, now - relay.sent_at)
+        self._give(
+            pk.AttemptEnded(message.ticket, relay.number, relay.host.number, outcome, latency, message.closed)
+        )
+        self._forget(message)
+
+    # -- the inventory and the peers
+
+    def inventory(self, kind: pk.ListKind, entries: Sequence[HostEntry]) -> None:
+        """News of the hosts."""
+        now = self.deadlines.clock()
+        listed = set()
+        for entry in entries:
+            number = self._number(entry.name)
+            listed.add(number)
+            host = self.hosts.get(number)
+            if host is None:
+                host = self.hosts[number] = Host(number, entry)
+            host.entry = entry
+            self._tell_state(host, entry.state is pk.WorkerState.READY, now)
+        if kind in (pk.ListKind.FULL, pk.ListKind.CACHED):
+            for number in self.hosts.keys() - listed:
+                self._tell_state(self.hosts[number], False, now)
+        lines = tuple(
+            pk.WorkerEntry(self._number(e.name), e.state, e.zone, e.kind, e.cell, e.weight, e.started_at)
+            for e in entries
+        )
+        self._give(pk.WorkerList(kind, lines))
+
+    def heard(self, peer: int, content: bytes) -> None:
+        """A message from another dispatcher."""
+        self._give(pk.PeerMessage(peer, content))
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether there is a host that may be sent something."""
+        return any(host.ready for host in self.hosts.values())
+
+    # -- inside
+
+    @staticmethod
+    def _tell_state(host: Host, ready: bool, now: float) -> None:
+        if ready:
+            host.told_off_at = None
+        elif host.told_off_at is None:
+            host.told_off_at = now
+
+    def _number(self, name: str) -> int:
+        """A host's number: the same at every dispatcher, since peers tell each other of hosts by it."""
+        number = self._numbers.get(name)
+        if number is None:
+            number, taken = crc32(name.encode()), set(self._numbers.values())
+            while number in taken:
+                number = (number + 1) & 0xFFFFFFFF
+            self._numbers[name] = number
+        return number
+
+    def _give(self, event: Event) -> None:
+        """Hand an event to the module; what its actions cause in turn waits until they are all done."""
+        self._queue.append(event)
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            while self._queue:
+                now = self.deadlines.clock()
+                for action in self.dispatcher.handle(now, self._queue.popleft()):
+                    self._do(action, now)
+        finally:
+            self._pumping = False
+
+    def _do(self, action: pk.Action, now: float) -> None:
+        if isinstance(action, pk.Send):
+            self._send(action, now)
+        elif isinstance(action, pk.SetTimer):
+            self.deadlines.at(now + action.delay, self._give, pk.TimerFired(action.token))
+        elif isinstance(action, pk.Refuse | pk.Fail):
+            message = self.messages.get(action.job)
+            if message is not None and not message.closed:
+                refused = isinstance(action, pk.Refuse)
+                self._close(message, Final.REFUSED if refused else Final.FAILED, b"", self._max_come_back / 2)
+                self._forget(message)
+        elif isinstance(action, pk.Cancel):
+            message = self.messages.get(action.job)
+            if message is not None and action.attempt < len(message.relays):
+                self._end_early(message.relays[action.attempt], pk.Outcome.CANCELLED)
+        elif isinstance(action, pk.Tell):
+            self._tell(action.content, action.peer)
+        elif isinstance(action, pk.Subscribe):
+            self._subscribe()
+        else:
+            self._log("decision", text=action.text)
+
+    def _send(self, action: pk.Send, now: float) -> None:
+        message, host = self.messages.get(action.job), self.hosts[action.worker]
+        if message is None:
+            self._queue.append(pk.AttemptEnded(action.job, 0, host.number, pk.Outcome.MOOT, 0.0, True))
+            return
+        relay = Relay(message, len(message.relays), host, now)
+        message.relays.append(relay)
+        relay.ticket = self.relays.put(relay)
+        if message.closed or now >= message.give_up_at or relay.number >= self.settings.attempts_cap:
+            self.ended(relay, pk.Outcome.MOOT)
+        else:
+            self.front.send(relay)
+
+    def _end_early(self, relay: Relay, outcome: pk.Outcome) -> None:
+        if relay.out:
+            self.front.cancel(relay)
+            self.ended(relay, outcome)
+
+    def _give_up(self, message: Message) -> None:
+        """The client's time is over: relays still out have timed out, and an answer still owed is given here."""
+        for relay in message.relays:
+            self._end_early(relay, pk.Outcome.TIMEOUT)
+        if not message.closed:
+            self._log("overdue", message=message.ticket)
+            self._close(message, Final.FAILED, b"")
+        self._forget(message)
+
+    def _close(self, message: Message, final: Final, body: bytes, come_back: float = 0.0) -> None:
+        """The one place where a final answer goes out."""
+        message.final = final
+        self.counts[final] += 1
+        took = self.deadlines.clock() - message.taken_at
+        self._log(
+            "answer", message=message.ticket, lane=self.settings.classes[message.lane].name,
+            final=final.value, relays=len(message.relays), ms=round(took, 1),
+        )  # fmt: skip
+        self.front.answer(message, final, body, come_back)
+        if self.hooks is not None:
+            self.hooks.observe(message.lane, final, took)
+        self._forget(message)
+
+    def _forget(self, message: Message) -> None:
+        """Free the slot once nothing is owed and nothing is out."""
+        if message.closed and not any(relay.out for relay in message.relays):
+            self.deadlines.drop(message.guard)
+            self.messages.take(message.ticket)
--- /dev/null
+++ b/heronlug/memory/deadlines.py
@@ -0,0 +1,76 @@
+"""One ordered structure for all deadlines, and the clock that they are on.
+
+The owner arms one timer for the head and calls :meth:`Deadlines.sweep` each turn.  A timer that comes early does
+no harm: the sweep finds nothing due and the timer is armed again.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from sortedcontainers import SortedDict
+
+Key = tuple[float, int]
+
+
+class Clock:
+    """Milliseconds that only go forward, set to Unix time once, at the start.
+
+    Guards against two faults of a bare monotonic clock: dispatchers on other machines would read another time, and
+    after a reboot ours would begin again below the stamps that the peers have seen.
+    """
+
+    __slots__ = ("_offset",)
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> float:
+        """The time now."""
+        return (time.monotonic_ns() + self._offset) / 1e6
+
+
+class Deadlines:
+    """What is to be called, and when."""
+
+    __slots__ = ("_due", "_seq", "clock")
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self._due: SortedDict[Key, tuple[Callable[..., object], tuple[Any, ...]]] = SortedDict()
+        self._seq = 0
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def at(self, when: float, what: Callable[..., object], *args: Any) -> Key:
+        """Call it at that time; the key serves to drop it."""
+        self._seq += 1
+        key = (when, self._seq)
+        self._due[key] = what, args
+        return key
+
+    def after(self, delay: float, what: Callable[..., object], *args: Any) -> Key:
+        """Call it after that time."""
+        return self.at(self.clock() + delay, what, *args)
+
+    def drop(self, key: Key | None) -> None:
+        """Forget a deadline; one that has passed is no error."""
+        if key is not None:
+            self._due.pop(key, None)
+
+    def head(self) -> float | None:
+        """When the first is due."""
+        return float(self._due.peekitem(0)[0][0]) if self._due else None
+
+    def sweep(self) -> int:
+        """Call all that is due by now, in order; what is added for now meanwhile waits for the next sweep."""
+        now, last, called = self.clock(), self._seq, 0
+        while self._due:
+            (when, seq), (what, args) = self._due.peekitem(0)
+            if when > now or seq > last:
+                break
+            del self._due[when, seq]
+            called += 1
+            what(*args)
+        return called
--- /dev/null
+++ b/heronlug/memory/slots.py
@@ -0,0 +1,60 @@
+"""Tables of numbered slots.
+
+A ticket is a slot's number with the count of its uses above it, so that a ticket kept too long finds nothing
+instead of whatever has moved into the slot since.
+"""
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+
+SLOT_BITS = 20
+SLOT_MASK = (1 << SLOT_BITS) - 1
+
+
+class Slots(Generic[Item]):
+    """Items by ticket; slots are used again, tickets never."""
+
+    __slots__ = ("_free", "_items", "_uses")
+
+    def __init__(self) -> None:
+        self._items: list[Item | None] = []
+        self._uses: list[int] = []
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._items) - len(self._free)
+
+    def __iter__(self) -> Iterator[Item]:
+        return iter([item for item in self._items if item is not None])
+
+    def put(self, item: Item) -> int:
+        """Put an item into a free slot; returns its ticket."""
+        if self._free:
+            slot = self._free.pop()
+            self._items[slot] = item
+        else:
+            slot = len(self._items)
+            if slot > SLOT_MASK:
+                raise OverflowError("the table of slots is full")
+            self._items.append(item)
+            self._uses.append(0)
+        self._uses[slot] += 1
+        return self._uses[slot] << SLOT_BITS | slot
+
+    def get(self, ticket: int) -> Item | None:
+        """The item of a ticket, or None once it has been taken out."""
+        slot = ticket & SLOT_MASK
+        if slot < len(self._items) and self._uses[slot] == ticket >> SLOT_BITS:
+            return self._items[slot]
+        return None
+
+    def take(self, ticket: int) -> Item | None:
+        """Take an item out, if it is still there."""
+        item = self.get(ticket)
+        if item is not None:
+            slot = ticket & SLOT_MASK
+            self._items[slot] = None
+            self._free.append(slot)
+        return item
--- /dev/null
+++ b/heronlug/wire/inventory.py
@@ -0,0 +1,213 @@
+"""The inventory: a watch on discovery, one call after the other on a warm connection."""
+
+import asyncio
+import math
+from collections.abc import Callable, Mapping
+from typing import Any, cast
+
+import httptools
+import orjson
+
+from heronlug.interface import ListKind, WorkerState
+from heronlug.memory.core import HostEntry
+from heronlug.memory.deadlines import Deadlines, Key
+from heronlug.wire import http
+
+WAIT = 20_000.0  # a call waits so long for something new
+LATE = 4_000.0  # and is given up after so much more: discovery works through calls in turn
+MAX_LIST = 8 * 1024 * 1024
+STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
+
+
+class BadList(ValueError):
+    """An answer that is no list; what was held stays."""
+
+
+def read_list(
+    table: Any, zones: list[str], kinds: list[str], to_clock: Callable[[float], float]
+) -> tuple[int, bool, list[HostEntry]]:
+    """Version, whether it is the whole list, and the entries; raises :class:`BadList`.
+
+    All or nothing: half of a list taken in would tell hosts off that are well.
+    """
+    try:
+        version, whole = table["generation"], table["reset"]
+        if type(version) is not int or type(whole) is not bool:
+            raise BadList("generation or reset is of the wrong type")
+        entries = [_entry(line, zones, kinds, to_clock) for line in table["instances"]]
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from None
+    return version, whole, entries
+
+
+def _index(names: list[str], name: object) -> int:
+    """The place of a zone or kind among the settings' names; an unknown one is none of ours."""
+    return names.index(str(name)) if str(name) in names else len(names)
+
+
+def _entry(
+    line: Mapping[str, Any], zones: list[str], kinds: list[str], to_clock: Callable[[float], float]
+) -> HostEntry:
+    started, weight = float(line.get("startedAtMs", 0)), float(line.get("weight", 1.0))
+    if not (math.isfinite(started) and math.isfinite(weight)):
+        raise BadList("a figure is not finite")
+    address = line["hostPort"]
+    http.split_address(address)
+    return HostEntry(
+        name=str(line["instanceId"]),
+        address=address,
+        state=STATES[line["lifecycle"]],
+        zone=_index(zones, line.get("zone")),
+        kind=_index(kinds, line.get("machineType")),
+        cell=int(line.get("cell", 0)),
+        weight=weight,
+        started_at=to_clock(started) if started else 0.0,  # 0 is 'long ago' on every clock
+    )
+
+
+class _Call(asyncio.Protocol):
+    """A connection to discovery, and the call on it."""
+
+    def __init__(self, watch: "Inventory") -> None:
+        self.watch = watch
+        self.transport: asyncio.Transport | None = None
+        self.lost = False
+        self._parser: Any = None
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The dial has come through."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
+        if self.watch.call is self:
+            self.ask()
+        else:
+            self.transport.abort()
+
+    def ask(self) -> None:
+        """Send a call."""
+        assert self.transport is not None
+        self._parser, self._body, self._size = httptools.HttpResponseParser(self), [], 0
+        target = f"/registry/instances?after={self.watch.version}&wait_ms={int(WAIT)}"
+        self.transport.write(http.request(b"GET", target.encode(), self.watch.address, [], b""))
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of the answer."""
+        try:
+            if self._parser is None:
+                raise BadList("an answer that nobody asked for")
+            self._parser.feed_data(data)
+        except Exception as error:
+            self.watch.failed(self, repr(error.__context__ or error))
+        self.watch.turn()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Discovery has closed."""
+        self.lost = True
+        if self._parser is not None:
+            self.watch.failed(self, f"connection lost: {exc}")
+        self.watch.turn()
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the answer."""
+        self._size += len(body)
+        if self._size > MAX_LIST:
+            raise BadList("the list is too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        status, keep = self._parser.get_status_code(), self._parser.should_keep_alive()
+        self._parser = None
+        if not keep and self.transport is not None:
+            self.lost = True
+            self.transport.close()
+        if status == 200:
+            self.watch.answered(self, b"".join(self._body))
+        else:
+            self.watch.failed(self, f"status {status}")
+
+
+class Inventory:
+    """Watches while asked to; a failure ends the watch, and the module asks again."""
+
+    def __init__(
+        self,
+        address: str,
+        version: int,
+        read: Callable[[Any], tuple[int, bool, list[HostEntry]]],
+        news: Callable[[ListKind, list[HostEntry]], None],
+        deadlines: Deadlines,
+        log: Callable[..., None],
+        turn: Callable[[], None],
+    ) -> None:
+        self.address, self.version = address, version
+        self.call: _Call | None = None
+        self.turn = turn
+        self._read, self._news, self._deadlines, self._log = read, news, deadlines, log
+        self._watching = False
+        self._fresh = False  # the first answer of a watch is told even when it brings nothing
+        self._deadline: Key | None = None
+        self._dial: asyncio.Task[None] | None = None
+
+    def subscribe(self) -> None:
+        """Begin a watch, unless one is on."""
+        if not self._watching:
+            self._watching = self._fresh = True
+            self._ask()
+
+    def stop(self) -> None:
+        """Close the connection."""
+        self._watching = False
+        self._drop()
+
+    def answered(self, call: _Call, body: bytes) -> None:
+        """An answer has come: the next call goes out at once, for a watch ends 200 ms after its last answer."""
+        if call is not self.call:
+            return
+        try:
+            version, whole, entries = self._read(orjson.loads(body))
+        except ValueError as error:
+            self.failed(call, f"bad list: {error}")
+            return
+        self.version = version
+        fresh, self._fresh = self._fresh, False
+        self._ask()
+        if entries or whole or fresh:
+            self._log("inventory", version=version, whole=whole, entries=len(entries))
+            self._news(ListKind.FULL if whole else ListKind.CHANGES, entries)
+
+    def failed(self, call: _Call | None, why: str) -> None:
+        """A call has failed: the list held so far stays, and the module decides when to ask again."""
+        if call is not self.call or not self._watching:
+            return
+        self._watching = False
+        self._drop()
+        self._log("inventory_failed", why=why)
+        self._news(ListKind.FAILED, [])
+
+    def _ask(self) -> None:
+        self._deadlines.drop(self._deadline)
+        if self.call is not None and not self.call.lost and self.call.transport is not None:
+            call = self.call
+            call.ask()
+        else:
+            call = self.call = _Call(self)
+            self._dial = asyncio.get_running_loop().create_task(self._connect(call))
+        self._deadline = self._deadlines.after(WAIT + LATE, self.failed, call, "no answer in time")
+
+    def _drop(self) -> None:
+        self._deadlines.drop(self._deadline)
+        call, self.call = self.call, None
+        if call is not None and call.transport is not None:
+            call.transport.abort()
+        elif self._dial is not None:
+            self._dial.cancel()
+
+    async def _connect(self, call: _Call) -> None:
+        host, port = http.split_address(self.address)
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: call, host, port)
+        except OSError as error:
+            self.failed(call, f"dial: {error}")
+            self.turn()
--- /dev/null
+++ b/heronlug/wire/south.py
@@ -0,0 +1,306 @@
+"""South side of the platform's protocol: connections to hosts, kept warm, one request at a time on each."""
+
+import asyncio
+import select
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+import orjson
+
+from heronlug.interface import NoteKind, Outcome
+from heronlug.memory.core import Core, Host, Relay
+from heronlug.memory.deadlines import Deadlines, Key
+from heronlug.memory.slots import Slots
+from heronlug.wire import http
+from heronlug.wire.north import relay_head
+
+# The host closes an idle connection at the latest after conn_idle, and a request written to it from then on is a
+# reset, which send-invites does not survive: ours are retired at this share of that time.
+RETIRE_SHARE = 0.7
+LAST_CHUNK_WAIT = 1000.0  # after the last line, for the end of the answer
+ENDS = {"done": Outcome.SERVED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a host."""
+
+    def __init__(self, south: "South", host: Host, address: str) -> None:
+        self.south, self.host, self.address = south, host, address
+        self.ticket = 0
+        self.relay: Relay | None = None
+        self.transport: asyncio.Transport | None = None
+        self.dial: asyncio.Task[None] | None = None
+        self.deadline: Key | None = None  # of the dial, of the idle time, or of the last chunk
+        self.sent = False  # the first byte of a request has been handed to the network
+        self.unwritten = False  # not all of it has gone out
+        self.closed = False
+        self._parser: Any = None
+        self._status = 0
+        self._turned_away = False
+        self._lines = http.Lines()
+
+    # -- asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The dial has come through."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
+        self.transport.set_write_buffer_limits(high=0)  # so that we are told when a byte stays unwritten
+        if self.closed:
+            self.transport.abort()
+            return
+        self.south.dialled(self)
+        self.south.turn()
+
+    def pause_writing(self) -> None:
+        """Bytes are waiting in the buffer."""
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        """The buffer is empty."""
+        self.unwritten = False
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes from the host."""
+        if self.closed:
+            return
+        if self.relay is None and self._parser is None:
+            self.close()  # it talks with nobody asking
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._end(Outcome.ERROR)
+            self.south.log("bad_host", host=self.host.entry.name, error=str(error.__context__ or error))
+            self.close()
+        except Exception as error:  # one connection ends, the process does not
+            self.south.log("exception", where="south", error=repr(error))
+            self._end(Outcome.ERROR)
+            self.close()
+        self.south.turn()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has broken or ended."""
+        if self._parser is not None and self.sent and exc is None:
+            self._finish_lines()
+        self._end(Outcome.CONNECT_FAILED if self.unwritten or not self.sent else Outcome.RESET)
+        self.close()
+        self.south.turn()
+
+    # -- httptools
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header of the answer."""
+        if name.lower() == b"x-turned-away":
+            self._turned_away = value.strip() == b"1"
+
+    def on_headers_complete(self) -> None:
+        """The head is whole: all but a 200 ends the relay."""
+        self._status = self._parser.get_status_code()
+        if self._status in (503, 504) and self._turned_away:
+            self._end(Outcome.FULL)
+        elif self._status >= 200 and self._status != 200:
+            self._end(Outcome.ERROR)
+
+    def on_body(self, body: bytes) -> None:
+        """A chunk, which may end anywhere in a line."""
+        if self._status == 200:
+            for line in self._lines.feed(body):
+                self._line(line)
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        if self._status == 200:
+            self._finish_lines()
+        if self._status < 200:
+            return
+        self._end(Outcome.RESET)  # it ended before the last line
+        if self._parser.should_keep_alive():
+            self.south.rest(self)
+        else:
+            self.close()
+
+    # -- the relay on it
+
+    def write(self, relay: Relay) -> None:
+        """Send the relay's request; its first byte goes out here."""
+        assert self.transport is not None
+        request = relay.message.load
+        remaining = relay.message.give_up_at - self.south.deadlines.clock()
+        data = http.request(
+            request.method, request.target, self.address, relay_head(request, remaining), request.body
+        )
+        self.relay = relay
+        self._parser = httptools.HttpResponseParser(self)
+        self._status, self._turned_away, self._lines = 0, False, http.Lines()
+        self.sent, self.unwritten = True, False
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """Close it, and leave whatever is on it."""
+        if not self.closed:
+            self.closed = True
+            self.south.deadlines.drop(self.deadline)
+            self.south.forget(self)
+            if self.transport is not None:
+                self.transport.abort()
+            elif self.dial is not None:
+                self.dial.cancel()
+
+    def _finish_lines(self) -> None:
+        for line in self._lines.end():
+            self._line(line)
+
+    def _line(self, line: bytes) -> None:
+        relay = self.relay
+        if relay is None:
+            return
+        try:
+            told = orjson.loads(line)
+            state = told["state"]
+            if told["id"] != relay.message.load.txn:
+                raise ValueError("a line of another message")
+            if state == "started":
+                self.south.core.noted(relay, NoteKind.STARTED)
+            elif state == "running":
+                self.south.core.noted(relay, NoteKind.PROGRESS, float(told.get("share", 0.0)))
+            elif state == "done":
+                self._end(Outcome.SERVED, told["result"].encode())
+            else:
+                self._end(ENDS[state])
+        except (ValueError, KeyError, TypeError, AttributeError, UnicodeError) as error:
+            # strange JSON ends this relay as an error, and nothing else
+            self.south.log("bad_host", host=self.host.entry.name, error=repr(error))
+            self._end(Outcome.ERROR)
+
+    def _end(self, outcome: Outcome, result: bytes = b"") -> None:
+        relay, self.relay = self.relay, None
+        if relay is not None:
+            self.south.deadlines.drop(self.deadline)
+            self.deadline = self.south.deadlines.after(LAST_CHUNK_WAIT, self.close)
+            relay.wire = None
+            self.south.core.ended(relay, outcome, result)
+
+
+class South:
+    """The connections to all hosts."""
+
+    core: Core
+
+    def __init__(
+        self,
+        deadlines: Deadlines,
+        log: Callable[..., None],
+        turn: Callable[[], None],
+        *,
+        conn_idle: float,
+        dial_timeout: float,
+        max_connections: int,
+    ) -> None:
+        self.deadlines, self.log, self.turn = deadlines, log, turn
+        self.retire_after = RETIRE_SHARE * conn_idle
+        self.dial_timeout = dial_timeout
+        self.max_connections = max_connections
+        self.connections: Slots[Connection] = Slots()
+        self.idle: dict[int, deque[Connection]] = {}  # by host, the one used last at the end
+        self.dials = 0  # so many made so far
+
+    def send(self, relay: Relay) -> None:
+        """Put a relay on a warm connection, or dial one for it."""
+        pool = self.idle.get(relay.host.number)
+        while pool:
+            connection = pool.pop()
+            if self._sound(connection, relay.host.entry.address):
+                self.deadlines.drop(connection.deadline)
+                relay.wire = connection
+                connection.write(relay)
+                return
+            connection.close()
+        if len(self.connections) >= self.max_connections and not self._evict():
+            self.log("too_many_connections", connections=len(self.connections))
+            self.core.ended(relay, Outcome.CONNECT_FAILED)
+            return
+        connection = Connection(self, relay.host, relay.host.entry.address)
+        connection.ticket = self.connections.put(connection)
+        connection.relay = relay
+        relay.wire = connection
+        connection.deadline = self.deadlines.after(self.dial_timeout, self._dial_over, connection)
+        connection.dial = asyncio.get_running_loop().create_task(self._dial(connection))
+        self.dials += 1
+
+    def cancel(self, relay: Relay) -> None:
+        """Give a relay up by closing its connection."""
+        connection, relay.wire = relay.wire, None
+        if connection is not None:
+            connection.relay = None
+            connection.close()
+
+    def dialled(self, connection: Connection) -> None:
+        """A connection is up.  Guards the rules at the write: its relay may have lost its right to go out."""
+        self.deadlines.drop(connection.deadline)
+        relay = connection.relay
+        if relay is None:
+            self.rest(connection)
+        elif self.core.may_write(relay):
+            connection.write(relay)
+        else:
+            connection.relay = None
+            relay.wire = None
+            self.rest(connection)
+            self.core.ended(relay, Outcome.CONNECT_FAILED)
+
+    def rest(self, connection: Connection) -> None:
+        """A connection is free: keep it warm for a while."""
+        if connection.closed:
+            return
+        connection._parser = None
+        connection.sent = False
+        self.deadlines.drop(connection.deadline)
+        connection.deadline = self.deadlines.after(self.retire_after, connection.close)
+        self.idle.setdefault(connection.host.number, deque()).append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self.connections.take(connection.ticket)
+        pool = self.idle.get(connection.host.number)
+        if pool and connection in pool:
+            pool.remove(connection)
+
+    def retire(self, hosts: dict[int, Host]) -> None:
+        """Close what stands idle to hosts that are not ready, or not there any more."""
+        for number, pool in self.idle.items():
+            for connection in list(pool):
+                if not hosts[number].ready or hosts[number].entry.address != connection.address:
+                    connection.close()
+
+    def _sound(self, connection: Connection, address: str) -> bool:
+        """Whether an idle connection may be written to: same place, and no end of it waiting to be read."""
+        if connection.transport is None or connection.transport.is_closing() or connection.address != address:
+            return False
+        poll = select.poll()
+        poll.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        return not poll.poll(0)
+
+    def _evict(self) -> bool:
+        """Close the connection that has stood idle longest, to make room for a dial."""
+        oldest = [pool[0] for pool in self.idle.values() if pool]
+        if not oldest:
+            return False
+        min(oldest, key=lambda c: c.deadline or (0.0, 0)).close()
+        return True
+
+    async def _dial(self, connection: Connection) -> None:
+        host, port = http.split_address(connection.address)
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
+        except OSError:
+            self._dial_over(connection)
+            self.turn()
+
+    def _dial_over(self, connection: Connection) -> None:
+        relay, connection.relay = connection.relay, None
+        connection.close()
+        if relay is not None:
+            relay.wire = None
+            self.core.ended(relay, Outcome.CONNECT_FAILED)
