Learn a worker's slots from starts and waits where no report tells of them

Cause: Kind.slots stays at 1 for ever without the report field x0 (records.Kind, logic._learn_slots), so K held one job at a worker of 4 or 5 cores.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -12,6 +12,7 @@
 T_START = 16  # T is this many plus the remembered sends (design)
 C1 = 0.2  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
 PAYOFF_TOP = 8.0  # graded payoffs run from 0 to this: the bonus supposes noise of about 1, theirs is 1/8
+UNTOLD = 4.0  # slots of a worker where no report tells of them, until starts and waits do
 MEMORY, LEARN = 20.0, 1 / 16  # counts age over so many mean running times, running means over 16 values
 COLD_MARGIN = 0.5  # use half of the cold budget: sizes, and speeds of the kinds, are only estimated
 EJECT_DIALS, EJECT_DOUBLINGS = 4.0, 3  # first ejection, in connection time-outs, and how often it may double
@@ -52,6 +53,10 @@
         self.can_hedge = settings.tells_start and settings.second_copies
         self.can_repeat = any(c.effect is not pk.Effect.ONCE for c in settings.classes)
         self.free_at = next((i for i, name in enumerate(settings.report_fields) if name == "x0"), -1)
+        # with no reports, a start or a wait at a worker tells of its slots; with neither, nothing does
+        self.by_starts = self.free_at < 0 and settings.tells_start
+        if self.by_starts:
+            self.kinds.default_factory = lambda: Kind(UNTOLD)
         self.handlers: dict[type, Callable[..., None]] = {
             pk.JobArrived: self._on_job, pk.AttemptEnded: self._on_ended, pk.Note: self._on_note,
             pk.WorkerList: self._on_list, pk.ClientGone: lambda event, now: self._close(event.job),
@@ -243,7 +248,10 @@
         flight = self.flights.get((event.job, event.attempt))
         if flight is not None and flight.waiting:
             flight.waiting = False
-            flight.worker.waiting -= 1
+            worker = flight.worker
+            worker.waiting -= 1
+            if self.by_starts:
+                worker.model.started(worker.own - worker.waiting + worker.told)
             attempts = flight.job.attempts if self.s.may_cancel else []  # its copies elsewhere have lost
             self.out += [pk.Cancel(event.job, n) for n, f in enumerate(attempts) if f.waiting and f.out]
 
@@ -252,6 +260,8 @@
         job = flight.job
         if not flight.waiting or self.jobs.get(job.id) is not job:
             return
+        if self.by_starts:
+            flight.worker.model.waited(flight.worker.own - flight.worker.waiting + flight.worker.told)
         others = max(1.0, flight.worker.model.slots - 1)  # until one of its slots has ended
         flight.worker.stuck_until = now + self.mean_span * log(1 + 1 / others)
         started = any(f.out and not f.waiting for f in job.attempts)
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -160,13 +160,24 @@
 
 
 class Kind:
-    """How many slots the workers of a kind have, by the free ones that they report."""
+    """How many slots the workers of a kind have, by the free ones that they report, or by starts and waits."""
 
     __slots__ = ("low", "slots", "top")
 
-    def __init__(self) -> None:
+    STEP = 1 / 8  # of the way to what a start or a wait shows: counts from peers are a little old
+
+    def __init__(self, slots: float = 1.0) -> None:
         self.top = self.low = 1.0  # the most that were free at once; what report after report bears out
-        self.slots = 1.0  # what is taken for it, 1 while nothing is known
+        self.slots = slots  # what is taken for it, while nothing is known
+
+    def started(self, busy: float) -> None:
+        """A job has started, and with it so many slots are in use."""
+        self.slots += self.STEP * max(0.0, busy - self.slots)
+
+    def waited(self, busy: float) -> None:
+        """A job has not started with so many slots in use; with fewer than half, the worker stands still."""
+        if busy >= self.slots / 2:
+            self.slots -= self.STEP * max(0.0, self.slots - busy)
 
 
 class Peers:
