--- /dev/null
+++ b/tests/exchange.py
@@ -0,0 +1,283 @@
+"""Plays a recorded exchange against the program: bytes out, bytes compared, nothing asserted on speed.
+
+A step is ``WHO > BYTES`` (the stand-in sends), ``WHO < BYTES`` (the program must send just these), ``WHO close``,
+``WHO reset``, ``WHO eof`` (the program must have closed), ``WHO refuse`` (a host stops listening), ``wait MS`` or
+``signal NAME`` (to the program), ``exit N``.  ``c1`` is a client, ``h1`` a host, ``inv`` discovery, ``p1`` a peer.
+A host's or discovery's step takes the next connection if it has none; ``next WHO`` leaves the one it has.
+``let NAME = TEXT`` gives a word, used as ``{NAME arg arg}`` with ``$1`` for its arguments.  What is left unread at
+the end fails the exchange.
+"""
+
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+FOLDER = Path(__file__).parent / "exchanges"
+PATIENCE = 10.0  # for something that must come; no speed is asserted
+SETTINGS: dict[str, Any] = {
+    "instances": 2,
+    "position": 0,
+    "zone": 0,
+    "zones": ["a", "b"],
+    "skus": ["m1"],
+    "discovery": "on_request",
+    "tick": 5.0,
+    "lanes": [
+        {"name": "safe", "deadline": 5000.0, "effect": "repeatable", "goal_time": 400.0, "worth": 1.0},
+        {"name": "once", "deadline": 5000.0, "effect": "once", "goal_time": 400.0, "worth": 2.0},
+        {"name": "keyed", "deadline": 5000.0, "effect": "by_key", "goal_time": 400.0, "repeat_window": 9000.0},
+    ],
+    "family_info": {"class_stretch": [0, 0, 0], "tells_start": True, "progress": 1000.0},
+    "limits": {
+        "attempts_cap": 3, "second_copies": False, "may_cancel": True, "may_tell": True, "conn_idle": 4000.0,
+        "dial_timeout": 300.0, "max_open": 50, "max_retry_after": 2000.0, "retry_after": True,
+    },
+    "safety": {
+        "answer_slack": 20.0, "ask_every": 10000.0, "cold_from": 0.2, "drain_grace": 2500.0, "overload_for": 3000.0,
+        "tip_multiple": 3.0, "warm_after": 20000.0,
+    },
+}  # fmt: skip
+FREE_FORM = (
+    (rb"(?i)host: [0-9.:]+", b"host: H"),
+    (rb"(?i)x-remaining-ms: \d+", b"x-remaining-ms: N"),
+)
+
+
+def listener(kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
+    """A stand-in's socket on a free port."""
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.bind(("127.0.0.1", 0))
+    if kind == socket.SOCK_STREAM:
+        sock.listen(64)
+    sock.settimeout(PATIENCE)
+    return sock
+
+
+def address(sock: socket.socket) -> str:
+    """Where it is."""
+    host, port = sock.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def free_port() -> int:
+    """A port that nothing listens on."""
+    with listener() as sock:
+        return int(sock.getsockname()[1])
+
+
+class Player:
+    """The stand-ins of one exchange, and the program that they speak with."""
+
+    def __init__(self, hosts: int = 1, **changes: Any) -> None:
+        self.listeners = {f"h{n + 1}": listener() for n in range(hosts)}
+        self.listeners["inv"] = listener()
+        self.peers = {f"p{n}": listener(socket.SOCK_DGRAM) for n in range(2)}
+        self.peers["p9"] = listener(socket.SOCK_DGRAM)  # no peer of ours
+        self.open: dict[str, socket.socket] = {}
+        self.left: list[tuple[str, socket.socket]] = []
+        self.unread: dict[str, bytes] = {}
+        self.words: dict[str, str] = {}
+        self.listen = f"127.0.0.1:{free_port()}"
+        own = self.peers.pop("p0")
+        self.own = address(own)
+        own.close()
+        self.folder = tempfile.TemporaryDirectory()
+        settings = {**SETTINGS, **changes.pop("settings", {})}
+        settings["limits"] = {**SETTINGS["limits"], **changes.pop("limits", {})}
+        config = {
+            "name": "n0", "listen": self.listen, "discovery": address(self.listeners["inv"]), "seed": "ab12",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings,
+            "peer_listen": self.own, "peers": [self.own, address(self.peers["p1"])],
+            "known": self.listed(3, True, *(f"h{n + 1}" for n in range(hosts))), **changes,
+        }  # fmt: skip
+        path = Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps(config))
+        environ = {**os.environ, "RELAY_CONFIG": str(path)}
+        self.log = (Path(self.folder.name) / "log").open("w+b")
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "heronlug"], env=environ, stdout=self.log, stderr=self.log
+        )
+        self._until_ready()
+
+    def _until_ready(self) -> None:
+        end = time.monotonic() + 3 * PATIENCE
+        host, port = self.listen.split(":")
+        while True:
+            try:
+                socket.create_connection((host, int(port)), PATIENCE).close()
+                return
+            except OSError:
+                if time.monotonic() > end or self.program.poll() is not None:
+                    raise
+                time.sleep(0.02)
+
+    def listed(self, version: int, whole: bool, *lines: str) -> dict[str, Any]:
+        """A list; a line is a host's name, its state if that is not ``active``, and its start if there is one."""
+        instances = []
+        for line in lines:
+            name, state, started = [*line.split(":"), "active", "0"][:3] if ":" in line else (line, "active", "0")
+            instances.append(
+                {
+                    "instanceId": name, "hostPort": address(self.listeners[name]), "zone": "a", "machineType": "m1",
+                    "cell": 0, "lifecycle": state, "weight": 1.0, "startedAtMs": int(started),
+                }
+            )  # fmt: skip
+        return {"generation": version, "reset": whole, "instances": instances}
+
+    # -- the steps
+
+    def play(self, text: str) -> None:
+        """Play an exchange; raises ``AssertionError`` naming the line that did not hold."""
+        for number, line in enumerate(text.splitlines(), 1):
+            if line.strip() and not line.startswith("#"):
+                try:
+                    self.step(line)
+                except (AssertionError, OSError, KeyError) as error:
+                    raise AssertionError(f"line {number}: {line}\n{type(error).__name__}: {error}\n{self.logged()}") from None
+        for who, sock in [*self.open.items(), *self.left]:
+            rest = self.unread.get(who, b"") + self._now(sock)
+            assert not rest, f"{who} was sent more: {rest!r}"
+        for who, sock in self.listeners.items():
+            assert who == "inv" or not self._waiting(sock), f"a connection to {who} that nobody expected"
+
+    def step(self, line: str) -> None:
+        """One step."""
+        if match := re.fullmatch(r"let (\w+) = (.*)", line):
+            self.words[match[1]] = match[2]
+        elif match := re.fullmatch(r"(\w+) ([<>]) (.*)", line):
+            who, way, data = match[1], match[2], self.read(match[3])
+            (self.send if way == ">" else self.expect)(who, data)
+        elif match := re.fullmatch(r"list (\w+) (\d+)(.*)", line):
+            self._take_call()
+            body = json.dumps(self.listed(int(match[2]), match[1] == "whole", *match[3].split())).encode()
+            self.send("inv", b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        else:
+            word, *args = line.split()
+            if word == "wait":
+                time.sleep(int(args[0]) / 1000)
+            elif word == "next":
+                self.left.append((args[0], self.open.pop(args[0])))
+            elif word == "signal":
+                self.program.send_signal(signal.Signals[args[0]])
+            elif word == "exit":
+                status = self.program.wait(3 * PATIENCE)
+                assert status == int(args[0]), f"the program ended with {status}"
+            elif args == ["close"]:
+                self.open.pop(word).close()
+            elif args == ["reset"]:
+                sock = self.open.pop(word)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+            elif args == ["eof"]:
+                got = self.unread.pop(word, b"") + self.open[word].recv(65536)
+                assert got == b"", f"{got!r} in place of an end"
+                self.open.pop(word).close()
+            elif args == ["refuse"]:
+                self.listeners.pop(word).close()
+            else:
+                raise AssertionError("no such step")
+
+    def read(self, text: str) -> bytes:
+        """The bytes that a text stands for."""
+        while match := re.search(r"\{(\w+)((?: [^{}\s]+)*)\}", text):
+            word = self.words[match[1]]
+            for place, argument in enumerate(match[2].split(), 1):
+                word = word.replace(f"${place}", argument)
+            text = text[: match.start()] + word + text[match.end() :]
+        data = text.encode().decode("unicode_escape").encode("latin-1")
+        return re.sub(rb"<(\d+)x(.)>", lambda m: m[2] * int(m[1]), data)
+
+    def send(self, who: str, data: bytes) -> None:
+        """A stand-in sends; a peer sends a datagram."""
+        if who in self.peers:
+            host, port = self.own.split(":")
+            self.peers[who].sendto(data, (host, int(port)))
+        else:
+            self._socket(who).sendall(data)
+
+    def expect(self, who: str, data: bytes) -> None:
+        """The program must send just this."""
+        if who in self.peers:
+            got = self.peers[who].recv(65536)
+            assert got.startswith(data), f"got {got!r}"
+            return
+        sock, got = self._socket(who), self.unread.pop(who, b"")
+        wanted = self._plain(data)
+        while len(self._plain(got)) < len(wanted):
+            try:
+                chunk = sock.recv(65536)
+            except TimeoutError:
+                raise AssertionError(f"only {got!r} came") from None
+            assert chunk, f"the program closed after {got!r}"
+            got += chunk
+        plain = self._plain(got)
+        assert plain[: len(wanted)] == wanted, f"got {plain!r}\nnot {wanted!r}"
+        if plain[len(wanted) :]:
+            self.unread[who] = plain[len(wanted) :]
+
+    def logged(self) -> str:
+        """The end of the program's log."""
+        self.log.flush()
+        return Path(self.log.name).read_text()[-3000:]
+
+    def close(self) -> None:
+        """End the program that this player started, and close all sockets."""
+        if self.program.poll() is None:
+            self.program.kill()
+            self.program.wait()
+        self.log.close()
+        for sock in [*self.open.values(), *self.listeners.values(), *self.peers.values(), *(s for _, s in self.left)]:
+            sock.close()
+        self.folder.cleanup()
+
+    # -- inside
+
+    @staticmethod
+    def _plain(data: bytes) -> bytes:
+        for pattern, stand_in in FREE_FORM:
+            data = re.sub(pattern, stand_in, data)
+        return data
+
+    @staticmethod
+    def _now(sock: socket.socket) -> bytes:
+        sock.setblocking(False)
+        try:
+            return sock.recv(65536)
+        except OSError:
+            return b""
+
+    @staticmethod
+    def _waiting(sock: socket.socket) -> bool:
+        sock.setblocking(False)
+        try:
+            sock.accept()[0].close()
+            return True
+        except OSError:
+            return False
+
+    def _socket(self, who: str) -> socket.socket:
+        if who not in self.open:
+            if who in self.listeners:
+                self.open[who], _ = self.listeners[who].accept()
+            else:
+                host, port = self.listen.split(":")
+                self.open[who] = socket.create_connection((host, int(port)))
+            self.open[who].settimeout(PATIENCE)
+        return self.open[who]
+
+    def _take_call(self) -> None:
+        """Read discovery's next call."""
+        sock, got = self._socket("inv"), b""
+        while b"\r\n\r\n" not in got:
+            chunk = sock.recv(65536)
+            assert chunk, "the watch's connection has ended"
+            got += chunk
