--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,41 @@
+"""Every recorded exchange in ``tests/exchanges`` against the program."""
+
+import json
+import re
+import unittest
+
+from exchange import FOLDER, Player
+
+WORDS = (FOLDER / "words.txt").read_text()
+
+
+class Exchanges(unittest.TestCase):
+    """One test for each file."""
+
+    def play(self, name: str) -> None:
+        text = (FOLDER / name).read_text()
+        options = {key: json.loads(value) for key, value in re.findall(r"^# (limits|hosts) (.*)$", text, re.M)}
+        player = Player(**options)
+        try:
+            for line in WORDS.splitlines():
+                player.step(line)
+            player.play(text)
+            self.assertNotIn('"exception"', player.logged())
+            self.assertEqual(player.program.poll() or 0, 0)
+        finally:
+            player.close()
+
+
+def _test(name: str) -> None:
+    def test(self: Exchanges) -> None:
+        self.play(name)
+
+    setattr(Exchanges, f"test_{name.removesuffix('.txt')}", test)
+
+
+for path in sorted(FOLDER.glob("*.txt")):
+    if path.name != "words.txt":
+        _test(path.name)
+
+if __name__ == "__main__":
+    unittest.main()
