--- /dev/null
+++ b/heronlug/wire/faktory.py
@@ -0,0 +1,555 @@
+"""The second front: the Faktory work protocol, version 2, in RESP frames.
+
+A job is a message, its jobtype names the class; a connected worker (wid) is a host of the south side.  The core
+decides which worker gets a job, and the worker's FETCH collects it.  What has been delivered may have run: if the
+connection it went out on is lost, a beat is missed or the reservation passes, that relay ends as a reset.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import math
+import secrets
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import orjson
+
+from heronlug.interface import ListKind, NoteKind, Outcome, WorkerState
+from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
+from heronlug.memory.deadlines import Deadlines, Key
+from heronlug.memory.slots import Slots
+from heronlug.wire import http
+
+VERSION = 2
+FETCH_WAIT = 2_000.0  # a FETCH with nothing to collect is answered with nothing after this
+PICK_UP = 2_500.0  # a job that its worker does not collect in this time never ran, and goes elsewhere
+HAND_BACK = 50.0  # before the give-up time: what is not collected by then is refused and not failed
+QUIET_STATES = {"quiet", "terminate", "quieting", "terminating"}
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What ``deploy/faktory.toml`` says of this front."""
+
+    listen: tuple[str, int]
+    password: str = ""
+    beat_timeout: float = 60_000.0
+    reserve_for: float = 1_800_000.0  # for jobs that do not say
+    remember: float = 86_400_000.0  # a jid stays known for so long after its final answer
+    max_known: int = 100_000  # jids; past that nothing is taken in, for to forget one may be to run it twice
+    max_connections: int = 200
+
+
+class Refusal(Exception):
+    """An ERR reply; the connection goes on."""
+
+
+class Hangup(Refusal):
+    """An ERR reply after which the connection is closed."""
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One accepted job."""
+
+    jid: str
+    lane: int
+    queue: str
+    table: dict[str, Any]
+    reserve_for: float
+    final: Final | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """What is known of a wid."""
+
+    wid: str
+    connections: set["Connection"] = field(default_factory=set)
+    assigned: deque[Relay] = field(default_factory=deque)  # sent to it by the core, not collected yet
+    reserved: dict[str, "Reservation"] = field(default_factory=dict)  # collected and not ended, by jid
+    state: str = ""  # as its beats tell
+    beat: Key | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Reservation:
+    """A delivered job."""
+
+    relay: Relay
+    worker: Worker
+    connection: "Connection"
+    over: Key
+
+
+def simple(text: str) -> bytes:
+    """A simple string; an error begins with ``-``."""
+    return f"+{text}\r\n".encode()
+
+
+def error(text: str) -> bytes:
+    """An error, of one line whatever it quotes."""
+    return ("-ERR " + " ".join(text.split())[:300] + "\r\n").encode("utf-8", "replace")
+
+
+def bulk(data: bytes | None) -> bytes:
+    """A bulk string, or the null one."""
+    return b"$-1\r\n" if data is None else b"$%d\r\n%s\r\n" % (len(data), data)
+
+
+def _table(text: bytes) -> dict[str, Any]:
+    try:
+        table = orjson.loads(text)
+    except ValueError:
+        raise Refusal("malformed JSON") from None
+    if not isinstance(table, dict):
+        raise Refusal("not a JSON object")
+    return table
+
+
+def _figure(table: dict[str, Any], key: str) -> float | None:
+    value = table.get(key)
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+        raise Refusal(f"{key} is no figure of 0 or more")
+    return float(value)
+
+
+class Connection(asyncio.Protocol):
+    """One connection, of a producer or a worker."""
+
+    def __init__(self, front: "Faktory") -> None:
+        self.front = front
+        self.ticket = 0
+        self.transport: asyncio.Transport | None = None
+        self.worker: Worker | None = None
+        self.reserved: set[str] = set()  # jids collected here
+        self.queues: list[str] = []  # of the FETCH that waits, if one does
+        self.waiting: Key | None = None
+        self._commands: deque[bytes] = deque()  # read ahead while a FETCH waits
+        self._lines = http.Lines()
+        self._greeted = False
+        self._salt = secrets.token_hex(8)
+        self._closing = False
+        self._silence: Key | None = None
+
+    # -- asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Say HI; whoever does not say HELLO in time is let go."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
+        if not self.front.opened(self):
+            self._closing = True
+            self.transport.write(error("too many connections"))
+            self.transport.close()
+            return
+        hello: dict[str, Any] = {"v": VERSION}
+        if self.front.terms.password:
+            hello |= {"s": self._salt, "i": ITERATIONS}
+        self._silence = self.front.deadlines.after(15_000.0, self.close)
+        self.transport.write(b"+HI " + orjson.dumps(hello) + b"\r\n")
+        self.front.turn()
+
+    def data_received(self, data: bytes) -> None:
+        """Commands, a line each."""
+        if self._closing:
+            return
+        try:
+            self._commands.extend(self._lines.feed(data))
+        except ValueError:
+            self._hang_up("line too long")
+        self._next()
+        if len(self._commands) > 256 and self.transport is not None:
+            self._hang_up("too many commands at once")
+        self.front.turn()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """What was collected here and not acknowledged may have run."""
+        self._closing = True
+        self.front.deadlines.drop(self._silence)
+        self.front.closed(self)
+        self.front.turn()
+
+    # -- commands
+
+    def write(self, data: bytes) -> None:
+        """Reply."""
+        if self.transport is not None and not self._closing:
+            self.transport.write(data)
+
+    def close(self) -> None:
+        """End the connection."""
+        self._closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def fetched(self, data: bytes | None) -> None:
+        """The FETCH that waits is answered."""
+        self.front.deadlines.drop(self.waiting)
+        self.waiting, self.queues = None, []
+        self.write(bulk(data))
+        self._next()
+
+    def _hang_up(self, why: str) -> None:
+        self._commands.clear()
+        self.write(error(why))
+        self.close()
+
+    def _next(self) -> None:
+        while self._commands and not self._closing and self.waiting is None:
+            word, _, rest = self._commands.popleft().strip().partition(b" ")
+            try:
+                self._do(word.decode("ascii", "replace").upper(), rest.strip())
+            except Hangup as refusal:
+                self._hang_up(str(refusal))
+            except Refusal as refusal:
+                self.write(error(str(refusal)))
+            except Exception as fault:  # one connection ends, the process does not
+                self.front.log("exception", where="faktory", error=repr(fault))
+                self._hang_up("internal error")
+
+    def _do(self, word: str, rest: bytes) -> None:
+        front = self.front
+        if not self._greeted:
+            if word != "HELLO":
+                raise Hangup("say HELLO first")
+            self._hello(_table(rest))
+        elif word == "PUSH":
+            front.push(_table(rest))
+            self.write(simple("OK"))
+        elif word == "PUSHB":
+            self.write(bulk(orjson.dumps(front.push_all(rest))))
+        elif word == "FETCH":
+            self._fetch(rest)
+        elif word in ("ACK", "FAIL"):
+            front.end(self, _table(rest), Outcome.SERVED if word == "ACK" else Outcome.ERROR)
+            self.write(simple("OK"))
+        elif word == "BEAT":
+            state = front.beat(_table(rest))
+            self.write(bulk(orjson.dumps({"state": state})) if state else simple("OK"))
+        elif word == "INFO":
+            self.write(bulk(orjson.dumps(front.info())))
+        elif word == "END":
+            self.write(simple("OK"))
+            self.close()
+        else:
+            raise Refusal(f"unknown command {word[:20]}")
+
+    def _hello(self, table: dict[str, Any]) -> None:
+        if table.get("v") != VERSION:
+            raise Hangup(f"only protocol version {VERSION} is spoken here")
+        password = self.front.terms.password
+        if password:
+            digest = (password + self._salt).encode()
+            for _ in range(ITERATIONS):
+                digest = hashlib.sha256(digest).digest()
+            if not hmac.compare_digest(digest.hex(), str(table.get("pwdhash", ""))):
+                raise Hangup("invalid password")
+        wid = table.get("wid")
+        if wid is not None and (not isinstance(wid, str) or not 0 < len(wid) <= 64):
+            raise Hangup("wid is no text of 1 to 64 characters")
+        self._greeted = True
+        self.front.deadlines.drop(self._silence)
+        self.write(simple("OK"))
+        if wid is not None:
+            self.front.join(self, wid)
+
+    def _fetch(self, rest: bytes) -> None:
+        if self.worker is None:
+            raise Refusal("FETCH needs a HELLO with a wid")
+        self.queues = rest.decode("utf-8", "replace").split() or ["default"]
+        self.waiting = self.front.deadlines.after(FETCH_WAIT, self.fetched, None)
+        self.front.match(self.worker)
+
+
+ITERATIONS = 2048
+
+
+class Faktory:
+    """The front: jobs by jid, workers by wid, and a core of its own that decides about them."""
+
+    core: Core
+
+    def __init__(
+        self, terms: Terms, deadlines: Deadlines, log: Callable[..., None], turn: Callable[[], None]
+    ) -> None:
+        self.terms, self.deadlines, self.log, self.turn = terms, deadlines, log, turn
+        self.connections: Slots[Connection] = Slots()
+        self.workers: dict[str, Worker] = {}
+        self.jobs: dict[str, Job] = {}  # all known jids
+        self.ended = 0  # reservations that ended with an ACK or a FAIL
+        self.resets = 0
+        self.stopping = False
+
+    # -- what the core asks
+
+    def send(self, relay: Relay) -> None:
+        """Assign a job to a worker, which has to collect it soon."""
+        worker = self.workers[relay.host.entry.name]
+        if not worker.connections or worker.state:
+            self.core.ended(relay, Outcome.CONNECT_FAILED)
+            return
+        worker.assigned.append(relay)
+        limit = min(PICK_UP, relay.message.give_up_at - HAND_BACK - self.deadlines.clock())
+        relay.wire = self.deadlines.after(max(0.0, limit), self._not_collected, relay)
+        self.match(worker)
+
+    def cancel(self, relay: Relay) -> None:
+        """Give a relay up: a worker cannot be stopped, but what it ends with does not count any more."""
+        worker = self.workers[relay.host.entry.name]
+        self._unassign(worker, relay)
+        jid = relay.message.load.jid
+        if jid in worker.reserved and worker.reserved[jid].relay is relay:
+            self._release(worker, jid)
+
+    def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
+        """The one final answer: by the protocol no one waits for it, so it is kept under the jid and logged."""
+        job: Job = message.load
+        job.final = final
+        job.table = {}
+        self.log("job_answered", jid=job.jid, final=final.value)
+        self.deadlines.after(self.terms.remember, self.jobs.pop, job.jid, None)
+
+    # -- producers
+
+    def push(self, table: dict[str, Any]) -> None:
+        """Take a job in; raises :class:`Refusal`.  One that is known by its jid starts nothing new."""
+        jid = table.get("jid")
+        if not isinstance(jid, str) or not 8 <= len(jid) <= 128:
+            raise Refusal("jid is no text of 8 to 128 characters")
+        known = self.jobs.get(jid)
+        if known is not None:
+            if known.final in (Final.REFUSED, Final.FAILED):
+                raise Refusal(f"jid {jid} has had its final answer: {known.final.value}")
+            return
+        names = [lane.name for lane in self.core.settings.classes]
+        if table.get("jobtype") not in names:
+            raise Refusal("jobtype names no class")
+        if not isinstance(table.get("args"), list):
+            raise Refusal("args is no list")
+        queue, custom = table.get("queue", "default"), table.get("custom") or {}
+        if not isinstance(queue, str) or not queue or not isinstance(custom, dict):
+            raise Refusal("queue is no text, or custom no object")
+        if len(orjson.dumps(table)) > http.MAX_BODY:
+            raise Refusal("a job holds 64 KiB at most")
+        lane = names.index(table["jobtype"])
+        deadline = self.core.settings.classes[lane].deadline
+        remaining = _figure(custom, "remaining_ms")
+        reserve = _figure(table, "reserve_for")
+        if self.stopping:
+            raise Refusal("stopping, try another dispatcher")
+        if len(self.jobs) >= self.terms.max_known:
+            raise Refusal("too many jobs are known, come back later")
+        job = Job(jid, lane, queue, table, (reserve * 1000 if reserve else self.terms.reserve_for))
+        self.jobs[jid] = job
+        due = self._due(table)
+        if due > self.deadlines.clock():
+            self.deadlines.at(due, self._take, job, deadline if remaining is None else remaining)
+            return
+        message = self._take(job, deadline if remaining is None else remaining)
+        if message.final is Final.REFUSED and not message.relays:
+            del self.jobs[jid]  # it was never accepted: to push it again is harmless
+            raise Refusal("refused, come back later")
+
+    def push_all(self, text: bytes) -> dict[str, str]:
+        """Take many jobs in; what was not taken, by jid."""
+        try:
+            tables = orjson.loads(text)
+        except ValueError:
+            raise Refusal("malformed JSON") from None
+        if not isinstance(tables, list) or not all(isinstance(table, dict) for table in tables):
+            raise Refusal("not a JSON list of objects")
+        refused: dict[str, str] = {}
+        for table in tables:
+            try:
+                self.push(table)
+            except Refusal as refusal:
+                refused[str(table.get("jid", ""))] = str(refusal)
+        return refused
+
+    def _due(self, table: dict[str, Any]) -> float:
+        at = table.get("at")
+        if not at:
+            return 0.0
+        from datetime import datetime
+
+        try:
+            return datetime.fromisoformat(str(at)).astimezone().timestamp() * 1000
+        except ValueError:
+            raise Refusal("at is no time") from None
+
+    def _take(self, job: Job, remaining: float) -> Message:
+        return self.core.take(job, job.lane, remaining, size=len(job.table))
+
+    # -- workers
+
+    def join(self, connection: Connection, wid: str) -> None:
+        """A connection says whose it is; with its first one the worker comes to life."""
+        worker = self.workers.get(wid)
+        if worker is None:
+            worker = self.workers[wid] = Worker(wid)
+        connection.worker = worker
+        if not worker.connections:
+            worker.state = ""
+            worker.connections.add(connection)
+            self._beaten(worker)
+            self._list([(wid, WorkerState.READY)])
+        worker.connections.add(connection)
+
+    def beat(self, table: dict[str, Any]) -> str:
+        """A sign of life; returns the state that the worker has to take on, or nothing."""
+        worker = self.workers.get(str(table.get("wid")))
+        if worker is None or not worker.connections:
+            raise Refusal("no worker of that wid is connected")
+        self._beaten(worker)
+        state = str(table.get("current_state") or table.get("state") or "")
+        if state in QUIET_STATES and not worker.state:
+            self._quiet(worker, "terminate" if state.startswith("terminat") else "quiet")
+        return worker.state
+
+    def match(self, worker: Worker) -> None:
+        """Let the FETCHes that wait collect what is assigned; told off, a worker collects nothing."""
+        for connection in [c for c in worker.connections if c.waiting is not None]:
+            relay = next((r for r in worker.assigned if r.message.load.queue in connection.queues), None)
+            if relay is None or worker.state:
+                continue
+            self._unassign(worker, relay)
+            if not self.core.may_write(relay):
+                self.core.ended(relay, Outcome.FULL)
+                continue
+            job: Job = relay.message.load
+            over = self.deadlines.after(job.reserve_for, self._reset, worker, job.jid, "reservation passed")
+            worker.reserved[job.jid] = Reservation(relay, worker, connection, over)
+            connection.reserved.add(job.jid)
+            data = orjson.dumps({"queue": "default", "retry": 0, **job.table})
+            connection.fetched(data)
+            self.core.noted(relay, NoteKind.STARTED)
+
+    def end(self, connection: Connection, table: dict[str, Any], outcome: Outcome) -> None:
+        """An ACK or a FAIL; one for a job that is not reserved any more changes nothing."""
+        worker, jid = connection.worker, table.get("jid")
+        if worker is None:
+            raise Refusal("ACK and FAIL need a HELLO with a wid")
+        if not isinstance(jid, str) or jid not in self.jobs:
+            raise Refusal("no such job")
+        if jid not in worker.reserved:
+            self.log("late_ack", jid=jid, wid=worker.wid)
+            return
+        relay = self._release(worker, jid)
+        self.ended += 1
+        self.core.ended(relay, outcome)
+
+    def opened(self, connection: Connection) -> bool:
+        """Book a connection, if there is room."""
+        connection.ticket = self.connections.put(connection)
+        return len(self.connections) <= self.terms.max_connections
+
+    def closed(self, connection: Connection) -> None:
+        """A connection is lost: what it collected is reset, and with its last one the worker is gone."""
+        self.connections.take(connection.ticket)
+        self.deadlines.drop(connection.waiting)
+        connection.waiting = None
+        worker = connection.worker
+        if worker is None:
+            return
+        worker.connections.discard(connection)
+        if not worker.connections:
+            self._gone(worker)
+        for jid in list(connection.reserved):
+            self._reset(worker, jid, "connection lost")
+
+    def info(self) -> dict[str, Any]:
+        """The state, in the shape that Faktory's own tools read, and ours beside it."""
+        waiting = sum(1 for job in self.jobs.values() if job.final is None)
+        counts = {final.value: count for final, count in self.core.counts.items()}
+        return {
+            "server_utc_time": _utc(self.deadlines.clock()),
+            "faktory": {
+                "total_processed": sum(counts.values()),
+                "total_failures": counts["failed"],
+                "total_enqueued": waiting,
+                "total_queues": len({job.queue for job in self.jobs.values() if job.final is None}),
+                "tasks": {
+                    "Workers": {"size": sum(1 for worker in self.workers.values() if worker.connections)},
+                    "Working": {"size": sum(len(worker.reserved) for worker in self.workers.values())},
+                },
+            },
+            "server": {"description": "heronlug", "connections": len(self.connections)},
+            "heronlug": {**counts, "resets": self.resets},
+        }
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self.connections:
+            connection.close()
+
+    # -- inside
+
+    def _list(self, changes: Iterable[tuple[str, WorkerState]]) -> None:
+        # a worker collects at its own pace, so a fresh one cannot be pushed over: it is listed as started long ago
+        self.core.inventory(ListKind.CHANGES, [HostEntry(wid, wid, state) for wid, state in changes])
+
+    def _beaten(self, worker: Worker) -> None:
+        self.deadlines.drop(worker.beat)
+        worker.beat = self.deadlines.after(self.terms.beat_timeout, self._missed, worker)
+
+    def _missed(self, worker: Worker) -> None:
+        self.log("beat_missed", wid=worker.wid)
+        for connection in list(worker.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._gone(worker)
+        for jid in list(worker.reserved):
+            self._reset(worker, jid, "beat missed")
+
+    def _quiet(self, worker: Worker, state: str) -> None:
+        self.log("worker_told_off", wid=worker.wid, state=state)
+        worker.state = state
+        self._list([(worker.wid, WorkerState.DRAINING)])
+        self._hand_back(worker)
+
+    def _gone(self, worker: Worker) -> None:
+        self.deadlines.drop(worker.beat)
+        worker.state = worker.state or "terminate"
+        self._list([(worker.wid, WorkerState.GONE)])
+        self._hand_back(worker)
+
+    def _hand_back(self, worker: Worker) -> None:
+        """What is assigned and not collected never ran."""
+        for relay in list(worker.assigned):
+            self._unassign(worker, relay)
+            self.core.ended(relay, Outcome.CONNECT_FAILED)
+
+    def _unassign(self, worker: Worker, relay: Relay) -> None:
+        if relay in worker.assigned:
+            worker.assigned.remove(relay)
+        self.deadlines.drop(relay.wire)
+        relay.wire = None
+
+    def _not_collected(self, relay: Relay) -> None:
+        self._unassign(self.workers[relay.host.entry.name], relay)
+        self.core.ended(relay, Outcome.FULL)
+
+    def _release(self, worker: Worker, jid: str) -> Relay:
+        reservation = worker.reserved.pop(jid)
+        self.deadlines.drop(reservation.over)
+        reservation.connection.reserved.discard(jid)
+        return reservation.relay
+
+    def _reset(self, worker: Worker, jid: str, why: str) -> None:
+        """A delivered job may have run: the core does not send it again beyond what its class allows."""
+        if jid in worker.reserved:
+            relay = self._release(worker, jid)
+            self.resets += 1
+            self.log("job_reset", jid=jid, wid=worker.wid, why=why)
+            self.core.ended(relay, Outcome.RESET)
+
+
+def _utc(now: float) -> str:
+    from datetime import UTC, datetime
+
+    return datetime.fromtimestamp(now / 1000, UTC).strftime("%H:%M:%S UTC")
