--- /dev/null
+++ b/heronlug/life/control.py
@@ -0,0 +1,156 @@
+"""The running state and the private Unix socket on which plan and apply speak with it, a JSON line each way."""
+
+import asyncio
+import hashlib
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol, cast
+
+import orjson
+
+from heronlug.life.state import EMPTY, State, StateError, difference, digest
+from heronlug.wire.http import Lines
+
+
+class Parts(Protocol):
+    """What of the daemon can be changed while it runs."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """Where events are told."""
+
+    async def open_faktory(self, terms: dict[str, Any]) -> Any:
+        """Listen; raises ``OSError``.  Nothing is served until it is put to use."""
+
+    def use_faktory(self, listener: Any) -> None:
+        """Serve on a listener, or with None on none."""
+
+    def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
+        """Load plug-ins; raises ``ValueError``."""
+
+    def use_plugins(self, loaded: Any) -> None:
+        """Put loaded plug-ins to use."""
+
+    def use_level(self, level: str) -> None:
+        """Log from this level on."""
+
+
+class Running:
+    """The running state; a change of it is made whole or not at all."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self.state: State = EMPTY
+        self._lock = asyncio.Lock()
+
+    async def apply(self, base: str, desired: State) -> list[str]:
+        """Go from the state that a plan was made for to the desired one; raises :class:`StateError`."""
+        async with self._lock:
+            if self.state == desired:
+                return []
+            if digest(self.state) != base:
+                raise StateError("the plan is stale: the running state has changed since it was made")
+            changes = difference(self.state, desired)
+            plugins_change = self.state["plugins"] != desired["plugins"]
+            faktory_changes = self.state["faktory"] != desired["faktory"]
+            # all that can fail comes first and changes nothing that runs
+            modules = {name: self._module(name, plugin) for name, plugin in desired["plugins"].items()}
+            loaded = listener = None
+            try:
+                if plugins_change and modules:
+                    loaded = self._parts.load_plugins(modules)
+                if faktory_changes and desired["faktory"]:
+                    listener = await self._parts.open_faktory(desired["faktory"])
+            except (ValueError, OSError) as error:
+                raise StateError(" ".join(str(error).split())) from None
+            if plugins_change:
+                self._parts.use_plugins(loaded)
+            if faktory_changes:
+                self._parts.use_faktory(listener)
+            self._parts.use_level(desired["log_level"])
+            self.state = desired
+            self._parts.log("applied", changes=changes)
+            return changes
+
+    @staticmethod
+    def _module(name: str, plugin: dict[str, Any]) -> tuple[bytes, int, int]:
+        try:
+            data = Path(plugin["file"]).read_bytes()
+        except OSError as error:
+            raise StateError(f"plugin {name}: file: {error.strerror}") from None
+        if hashlib.sha256(data).hexdigest() != plugin["sha256"]:
+            raise StateError(f"plugin {name}: the plan is stale: its file has changed since it was made")
+        return data, plugin["fuel"], plugin["memory_kb"]
+
+
+class Control(asyncio.Protocol):
+    """A connection on the control socket."""
+
+    def __init__(self, running: Running) -> None:
+        self._running = running
+        self._lines = Lines()
+        self._transport: asyncio.Transport | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Somebody wants to plan or apply."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """A request, one line."""
+        try:
+            lines = self._lines.feed(data)
+        except ValueError:
+            lines = [b"null"]
+        for line in lines:
+            task = asyncio.get_running_loop().create_task(self._answer(line))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, line: bytes) -> None:
+        answer: dict[str, Any]
+        try:
+            asked = orjson.loads(line)
+            if asked["ask"] == "state":
+                answer = {"state": self._running.state}
+            elif asked["ask"] == "apply":
+                answer = {"changes": await self._running.apply(asked["base"], asked["desired"])}
+            else:
+                answer = {"error": "unknown request"}
+        except StateError as error:
+            answer = {"error": str(error)}
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            answer = {"error": f"malformed request: {error!r}"}
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(orjson.dumps(answer) + b"\n")
+            self._transport.close()
+
+
+async def listen(path: str, running: Running) -> asyncio.AbstractServer:
+    """Listen on a Unix socket that only our own user may open."""
+    Path(path).unlink(missing_ok=True)
+    mask = os.umask(0o177)
+    try:
+        return await asyncio.get_running_loop().create_unix_server(lambda: Control(running), path)
+    finally:
+        os.umask(mask)
+
+
+def ask(path: str, request: dict[str, Any]) -> dict[str, Any]:
+    """One request of the command line to a running daemon; raises :class:`StateError`."""
+    try:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(30)
+            sock.connect(path)
+            sock.sendall(orjson.dumps(request) + b"\n")
+            data = b""
+            while chunk := sock.recv(65536):
+                data += chunk
+        answer = orjson.loads(data)
+    except (OSError, ValueError) as error:
+        raise StateError(f"{path}: control: {error}") from None
+    if "error" in answer:
+        raise StateError(answer["error"])
+    return cast(dict[str, Any], answer)
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -3,18 +3,25 @@
 import asyncio
 import gc
 import signal
+import sys
 import traceback
+from dataclasses import replace
 from functools import partial
-from typing import Any
+from typing import Any, cast
 
 import uvloop
 
 from heronlug.interface import ListKind
+from heronlug.life import control
 from heronlug.life.config import Config
+from heronlug.life.control import Running
 from heronlug.life.log import Log
+from heronlug.life.state import EMPTY, State, StateError, digest
 from heronlug.life.stop import Stop
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Clock, Deadlines
+from heronlug.wire.faktory import Faktory, Terms
+from heronlug.wire.http import split_address
 from heronlug.wire.inventory import BadList, Inventory, read_list
 from heronlug.wire.north import North
 from heronlug.wire.peers import Peers
@@ -59,6 +66,9 @@
 
     def __init__(self, config: Config, log: Log) -> None:
         self.config, self.log = config, log
+        self.running = Running(self)
+        self.faktory: Faktory | None = None  # made when it is first listened for, and kept: it owns its jobs
+        self._faktory_server: asyncio.AbstractServer | None = None
         self.loop = Loop(log)
         self.turn = self.loop.turn
         self.stopping = False
@@ -104,14 +114,16 @@
         """Whether serving is possible."""
         return not self.stopping and self.core.can_serve
 
-    async def run(self) -> None:
-        """Serve until a planned stop is over."""
+    async def run(self, desired: State, control_path: str) -> None:
+        """Serve until a planned stop is over; raises :class:`StateError` when the desired state can't be had."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._exception)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         if self.config.peer_listen and self.config.settings.may_tell:
             await loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        await self.running.apply(digest(EMPTY), desired)
+        controller = await control.listen(control_path, self.running) if control_path else None
         self._cached()
         server = await loop.create_server(self.north.protocol, *self.config.listen, backlog=512)
         gc.collect()
@@ -123,16 +135,94 @@
         server.close()
         self.inventory.stop()
         self.peers.close()
+        if controller is not None:
+            controller.close()
+        if self.faktory is not None:
+            self.use_faktory(None)
+            self.faktory.close()
+
+    # -- what plan and apply change
+
+    async def open_faktory(self, terms: dict[str, Any]) -> Any:
+        """Bind the second front's address, unless it is the one that it has already."""
+        wanted = Terms(
+            listen=split_address(terms["listen"]),
+            password=terms["password"],
+            beat_timeout=terms["beat_timeout_s"] * 1000,
+            reserve_for=terms["reserve_for_s"] * 1000,
+            remember=terms["remember_s"] * 1000,
+            max_known=int(terms["max_known"]),
+            max_connections=int(terms["max_connections"]),
+        )
+        if self.faktory is None:
+            self.faktory = self._make_faktory(wanted)
+        if self._faktory_server is not None and self.faktory.terms.listen == wanted.listen:
+            return wanted, self._faktory_server
+        front = self.faktory
+        server = await asyncio.get_running_loop().create_server(
+            front.protocol, *wanted.listen, backlog=128, start_serving=False
+        )
+        return wanted, server
+
+    def use_faktory(self, listener: Any) -> None:
+        """Serve the second front on this listener; without one, only what it has taken is still worked off."""
+        front = self.faktory
+        if front is None:
+            return
+        terms, server = listener or (front.terms, None)
+        if self._faktory_server is not None and self._faktory_server is not server:
+            self._faktory_server.close()
+        self._faktory_server, front.terms = server, terms
+        front.open(server is not None)
+        if server is not None:
+            asyncio.get_running_loop().create_task(server.start_serving())
+
+    def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
+        """Compile plug-ins.  wasmtime is imported only here: where none is configured it takes no memory."""
+        from heronlug.hooks.host import HookHost
+
+        return HookHost.load(plugins)
+
+    def use_plugins(self, loaded: Any) -> None:
+        """Put plug-ins in the place of those before."""
+        hooks = None
+        if loaded:
+            from heronlug.hooks.host import HookHost
+
+            hooks = HookHost(self.log)
+            hooks.use(loaded)
+        self.core.hooks = hooks
+        if self.faktory is not None:
+            self.faktory.core.hooks = hooks
+
+    def use_level(self, level: str) -> None:
+        """Log from this level on."""
+        self.log.level = level
+
+    def _make_faktory(self, terms: Terms) -> Faktory:
+        """The second front has a core of its own: its workers cannot run what came by HTTP, nor the other way."""
+        front = Faktory(terms, self.loop.deadlines, self.log, self.turn)
+        settings = replace(
+            self.config.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=()
+        )
+        front.core = Core(
+            settings, self.config.seed ^ 1, front, self.loop.deadlines, log=self.log,
+            max_open=self.core.max_open, max_come_back=self.config.max_come_back, hooks=self.core.hooks,
+        )  # fmt: skip
+        return front
 
     def _on_signal(self) -> None:
         if not self.stopping:
             self.log("stopping", messages=len(self.core.messages))
         self.stopping = True
+        if self.faktory is not None:
+            self.faktory.open(False)
         self.stop.begin()
         self.turn()
 
     def _busy(self) -> int:
-        return len(self.core.messages) + len(self.north.connections)
+        jobs = len(self.faktory.core.messages) if self.faktory is not None else 0
+        return len(self.core.messages) + len(self.north.connections) + jobs
 
     def _cached(self) -> None:
         """The list as last held: perhaps old, and the module asks for a new one at once."""
@@ -158,15 +248,18 @@
         self.log("exception", where="loop", error=repr(error or context.get("message")), trace=trace)
 
 
-async def _serve(config: Config, log: Log) -> None:
-    await Daemon(config, log).run()
+async def _serve(config: Config, log: Log, desired: State, control_path: str) -> None:
+    await Daemon(config, log).run(desired, control_path)
 
 
-def main(config: Config) -> int:
-    """Run a dispatcher in the foreground."""
-    log = Log()
+def main(config: Config, desired: State, control_path: str = "") -> int:
+    """Run a dispatcher in the foreground; the exit status is 2 when it cannot listen or load what it should."""
+    log = Log(level=cast(str, desired["log_level"]))
     try:
-        uvloop.run(_serve(config, log))
+        uvloop.run(_serve(config, log, desired, control_path))
+    except (StateError, OSError) as error:
+        print(f"heronlug: {error}", file=sys.stderr)
+        return 2
     finally:
         log.close()
     return 0
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -142,7 +142,7 @@
         self._queue: deque[Event] = deque()
         self._pumping = False
         self._log, self._subscribe, self._tell = log, subscribe, tell
-        self._max_open, self._max_come_back = max_open, max_come_back
+        self.max_open, self._max_come_back = max_open, max_come_back
         self.counts = dict.fromkeys(Final, 0)
 
     # -- the north side
@@ -153,7 +153,7 @@
         message = Message(load, lane, now + remaining, now)
         message.ticket = self.messages.put(message)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
-        full = remaining <= 0 or len(self.messages) > self._max_open
+        full = remaining <= 0 or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
             self._close(message, Final.REFUSED, b"", self._max_come_back / 2)
         else:
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from typing import Any, cast
 
 import orjson
@@ -59,6 +60,7 @@
     lane: int
     queue: str
     table: dict[str, Any]
+    size: int
     reserve_for: float
     final: Final | None = None
 
@@ -284,6 +286,20 @@
         self.ended = 0  # reservations that ended with an ACK or a FAIL
         self.resets = 0
         self.stopping = False
+        self._scheduled: dict[str, tuple[Key, Job]] = {}  # jobs whose time has not come, by jid
+
+    def protocol(self) -> Connection:
+        """A protocol for a new connection."""
+        return Connection(self)
+
+    def open(self, taking: bool) -> None:
+        """Take jobs in, or only work off what was taken; what was to come later has not run and is refused."""
+        self.stopping = not taking
+        if not taking:
+            for key, job in self._scheduled.values():
+                self.deadlines.drop(key)
+                self._final(job, Final.REFUSED)
+            self._scheduled.clear()
 
     # -- what the core asks
 
@@ -308,11 +324,13 @@
 
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The one final answer: by the protocol no one waits for it, so it is kept under the jid and logged."""
-        job: Job = message.load
+        self._final(message.load, final)
+
+    def _final(self, job: Job, final: Final) -> None:
         job.final = final
         job.table = {}
         self.log("job_answered", jid=job.jid, final=final.value)
-        self.deadlines.after(self.terms.remember, self.jobs.pop, job.jid, None)
+        self.deadlines.after(self.terms.remember, self._forget, job)
 
     # -- producers
 
@@ -334,7 +352,8 @@
         queue, custom = table.get("queue", "default"), table.get("custom") or {}
         if not isinstance(queue, str) or not queue or not isinstance(custom, dict):
             raise Refusal("queue is no text, or custom no object")
-        if len(orjson.dumps(table)) > http.MAX_BODY:
+        size = len(orjson.dumps(table))
+        if size > http.MAX_BODY:
             raise Refusal("a job holds 64 KiB at most")
         lane = names.index(table["jobtype"])
         deadline = self.core.settings.classes[lane].deadline
@@ -344,11 +363,12 @@
             raise Refusal("stopping, try another dispatcher")
         if len(self.jobs) >= self.terms.max_known:
             raise Refusal("too many jobs are known, come back later")
-        job = Job(jid, lane, queue, table, (reserve * 1000 if reserve else self.terms.reserve_for))
+        job = Job(jid, lane, queue, table, size, reserve * 1000 if reserve else self.terms.reserve_for)
         self.jobs[jid] = job
         due = self._due(table)
         if due > self.deadlines.clock():
-            self.deadlines.at(due, self._take, job, deadline if remaining is None else remaining)
+            wait = deadline if remaining is None else remaining
+            self._scheduled[jid] = self.deadlines.at(due, self._take, job, wait), job
             return
         message = self._take(job, deadline if remaining is None else remaining)
         if message.final is Final.REFUSED and not message.relays:
@@ -375,15 +395,14 @@
         at = table.get("at")
         if not at:
             return 0.0
-        from datetime import datetime
-
         try:
             return datetime.fromisoformat(str(at)).astimezone().timestamp() * 1000
         except ValueError:
             raise Refusal("at is no time") from None
 
     def _take(self, job: Job, remaining: float) -> Message:
-        return self.core.take(job, job.lane, remaining, size=len(job.table))
+        self._scheduled.pop(job.jid, None)
+        return self.core.take(job, job.lane, remaining, size=job.size)
 
     # -- workers
 
@@ -418,7 +437,8 @@
             if relay is None or worker.state:
                 continue
             self._unassign(worker, relay)
-            if not self.core.may_write(relay):
+            # a copy for a worker that has the job already would be lost among its own reservations
+            if not self.core.may_write(relay) or relay.message.load.jid in worker.reserved:
                 self.core.ended(relay, Outcome.FULL)
                 continue
             job: Job = relay.message.load
@@ -489,6 +509,10 @@
 
     # -- inside
 
+    def _forget(self, job: Job) -> None:
+        if self.jobs.get(job.jid) is job:
+            del self.jobs[job.jid]
+
     def _list(self, changes: Iterable[tuple[str, WorkerState]]) -> None:
         # a worker collects at its own pace, so a fresh one cannot be pushed over: it is listed as started long ago
         self.core.inventory(ListKind.CHANGES, [HostEntry(wid, wid, state) for wid, state in changes])
@@ -550,6 +574,4 @@
 
 
 def _utc(now: float) -> str:
-    from datetime import UTC, datetime
-
     return datetime.fromtimestamp(now / 1000, UTC).strftime("%H:%M:%S UTC")
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -2,7 +2,8 @@
 
 A step is ``WHO > BYTES`` (the stand-in sends), ``WHO < BYTES`` (the program must send just these), ``WHO close``,
 ``WHO reset``, ``WHO eof`` (the program must have closed), ``WHO refuse`` (a host stops listening), ``wait MS`` or
-``signal NAME`` (to the program), ``exit N``.  ``c1`` is a client, ``h1`` a host, ``inv`` discovery, ``p1`` a peer.
+``signal NAME`` (to the program), ``exit N``.  ``c1`` is a client, ``f1`` a connection to the Faktory front, ``h1``
+a host, ``inv`` discovery, ``p1`` a peer.  ``[[TEXT]]`` is a chunk, ``((TEXT))`` a bulk string, ``<9xa>`` nine times a.
 A host's or discovery's step takes the next connection if it has none; ``next WHO`` leaves the one it has,
 and ``rename WHO NAME`` keeps it under another name.
 ``let NAME = TEXT`` gives a word, used as ``{NAME arg arg}`` with ``$1`` for its arguments.  What is left unread at
@@ -49,6 +50,8 @@
 }  # fmt: skip
 FREE_FORM = (
     (rb"Host: [0-9.:]+", b"Host: H"),
+    (rb'"connections":\d+', b'"connections":N'),
+    (rb"\d\d:\d\d:\d\d UTC", b"T UTC"),
     (rb"x-remaining-ms: \d+", b"x-remaining-ms: N"),
 )
 
@@ -78,7 +81,7 @@
 class Player:
     """The stand-ins of one exchange, and the program that they speak with."""
 
-    def __init__(self, hosts: int = 1, **changes: Any) -> None:
+    def __init__(self, hosts: int = 1, state: str = "", **changes: Any) -> None:
         self.listeners = {f"h{n + 1}": listener() for n in range(hosts)}
         self.listeners["inv"] = listener()
         self.peers = {f"p{n}": listener(socket.SOCK_DGRAM) for n in range(2)}
@@ -102,7 +105,13 @@
         }  # fmt: skip
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(config))
-        environ = {**os.environ, "RELAY_CONFIG": str(path)}
+        self.faktory = f"127.0.0.1:{free_port()}"
+        self.control = str(Path(self.folder.name) / "control")
+        desired = Path(self.folder.name) / "state.toml"
+        desired.write_text(state.replace("HERE", self.faktory))
+        environ = {
+            **os.environ, "RELAY_CONFIG": str(path), "HERONLUG_STATE": str(desired), "HERONLUG_CONTROL": self.control,
+        }  # fmt: skip
         self.log = (Path(self.folder.name) / "log").open("w+b")
         self.program = subprocess.Popen(
             [sys.executable, "-m", "heronlug"], env=environ, stdout=self.log, stderr=self.log
@@ -199,6 +208,7 @@
                 word = word.replace(f"${place}", argument)
             text = text[: match.start()] + re.sub(r"\$\d", "", word) + text[match.end() :]
         text = re.sub(r"\[\[(.*?)\]\](?!\])", self._chunk, text)
+        text = re.sub(r"\(\((.*?)\)\)", lambda m: f"${len(m[1])}\\r\\n{m[1]}\\r\\n", text)
         data = text.encode().decode("unicode_escape").encode("latin-1")
         return re.sub(rb"<(\d+)x(.)>", lambda m: m[2] * int(m[1]), data)
 
@@ -281,7 +291,7 @@
             if who in self.listeners:
                 self.open[who], _ = self.listeners[who].accept()
             else:
-                host, port = self.listen.split(":")
+                host, port = (self.faktory if who.startswith("f") else self.listen).split(":")
                 self.open[who] = socket.create_connection((host, int(port)))
             self.open[who].settimeout(PATIENCE)
         return self.open[who]
--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,141 @@
+"""Plan and apply against a running program, and plug-ins that misbehave."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import wasmtime
+from exchange import FOLDER, Player, free_port
+
+from heronlug.hooks.host import HookError, HookHost
+from heronlug.memory.core import Final
+
+WORDS = (FOLDER / "words.txt").read_text()
+REFUSE_ONCE = """(module (func (export "admit") (param i32 f64 i32) (result i32) local.get 0 i32.const 1 i32.ne))"""
+TRAP = """(module (func (export "admit") (param i32 f64 i32) (result i32) unreachable))"""
+SPIN = """(module (func (export "observe") (param i32 i32 f64) (loop br 0)))"""
+GREEDY = """(module (memory 1) (func (export "admit") (param i32 f64 i32) (result i32) i32.const 1000 memory.grow))"""
+BIG = """(module (memory 1000) (func (export "observe") (param i32 i32 f64)))"""
+IMPORTS = """(module (import "env" "f" (func)) (func (export "observe") (param i32 i32 f64)))"""
+OTHER = """(module (func (export "admit") (param i32) (result i32) local.get 0))"""
+
+
+def load(text: str, fuel: int = 10_000) -> tuple[HookHost, list[str]]:
+    """A host with one plug-in, and what it logs."""
+    logged: list[str] = []
+    host = HookHost(lambda event, **fields: logged.append(event))
+    host.use(HookHost.load({"p": (bytes(wasmtime.wat2wasm(text)), fuel, 128)}))
+    return host, logged
+
+
+class Hooks(unittest.TestCase):
+    def test_admit_decides_by_class(self) -> None:
+        host, logged = load(REFUSE_ONCE)
+        self.assertEqual([host.admit(lane, 500.0, 10) for lane in (0, 1, 2)], [True, False, True])
+        host.observe(0, Final.SERVED, 1.0)
+        self.assertEqual(logged, [])
+
+    def test_trap_and_spent_fuel_disable_the_plugin_and_admit(self) -> None:
+        for text in (TRAP, SPIN):
+            host, logged = load(text)
+            self.assertTrue(host.admit(1, 500.0, 10))
+            host.observe(1, Final.FAILED, 3.0)
+            self.assertTrue(host.admit(1, 500.0, 10))
+            self.assertEqual(logged, ["hook_disabled"])
+
+    def test_memory_is_bounded(self) -> None:
+        host, _ = load(GREEDY)
+        self.assertTrue(host.admit(1, 500.0, 10))  # growing fails with -1, which is not 0
+        self.assertRaises(HookError, load, BIG)
+
+    def test_what_cannot_be_used_is_not_loaded(self) -> None:
+        for text in (IMPORTS, OTHER, "(module)"):
+            self.assertRaises(HookError, load, text)
+
+
+class PlanAndApply(unittest.TestCase):
+    def setUp(self) -> None:
+        self.player = Player()
+        self.addCleanup(self.player.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "p.wasm").write_bytes(wasmtime.wat2wasm(REFUSE_ONCE))
+        self.port = free_port()
+        self.file = self.write("a.toml", self.port)
+
+    def write(self, name: str, port: int, rest: str = "") -> Path:
+        path = self.folder / name
+        plugin = '[[plugin]]\nname = "p"\nfile = "p.wasm"\n'
+        path.write_text(f'log_level = "debug"\n[faktory]\nlisten = "127.0.0.1:{port}"\n{plugin}{rest}')
+        return path
+
+    def call(self, *words: object) -> tuple[int, str, str]:
+        environ = {**os.environ, "HERONLUG_CONTROL": self.player.control}
+        done = subprocess.run(
+            [sys.executable, "-m", "heronlug", *map(str, words)], env=environ, capture_output=True, text=True
+        )
+        return done.returncode, done.stdout, done.stderr
+
+    def test_plan_then_apply_then_nothing_to_do(self) -> None:
+        plan = self.folder / "plan.json"
+        status, out, _ = self.call("plan", self.file, "--save", plan)
+        self.assertEqual(status, 0)
+        self.assertEqual(
+            out,
+            "~ log_level: info -> debug\n+ faktory listener\n+ plugin p\n"
+            "Plan: 2 to add, 1 to change, 0 to remove.\n",
+        )
+        self.assertIn("Applied.", self.call("apply", plan)[1])
+        self.assertEqual(self.call("apply", plan)[:2], (0, "Nothing to do.\n"))
+        self.assertEqual(self.call("plan", self.file)[1], "Nothing to do.\n")
+        self.player.faktory = f"127.0.0.1:{self.port}"
+        self.player.play(
+            WORDS + 'f1 < {hi}\nf1 > HELLO {"v":2}\\r\\n{push job-0001 once}\n'
+            "f1 < +OK\\r\\n-ERR refused, come back later\\r\\n\n"  # the plug-in has it refused, on both fronts
+            "c1 > {post t1 once 4000}\nc1 < {refused}\n"
+        )
+        self.assertEqual(self.call("apply", self.write("b.toml", free_port()))[0], 0)
+        status, out, error = self.call("apply", plan)
+        self.assertEqual((status, out), (1, ""))
+        self.assertEqual(error, "heronlug: the plan is stale: the running state has changed since it was made\n")
+
+    def test_all_or_nothing(self) -> None:
+        taken = self.player.listeners["h1"].getsockname()[1]
+        status, _, error = self.call("apply", self.write("b.toml", taken))
+        self.assertEqual((status, error.count("\n")), (1, 1))
+        out = self.call("plan", self.file)[1]
+        self.assertIn("Plan: 2 to add, 1 to change, 0 to remove.", out)  # nothing of it has been done
+
+    def test_changed_module_makes_the_plan_stale(self) -> None:
+        plan = self.folder / "plan.json"
+        self.call("plan", self.file, "--save", plan)
+        (self.folder / "p.wasm").write_bytes(wasmtime.wat2wasm(TRAP))
+        self.assertIn("plugin p: the plan is stale", self.call("apply", plan)[2])
+
+    def test_bad_file_names_file_and_key(self) -> None:
+        for rest, key in (
+            ("fuel = 'x'", "plugin[0].fuel: 'x' is no number"),
+            ("fule = 1", "plugin[0].fule: unknown key"),
+            ("[[plugin]]\nname = 'q'\nfile = 'none'", "plugin[1].file: No such file or directory"),
+            ("[other]", "other: unknown key"),
+            ("= 1", "Invalid statement"),
+        ):
+            path = self.write("bad.toml", self.port, rest)
+            status, _, error = self.call("plan", path)
+            self.assertEqual((status, error.count("\n")), (1, 1))
+            self.assertIn(f"{path}: {key}", error)
+        plan = self.folder / "plan.json"
+        plan.write_text(json.dumps({"base": 1}))
+        self.assertEqual(self.call("apply", plan)[0], 1)
+
+    def test_only_our_user_may_open_the_control_socket(self) -> None:
+        self.assertEqual(Path(self.player.control).stat().st_mode & 0o077, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
