--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,25 @@
 .PHONY: build test lint run
 
+PYTHON = .venv-dev/bin/python
+
 build:
 	test -d .venv || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
 
-test:
-	bash .ci/run
+test: lint
+	@lines=$$(grep -c '[^[:space:]]' heronlug/logic.py); \
+	widest=$$(awk '{ if (length($$0) > w) w = length($$0) } END { print w }' heronlug/logic.py); \
+	echo "heronlug/logic.py: $$lines lines that are not blank, the widest of $$widest columns"; \
+	test $$lines -le 500 && test $$widest -le 110
+	$(PYTHON) -m pytest
 
-lint: .venv-dev
-	.venv-dev/bin/ruff check .
-	.venv-dev/bin/mypy
+lint: .venv-dev/ready
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
 
 run: build
 	exec .venv/bin/python -m heronlug
 
-.venv-dev:
-	python3 -m venv .venv-dev
-	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+.venv-dev/ready: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv .venv-dev
+	$(PYTHON) -m pip -q install -r requirements.txt -r requirements-dev.txt
+	touch $@
--- a/heronlug/memory/deadlines.py
+++ b/heronlug/memory/deadlines.py
@@ -65,12 +65,10 @@
 
     def sweep(self) -> int:
         """Call all that is due by now, in order; what is added for now meanwhile waits for the next sweep."""
-        now, last, called = self.clock(), self._seq, 0
-        while self._due:
-            (when, seq), (what, args) = self._due.peekitem(0)
-            if when > now or seq > last:
-                break
-            del self._due[when, seq]
-            called += 1
-            what(*args)
+        called = 0
+        for key in list(self._due.irange(maximum=(self.clock(), self._seq))):
+            entry = self._due.pop(key, None)
+            if entry is not None:  # one that was due before it may have dropped it
+                called += 1
+                entry[0](*entry[1])
         return called
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,178 @@
+"""What the core and the tables guard against, without a socket."""
+
+import os
+import unittest
+from typing import Any, cast
+
+from drive import KEYED, ONCE, SAFE, with_settings
+
+from heronlug import Cancel, ListKind, Outcome, Send, WorkerState
+from heronlug.life.log import HELD, Log
+from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
+from heronlug.memory.deadlines import Deadlines
+from heronlug.memory.slots import Slots
+from heronlug.wire.south import Connection, South
+
+
+class Front:
+    """Records what the core asks of it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Relay] = []
+        self.cancelled: list[Relay] = []
+        self.answers: list[tuple[Any, Final, bytes]] = []
+
+    def send(self, relay: Relay) -> None:
+        self.sent.append(relay)
+
+    def cancel(self, relay: Relay) -> None:
+        self.cancelled.append(relay)
+
+    def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
+        self.answers.append((message.load, final, body))
+
+
+class Silent:
+    """A decision module that does only what it is told to."""
+
+    def __init__(self) -> None:
+        self.actions: list[Any] = []
+        self.events: list[Any] = []
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        self.events.append(event)
+        actions, self.actions = self.actions, []
+        return actions
+
+
+class Transport:
+    """Records what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def abort(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+
+class CoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 1e12
+        self.deadlines = Deadlines(lambda: self.now)
+        self.front, self.module = Front(), Silent()
+        settings = with_settings(classes=(SAFE, KEYED, ONCE), attempts_cap=2)
+        self.core = Core(settings, 1, self.front, self.deadlines)
+        self.core.dispatcher = cast(Any, self.module)
+        self.core.inventory(ListKind.FULL, [HostEntry("h", "127.0.0.1:9")])
+        self.host = next(iter(self.core.hosts))
+
+    def sent(self, load: Any = "m") -> tuple[Message, Relay]:
+        message = self.core.take(load, 2, 1000.0)
+        self.module.actions = [Send(message.ticket, self.host)]
+        self.core.heard(0, b"")
+        return message, self.front.sent[-1]
+
+    def later(self, ms: float) -> None:
+        self.now += ms
+        self.deadlines.sweep()
+
+    def test_message_that_the_module_forgets_is_failed_at_its_give_up_time(self) -> None:
+        message, relay = self.sent()
+        self.later(1000)
+        self.assertEqual(self.front.answers, [("m", Final.FAILED, b"")])
+        self.assertEqual(self.front.cancelled, [relay])  # a Send has no time-out of its own
+        self.assertEqual(self.module.events[-1].outcome, Outcome.TIMEOUT)
+        self.assertEqual((len(self.core.messages), len(self.core.relays), len(self.deadlines)), (0, 0, 0))
+
+    def test_one_final_answer_whatever_comes_after(self) -> None:
+        message, relay = self.sent()
+        self.core.ended(relay, Outcome.SERVED, b"r")
+        self.core.ended(relay, Outcome.RESET)
+        self.core.leave(message)
+        self.later(2000)
+        self.assertEqual(self.front.answers, [("m", Final.SERVED, b"r")])
+
+    def test_send_for_what_is_over_is_moot_and_never_sent(self) -> None:
+        message, _ = self.sent()
+        self.core.leave(message)
+        self.module.actions = [Send(message.ticket, self.host), Cancel(message.ticket, 7)]
+        self.core.heard(0, b"")
+        self.assertEqual(len(self.front.sent), 1)
+        self.assertEqual(self.module.events[-1].outcome, Outcome.MOOT)
+
+    def test_relay_still_dialling_when_its_host_drains_is_not_written(self) -> None:
+        south = South(
+            self.deadlines, lambda *a, **k: None, lambda: None, conn_idle=4000, dial_timeout=250, max_connections=9
+        )
+        south.core = self.core
+        for told_off in (False, True):
+            load = type("Load", (), {"method": b"POST", "target": b"/x", "headers": {}, "body": b"", "txn": "t"})()
+            _, relay = self.sent(load)
+            connection = Connection(south, relay.host, "127.0.0.1:9")
+            connection.relay, connection.transport = relay, cast(Any, Transport())
+            if told_off:
+                self.core.inventory(ListKind.CHANGES, [HostEntry("h", "127.0.0.1:9", WorkerState.DRAINING)])
+            south.dialled(connection)
+            self.assertEqual(bool(cast(Any, connection.transport).written), not told_off)
+        self.assertEqual(self.module.events[-1].outcome, Outcome.CONNECT_FAILED)
+
+    def test_break_is_never_ran_only_while_a_byte_is_unwritten(self) -> None:
+        south = South(
+            self.deadlines, lambda *a, **k: None, lambda: None, conn_idle=4000, dial_timeout=250, max_connections=9
+        )
+        south.core = self.core
+        for unwritten, outcome in ((True, Outcome.CONNECT_FAILED), (False, Outcome.RESET)):
+            load = type("Load", (), {"method": b"POST", "target": b"/x", "headers": {}, "body": b"", "txn": "t"})()
+            _, relay = self.sent(load)
+            connection = Connection(south, relay.host, "127.0.0.1:9")
+            connection.transport = cast(Any, Transport())
+            connection.write(relay)
+            connection.pause_writing()
+            if not unwritten:
+                connection.resume_writing()
+            connection.connection_lost(ConnectionResetError())
+            self.assertEqual(self.module.events[-1].outcome, outcome)
+
+
+class Tables(unittest.TestCase):
+    def test_old_ticket_finds_nothing_in_a_slot_used_again(self) -> None:
+        slots: Slots[str] = Slots()
+        first = slots.put("a")
+        self.assertEqual(slots.take(first), "a")
+        second = slots.put("b")
+        self.assertEqual((slots.get(first), slots.get(second), len(slots)), (None, "b", 1))
+
+    def test_deadlines_in_order_and_what_is_added_meanwhile_later(self) -> None:
+        now, seen = [0.0], list[int]()
+        deadlines = Deadlines(lambda: now[0])
+        deadlines.at(2.0, seen.append, 2)
+        deadlines.at(1.0, lambda: deadlines.at(0.0, seen.append, 0))
+        deadlines.drop(deadlines.at(1.5, seen.append, 1))
+        self.assertEqual((deadlines.sweep(), deadlines.head()), (0, 1.0))
+        now[0] = 3.0
+        deadlines.sweep()
+        self.assertEqual(seen, [2])
+        deadlines.sweep()
+        self.assertEqual(seen, [2, 0])
+
+
+class Logging(unittest.TestCase):
+    def test_full_pipe_stops_nothing(self) -> None:
+        reader, writer = os.pipe()
+        log = Log(writer)
+        for number in range(3 * HELD):  # it would hang here if a line were written on this thread
+            log("started", number=number, text="x" * 50)
+        self.assertGreater(log.dropped, 0)
+        os.close(reader)
+        log.close()
+        os.close(writer)
+
+
+if __name__ == "__main__":
+    unittest.main()
