--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -10,11 +10,11 @@
 from heronlug.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
-C1 = 0.2  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
+C1 = 0.3  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
 PAYOFF_TOP = 8.0  # graded payoffs run from 0 to this: the bonus supposes noise of about 1, theirs is 1/8
 UNTOLD = 4.0  # slots of a worker where no report tells of them, until starts and waits do
 MEMORY, LEARN = 20.0, 1 / 16  # counts age over so many mean running times, running means over 16 values
-COLD_MARGIN = 0.5  # use half of the cold budget: sizes, and speeds of the kinds, are only estimated
+COLD_MARGIN = 0.7  # use most of the cold budget: sizes, and speeds of the kinds, are only estimated
 EJECT_DIALS, EJECT_DOUBLINGS = 4.0, 3  # first ejection, in connection time-outs, and how often it may double
 TRIALS = 4  # half-open trials to pass in a row: a worker that fails four in ten passes them one time in eight
 PANIC = 0.7  # with more than this share of the ready workers ejected, the fault lies elsewhere
@@ -113,7 +113,7 @@
             new = not worker.flights or first is self.freed  # one with an attempt out is observed already
             if new and self._fits(job, worker, k, now) and self._may_send(job, worker, now):
                 return worker
-        if first is self.freed and not late and now < job.patient_until:
+        if first is self.freed and not (late or self.by_starts) and now < job.patient_until:
             return None
         # what failed there may fail there again
         tried = [f.worker for f in job.attempts] if len(job.attempts) < len(self.order) else []
