--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -1,6 +1,7 @@
 """Stand-in Faktory workers killed mid-job a thousand times: no second run, and one answer for each job."""
 
 import asyncio
+import hashlib
 import json
 import random
 import socket
@@ -50,6 +51,24 @@
         self.writer.transport.abort()
 
 
+class Password(unittest.TestCase):
+    def test_only_who_knows_the_password_comes_in(self) -> None:
+        player = Player(state=STATE + "password = 'open'\n")
+        try:
+            for word, answer in (("open", b"+OK"), ("shut", b"-ERR invalid password")):
+                host, port = player.faktory.split(":")
+                with socket.create_connection((host, int(port)), 10) as sock, sock.makefile("rwb") as lines:
+                    hi = json.loads(lines.readline().removeprefix(b"+HI "))
+                    digest = (word + hi["s"]).encode()
+                    for _ in range(hi["i"]):
+                        digest = hashlib.sha256(digest).digest()
+                    lines.write(b'HELLO {"v":2,"pwdhash":"%s"}\r\n' % digest.hex().encode())
+                    lines.flush()
+                    self.assertEqual(lines.readline().strip(), answer)
+        finally:
+            player.close()
+
+
 class Kills(unittest.TestCase):
     def test_a_thousand_workers_killed_mid_job(self) -> None:
         player = Player(state=STATE, settings={"lanes": LANES}, limits={"max_open": 20_000, "attempts_cap": 50})
