Test that own echoes, strangers and overlong datagrams are dropped

Seen: peers.txt covered a stranger and an overlong datagram, but nothing sent from the own address. Ruled out: a fault (the code passes as it stands). Conclusion: the trap has its test.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,6 +11,7 @@
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Deadlines
 from heronlug.memory.slots import Slots
+from heronlug.wire.peers import Peers
 from heronlug.wire.south import Connection, South
 
 
@@ -140,6 +141,18 @@
             self.assertEqual(self.module.events[-1].outcome, outcome)
 
 
+class Echoes(unittest.TestCase):
+    def test_own_echo_a_stranger_and_an_overlong_datagram_are_dropped(self) -> None:
+        heard: list[tuple[int, bytes]] = []
+        addresses = ["127.0.0.1:1001", "127.0.0.1:1002"]
+        peers = Peers(
+            addresses, None, 0, lambda n, data: heard.append((n, data)), lambda *a, **k: None, lambda: None
+        )
+        for port, size in ((1001, 9), (1002, 9), (1003, 9), (1002, 257), (1002, 256)):
+            peers.datagram_received(b"c" * size, ("127.0.0.1", port))
+        self.assertEqual(heard, [(1, b"c" * 9), (1, b"c" * 256)])
+
+
 class Tables(unittest.TestCase):
     def test_old_ticket_finds_nothing_in_a_slot_used_again(self) -> None:
         slots: Slots[str] = Slots()
