SIGHUP: read the file again and move the watch to its discovery

Checked: no handler was set in life/start.py, so SIGHUP's default action ended the process. Ruled out: a wrong list; the new addresses answer the whole list within 340 ms in the log of each node.

Dials have 1 s, whole lists 3 s.

--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -53,6 +53,11 @@
     return float(value)
 
 
+def reload(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the file again; what the environment said of discovery at the start has been overtaken by it."""
+    return load({key: value for key, value in environ.items() if key != "RELAY_DISCOVERY"})
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the file that ``RELAY_CONFIG`` names; raises :class:`ConfigError`."""
     where = environ.get("RELAY_CONFIG", "")
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -13,9 +13,10 @@
 
 from heronlug.interface import ListKind
 from heronlug.life import control
-from heronlug.life.config import Config
+from heronlug.life.config import Config, reload
 from heronlug.life.control import Running
 from heronlug.life.log import Log
+from heronlug.life.reload import Reload
 from heronlug.life.state import EMPTY, State, StateError, digest
 from heronlug.life.stop import Stop
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
@@ -94,6 +95,8 @@
             deadlines, self._busy, lambda: self.north.opened_at, self.north.close_idle, self.left.set
         )
 
+        self.reload = Reload(config, reload, self._moved, log)
+
     # -- the front of the platform's protocol
 
     def send(self, relay: Relay) -> None:
@@ -120,6 +123,7 @@
         loop.set_exception_handler(self._exception)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        loop.add_signal_handler(signal.SIGHUP, self.reload.begin)
         if self.config.peer_listen and self.config.settings.may_tell:
             await loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         await self.running.apply(digest(EMPTY), desired)
@@ -240,6 +244,10 @@
         self.core.inventory(kind, entries)
         self.south.retire(self.core.hosts)
 
+    def _moved(self, address: str) -> None:
+        self.inventory.move(address)
+        self.turn()
+
     def _heard(self, peer: int, content: bytes) -> None:
         self.core.heard(peer, content)
 
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -15,6 +15,8 @@
 
 WAIT = 20_000.0  # a call waits so long for something new
 LATE = 4_000.0  # and is given up after so much more: discovery works through calls in turn
+LIST_WAIT = 3_000.0  # a call for the whole list does not wait for news, and is given up after this
+DIAL_WAIT = 1_000.0  # an address that neither answers nor refuses is given up after this
 MAX_LIST = 8 * 1024 * 1024
 STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
@@ -88,7 +90,10 @@
         """Send a call."""
         assert self.transport is not None
         self._parser, self._body, self._size = httptools.HttpResponseParser(self), [], 0
-        target = f"/registry/instances?after={self.watch.version}&wait_ms={int(WAIT)}"
+        target, version = "/registry/instances", self.watch.version
+        if version is not None:
+            target += f"?after={version}&wait_ms={int(WAIT)}"
+        self.watch.expect(self, LIST_WAIT if version is None else WAIT + LATE, "no answer in time")
         self.transport.write(http.request(b"GET", target.encode(), self.watch.address, [], b""))
 
     def data_received(self, data: bytes) -> None:
@@ -134,7 +139,7 @@
     def __init__(
         self,
         address: str,
-        version: int,
+        version: int | None,  # the last that was read; None asks for the whole list
         read: Callable[[Any], tuple[int, bool, list[HostEntry]]],
         news: Callable[[ListKind, list[HostEntry]], None],
         deadlines: Deadlines,
@@ -156,6 +161,24 @@
             self._watching = self._fresh = True
             self._ask()
 
+    def move(self, address: str) -> None:
+        """Discovery is elsewhere from now on: ask there at once, and for all that it knows.
+
+        Its versions need not be those of the address before, so a watch from ours could wait for ever while what
+        it has to tell counts as told.  What is held stays until it answers.
+        """
+        if address == self.address:
+            return
+        self._drop()
+        self.address, self.version = address, None
+        self._watching = self._fresh = True
+        self._ask()
+
+    def expect(self, call: _Call, wait: float, why: str) -> None:
+        """A call has failed unless it comes further within this time."""
+        self._deadlines.drop(self._deadline)
+        self._deadline = self._deadlines.after(wait, self.failed, call, why)
+
     def stop(self) -> None:
         """Close the connection."""
         self._watching = False
@@ -187,14 +210,12 @@
         self._news(ListKind.FAILED, [])
 
     def _ask(self) -> None:
-        self._deadlines.drop(self._deadline)
         if self.call is not None and not self.call.lost and self.call.transport is not None:
-            call = self.call
-            call.ask()
+            self.call.ask()
         else:
             call = self.call = _Call(self)
+            self.expect(call, DIAL_WAIT, "dial: no answer in time")
             self._dial = asyncio.get_running_loop().create_task(self._connect(call))
-        self._deadline = self._deadlines.after(WAIT + LATE, self.failed, call, "no answer in time")
 
     def _drop(self) -> None:
         self._deadlines.drop(self._deadline)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -2,7 +2,8 @@
 
 A step is ``WHO > BYTES`` (the stand-in sends), ``WHO < BYTES`` (the program must send just these), ``WHO close``,
 ``WHO reset``, ``WHO eof`` (the program must have closed), ``WHO refuse`` (a host stops listening), ``wait MS`` or
-``signal NAME`` (to the program), ``exit N``.  ``c1`` is a client, ``f1`` a connection to the Faktory front, ``h1``
+``signal NAME`` (to the program), ``exit N``, ``configure WHO`` (the file is replaced: discovery is WHO, or with
+``nothing`` it cannot be read).  ``c1`` is a client, ``f1`` a connection to the Faktory front, ``h1``
 a host, ``inv`` discovery, ``p1`` a peer.  ``[[TEXT]]`` is a chunk, ``((TEXT))`` a bulk string, ``<9xa>`` nine times a.
 A host's or discovery's step takes the next connection if it has none; ``next WHO`` leaves the one it has,
 and ``rename WHO NAME`` keeps it under another name.
@@ -83,7 +84,7 @@
 
     def __init__(self, hosts: int = 1, state: str = "", **changes: Any) -> None:
         self.listeners = {f"h{n + 1}": listener() for n in range(hosts)}
-        self.listeners["inv"] = listener()
+        self.listeners["inv"], self.listeners["inv2"] = listener(), listener()
         self.peers = {f"p{n}": listener(socket.SOCK_DGRAM) for n in range(2)}
         self.peers["p9"] = listener(socket.SOCK_DGRAM)  # no peer of ours
         self.open: dict[str, socket.socket] = {}
@@ -103,6 +104,7 @@
             "peer_listen": self.own, "peers": [self.own, address(self.peers["p1"])],
             "known": self.listed(3, True, *(f"h{n + 1}" for n in range(hosts))), **changes,
         }  # fmt: skip
+        self.config = config
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(config))
         self.faktory = f"127.0.0.1:{free_port()}"
@@ -110,7 +112,8 @@
         desired = Path(self.folder.name) / "state.toml"
         desired.write_text(state.replace("HERE", self.faktory))
         environ = {
-            **os.environ, "RELAY_CONFIG": str(path), "HERONLUG_STATE": str(desired), "HERONLUG_CONTROL": self.control,
+            **os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": address(self.listeners["inv"]),
+            "HERONLUG_STATE": str(desired), "HERONLUG_CONTROL": self.control,
         }  # fmt: skip
         self.log = (Path(self.folder.name) / "log").open("w+b")
         self.program = subprocess.Popen(
@@ -158,7 +161,7 @@
             rest = self.unread.get(who, b"") + self._now(sock)
             assert not rest or not who.startswith("h"), f"{who} was sent more: {rest!r}"
         for who, sock in self.listeners.items():
-            assert who == "inv" or not self._waiting(sock), f"a connection to {who} that nobody expected"
+            assert who.startswith("inv") or not self._waiting(sock), f"a connection to {who} that nobody expected"
 
     def step(self, line: str) -> None:
         """One step."""
@@ -167,10 +170,11 @@
         elif match := re.fullmatch(r"(\w+) ([<>]) (.*)", line):
             who, way, data = match[1], match[2], self.read(match[3])
             (self.send if way == ">" else self.expect)(who, data)
-        elif match := re.fullmatch(r"list (\w+) (\d+)(.*)", line):
-            self._take_call()
-            body = json.dumps(self.listed(int(match[2]), match[1] == "whole", *match[3].split())).encode()
-            self.send("inv", b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        elif match := re.fullmatch(r"list(?: (inv\d))? (\w+) (\d+)(.*)", line):
+            who = match[1] or "inv"
+            self._take_call(who)
+            body = json.dumps(self.listed(int(match[3]), match[2] == "whole", *match[4].split())).encode()
+            self.send(who, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         else:
             word, *args = line.split()
             if word == "wait":
@@ -182,6 +186,10 @@
                 self.open[args[1]] = self.open.pop(args[0])
             elif word == "signal":
                 self.program.send_signal(signal.Signals[args[0]])
+            elif word == "configure":
+                listening = self.listeners.get(args[0])
+                text = json.dumps({**self.config, "discovery": address(listening)}) if listening else '{"name":'
+                (Path(self.folder.name) / "config.json").write_text(text)
             elif word == "exit":
                 status = self.program.wait(3 * PATIENCE)
                 assert status == int(args[0]), f"the program ended with {status}"
@@ -296,9 +304,9 @@
             self.open[who].settimeout(PATIENCE)
         return self.open[who]
 
-    def _take_call(self) -> None:
+    def _take_call(self, who: str) -> None:
         """Read discovery's next call."""
-        sock, got = self._socket("inv"), b""
+        sock, got = self._socket(who), b""
         while b"\r\n\r\n" not in got:
             chunk = sock.recv(65536)
             assert chunk, "the watch's connection has ended"
