North side: bad clients get their error at once, silent ones make room

Checked with a log of what hosts turned away: whole messages with nothing wrong in themselves, their ids open at the time, or followed by more bytes than their length said. Wrong in wire/north.py: HEAD_WAIT 15 s and IDLE_WAIT 120 s from the dial; _reject waited behind earlier requests; a request was served before the rest of the same read was parsed; headers in a dict, a second one replacing the first; a single endless header is held by the parser and was never counted; opened() aborted the first idle connection, an ordinary one or not; one already aborted could be picked again. core.take did not see an id that is open. Ruled out: Content-Length that is negative, huge or beside Transfer-Encoding was turned away by the parser already; it is now checked here too, in either order.

Now the first request has 2.5 s from the dial, and later ones as long from their first byte; what cannot be read ends its connection at once, in flight failed, waiting refused; an open X-Txn is 409; the oldest that never asked makes room. Bodies have a budget of bytes, so open messages no longer stand for 64 KiB each: at 32 MB 256 were open at most, while clients may hold 341 requests with 1,024 descriptors. A stop does not wait for ever for clients that go on dialling.

--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -28,6 +28,7 @@
 from heronlug.wire.peers import Peers
 from heronlug.wire.south import South
 
+PROGRAM_MB, MIN_HELD = 24.0, 4.0  # what the program takes by itself; bodies of clients may take so much at least
 SPARE_DESCRIPTORS = 64  # for the loop, the log, the inventory, the peers and the listeners
 
 
@@ -76,6 +77,7 @@
         self.left = asyncio.Event()
         deadlines, settings = self.loop.deadlines, config.settings
         half = max(16, (config.sockets - SPARE_DESCRIPTORS) // 2)
+        spare = max(MIN_HELD, (config.memory_mb - PROGRAM_MB) / 2)  # half of what the program itself leaves
         self.south = South(
             deadlines, log, self.turn,
             conn_idle=config.conn_idle, dial_timeout=settings.dial_timeout, max_connections=half,
@@ -86,11 +88,11 @@
         self.core = Core(
             settings, config.seed, self, deadlines, log=log,
             subscribe=self.inventory.subscribe, tell=self.peers.tell,
-            max_open=min(config.max_open, int(config.memory_mb * 8)),  # 64 KiB each fill half of the memory
+            max_open=min(config.max_open, int(config.memory_mb * 32)),  # bodies apart, a message takes a few KB
             max_come_back=config.max_come_back,
         )  # fmt: skip
         self.south.core = self.core
-        self.north = North(self, settings, half, self.turn)
+        self.north = North(self, settings, half, int(spare * 1024 * 1024), self.turn)
         self.stop = Stop(
             deadlines, self._busy, lambda: self.north.opened_at, self.north.close_idle, self.left.set
         )
--- a/heronlug/life/stop.py
+++ b/heronlug/life/stop.py
@@ -5,6 +5,7 @@
 from heronlug.memory.deadlines import Deadlines
 
 COMING = 700.0  # connections keep coming for 0.2 to 0.4 s after the signal, and then none may have come for as long
+AT_MOST = 2000.0  # who goes on dialling longer than this has not come by way of the front, and holds up no stop
 LOOK = 50.0  # between two looks
 
 
@@ -33,7 +34,7 @@
         now = self._deadlines.clock()
         # clients use the connections they have for as long as those stay open: once no new ones come, the front
         # has let go of us, and what is closed between requests is opened elsewhere
-        quiet = now - max(self._since, self._came_at()) >= COMING
+        quiet = now - max(self._since, self._came_at()) >= COMING or now - self._since >= AT_MOST
         if quiet:
             self._close_idle()
         if quiet and not self._busy():
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -63,6 +63,7 @@
     lane: int
     give_up_at: float
     taken_at: float
+    name: str = ""  # the client's own name for it; no two open ones may have the same
     ticket: int = 0
     final: Final | None = None
     gone: bool = False  # the client has left, nothing is owed
@@ -139,6 +140,7 @@
         self.hosts: dict[int, Host] = {}
         self.dispatcher = Dispatcher(settings, seed)
         self._numbers: dict[str, int] = {}
+        self._names: set[str] = set()  # of the messages in the table
         self._queue: deque[Event] = deque()
         self._pumping = False
         self._log, self._subscribe, self._tell = log, subscribe, tell
@@ -147,11 +149,19 @@
 
     # -- the north side
 
-    def take(self, load: Any, lane: int, remaining: float, *, size: int = 0, **fields: Any) -> Message:
+    def is_open(self, name: str) -> bool:
+        """Whether a message of that name is in the table: a host could not tell another one from it."""
+        return name in self._names
+
+    def take(
+        self, load: Any, lane: int, remaining: float, *, name: str = "", size: int = 0, **fields: Any
+    ) -> Message:
         """Take a message in; from here on it is owed one final answer.  ``fields`` are those of ``JobArrived``."""
         now = self.deadlines.clock()
-        message = Message(load, lane, now + remaining, now)
+        message = Message(load, lane, now + remaining, now, name)
         message.ticket = self.messages.put(message)
+        if name:
+            self._names.add(name)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
         full = remaining <= 0 or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
@@ -168,6 +178,13 @@
             self._give(pk.ClientGone(message.ticket))
             self._forget(message)
 
+    def fail(self, message: Message) -> None:
+        """Give it up from outside the module: its final answer is a failure, and what is out is cancelled."""
+        if not message.closed:
+            self._close(message, Final.FAILED, b"")
+            self._give(pk.ClientGone(message.ticket))
+            self._forget(message)
+
     # -- the south side
 
     def may_write(self, relay: Relay) -> bool:
@@ -335,4 +352,5 @@
         """Free the slot once nothing is owed and nothing is out."""
         if message.closed and not any(relay.out for relay in message.relays):
             self.deadlines.drop(message.guard)
-            self.messages.take(message.ticket)
+            if self.messages.take(message.ticket) is not None:
+                self._names.discard(message.name)
--- a/heronlug/wire/http.py
+++ b/heronlug/wire/http.py
@@ -7,9 +7,9 @@
 MAX_LINE = 256 * 1024
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 411: "Length Required",
-    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    503: "Service Unavailable",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
 }  # fmt: skip
 
 
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -15,27 +15,37 @@
 from heronlug.wire import http
 
 MARGIN = 15.0  # the client counts from its send: what way and queue have used up of its time, at most
-HEAD_WAIT = 15_000.0  # a request begun must be whole within this, or a slow sender holds a slot for ever
-IDLE_WAIT = 120_000.0  # a client's connection may stand idle for this long
+READ_WAIT = 2_500.0  # the first request, counted from the dial, and any later one begun must be whole within this
+IDLE_WAIT = 120_000.0  # a client's connection may stand idle for this long between requests
+LINGER = 500.0  # after a rejection, for the client to read it: an end with input unread would void what we wrote
+MAX_DISCARDED = 256 * 1024  # of a rejected connection's input that is read on meanwhile
 MAX_PIPELINED = 16  # requests read ahead on one connection
+MAX_READ = http.MAX_HEAD + 8 * http.MAX_BODY  # of one message with all framing: chunks may be small, not for ever
+MAX_ID = 256
 PASSED = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent")
+# of these a second one would silently replace the first, and the two ends would read different requests
+ONCE = frozenset({*PASSED, b"x-remaining-ms", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
 class Request:
     """One request as it came."""
 
-    __slots__ = ("body", "connection", "headers", "keep_alive", "method", "target", "txn")
+    __slots__ = ("body", "connection", "figures", "headers", "held", "keep_alive", "lane", "method", "remaining",
+                 "target", "txn")  # fmt: skip
 
     def __init__(self) -> None:
         self.method, self.target, self.body = b"", b"", b""
         self.headers: dict[bytes, bytes] = {}
         self.txn = ""
+        self.lane, self.remaining = -1, 0.0  # the class, and its time; -1 for what is no message
+        self.figures: dict[str, Any] = {}
         self.keep_alive = True
+        self.held = 0  # bytes of body that count in the table's budget
         self.connection: Connection | None = None
 
 
 class Bad(Exception):
-    """A request that gets a plain 4xx."""
+    """A request that gets a plain error, and the end of its connection."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -64,34 +74,39 @@
         self.settings = settings
         self.lanes = {lane.name: index for index, lane in enumerate(settings.classes)}
 
-    def read(self, request: Request) -> tuple[int, float, dict[str, Any]]:
-        """Class, remaining time and figures of a request; raises :class:`Bad`."""
+    def read(self, request: Request) -> None:
+        """Read class, remaining time and figures of a message; raises :class:`Bad`."""
         if request.method != b"POST":
             raise Bad(405, "only POST hands in a message")
         head = request.headers
-        try:
-            request.txn = head[b"x-txn"].decode("ascii")
-        except (KeyError, UnicodeDecodeError):
-            raise Bad(400, "X-Txn is missing or no ASCII") from None
+        txn = head.get(b"x-txn", b"")
+        if not 0 < len(txn) <= MAX_ID or not all(0x20 < byte < 0x7F for byte in txn):
+            raise Bad(400, "X-Txn is missing or no ASCII")
+        request.txn = txn.decode("ascii")
+        if any(byte < 0x20 for name in PASSED for byte in head.get(name, b"")):
+            raise Bad(400, "a header holds a control character")
         segment = http.first_segment(request.target)
         name = head.get(b"x-lane", segment.encode()).decode("utf-8", "replace")
-        if not request.txn or name != segment or name not in self.lanes:
+        if name != segment or name not in self.lanes:
             raise Bad(400, "X-Txn, X-Lane or path names nothing known")
         lane = self.lanes[name]
         try:
-            remaining = float(head.get(b"x-remaining-ms", b"%d" % self.settings.classes[lane].deadline))
+            wait = head.get(b"x-remaining-ms", b"%d" % self.settings.classes[lane].deadline)
+            if not wait.isdigit():  # whole milliseconds; Python's own reading of figures is wider
+                raise ValueError
+            remaining = float(wait)
             labels = dict(part.split(b"=", 1) for part in head.get(b"x-labels", b"").split(b",") if part.strip())
             figures = {key.strip().lower(): float(value) for key, value in labels.items()}
         except ValueError:
             raise Bad(400, "X-Remaining-Ms or X-Labels is no figure") from None
-        if not all(map(math.isfinite, [remaining, *figures.values()])):
+        if not all(map(math.isfinite, figures.values())):
             raise Bad(400, "X-Remaining-Ms or X-Labels is no finite figure")
-        fields = {
+        request.figures = {
             "slots": figures.get(b"slots", 1.0),
             "memory": figures.get(b"memory", 0.0),
             "retry": head.get(b"x-resent") == b"1",
         }
-        return lane, min(remaining, 71 * 60_000.0) - MARGIN, fields
+        request.lane, request.remaining = lane, min(remaining, 71 * 60_000.0) - MARGIN
 
 
 class Connection(asyncio.Protocol):
@@ -103,30 +118,44 @@
         self.transport: asyncio.Transport | None = None
         self.message: Message | None = None
         self.busy = False  # a request is being served
+        self.messages = 0  # taken from it so far
+        self.since = 0.0  # when it was opened, or came to rest
+        self.asked = False  # a whole request has come
+        self.closing = False
         self._waiting: deque[Request] = deque()
         self._parser: Any = httptools.HttpRequestParser(self)
         self._request = Request()
-        self._head_size = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._broken = False  # what comes after broken input cannot be read
-        self._deadline: Key | None = None
-        self._closing = False
+        self._begun = self._in_head = False  # a request has begun and is not whole; nor is its head
+        self._read = 0  # bytes of it so far, with all framing; none for those read along with the one before
+        self._head_size = 0  # what is whole of its head
+        self._body = bytearray()
+        self._discarded = 0
+        self._deadline: Key | None = None  # for the request to be whole, or of the idle time
 
     # -- asyncio
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
+        self.since = self.north.deadlines.clock()
+        self._wait(READ_WAIT)
         self.north.opened(self)
-        self._rest(IDLE_WAIT)
 
     def data_received(self, data: bytes) -> None:
-        """Bytes from the client."""
-        if self._closing or self._broken:
+        """Bytes from the client.  What is whole is served only once all of them have been read."""
+        if self.closing:
+            self._discarded += len(data)
+            if self._discarded > MAX_DISCARDED:
+                self.abort()
             return
+        self._read += len(data)
         try:
             self._parser.feed_data(data)
+            if self._begun and self._read > (http.MAX_HEAD if self._in_head else MAX_READ):
+                # the parser tells of a header only once it is whole, and of a chunk's extension never
+                raise Bad(431, "the head is too large") if self._in_head else Bad(413, "too much framing")
+        except Bad as bad:
+            self._reject(bad)
         except httptools.HttpParserUpgrade:
             self._reject(Bad(400, "no upgrades here"))
         except httptools.HttpParserError as error:
@@ -136,16 +165,21 @@
         except Exception as error:  # one connection ends, the process does not
             self.north.owner.log("exception", where="north", error=repr(error))
             self.abort()
+        else:
+            self._next()
         self.north.turn()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has closed: it has gone away, and with it what it asked for."""
-        self._closing = True
+        self.closing = True
         self.north.deadlines.drop(self._deadline)
         self.north.closed(self)
+        for request in (self._request, *self._waiting):
+            self.north.release(request)
         self._waiting.clear()
         if self.message is not None:
             message, self.message = self.message, None
+            self.north.release(message.load)
             self.north.owner.core.leave(message)
         self.north.turn()
 
@@ -153,9 +187,11 @@
 
     def on_message_begin(self) -> None:
         """A request begins."""
-        self._request, self._body, self._body_size, self._head_size = Request(), [], 0, 0
-        if not self.busy:
-            self._rest(HEAD_WAIT)
+        self._request, self._head_size = Request(), 0
+        self._body = bytearray()
+        self._begun = self._in_head = True
+        if self.asked:  # the first one's time runs from the dial
+            self._wait(READ_WAIT)
 
     def on_url(self, url: bytes) -> None:
         """Path and query, perhaps in pieces."""
@@ -163,100 +199,147 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """One header."""
+        """One header, also of a trailer."""
+        headers, name = self._request.headers, name.lower()
+        if not self._in_head:
+            return  # nothing that a trailer says is heeded
+        if name in ONCE and name in headers:
+            raise Bad(400, "a header is given twice")
+        headers[name] = value
         self._count_head(len(name) + len(value) + 4)
-        self._request.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """The head is whole."""
-        length = self._request.headers.get(b"content-length", b"")
-        if length.isdigit() and int(length) > http.MAX_BODY:
+        self._in_head = False
+        headers = self._request.headers
+        length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
+        if length is not None and coding is not None:
+            raise Bad(400, "Content-Length with Transfer-Encoding")  # one of them hides what the other shows
+        if length is not None and not length.isdigit():
+            raise Bad(400, "Content-Length is no figure")
+        if length is not None and (len(length) > 9 or int(length) > http.MAX_BODY):
             raise Bad(413, "a body holds 64 KiB at most")
-        if self._request.headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
+        if coding is not None and coding.strip().lower() != b"chunked":
+            raise Bad(501, "no transfer coding but chunked")
+        if headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """A piece of the body."""
-        self._body_size += len(body)
-        if self._body_size > http.MAX_BODY:
+        self._body += body
+        if len(self._body) > http.MAX_BODY:
             raise Bad(413, "a body holds 64 KiB at most")
-        self._body.append(body)
+        self.north.hold(self._request, len(body))
 
     def on_message_complete(self) -> None:
-        """The last byte of a request: it is taken."""
+        """The last byte of a request: it is taken, unless it cannot be read."""
         request = self._request
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
-        request.body = b"".join(self._body)
+        request.body = bytes(self._body)
         request.connection = self
-        self._body = []
+        self._body = bytearray()
+        self._begun = self._in_head = False
+        self._read = 0
+        self.asked = True
+        self.north.deadlines.drop(self._deadline)
+        if request.method != b"GET" or not request.target.startswith(b"/health/"):
+            self.north.terms.read(request)
         self._waiting.append(request)
-        if len(self._waiting) > MAX_PIPELINED and self.transport is not None:
-            self.transport.pause_reading()
-        self._next()
+        if len(self._waiting) > MAX_PIPELINED:
+            raise Bad(429, "too many requests at once on one connection")
 
     # -- serving
 
     def answer(self, data: bytes, keep_alive: bool = True) -> None:
         """The answer to the request that is being served."""
         self.message, self.busy = None, False
-        if self.transport is None or self._closing:
+        if self.transport is None or self.closing:
             return
         self.transport.write(data)
         if not keep_alive:
-            self._closing = True
+            self.closing = True
             self.transport.close()
             return
-        self._rest(IDLE_WAIT)
-        if self._waiting and len(self._waiting) <= MAX_PIPELINED:
-            self.transport.resume_reading()
+        self.since = self.north.deadlines.clock()
+        if not self._begun:
+            self._wait(IDLE_WAIT)
         self._next()
 
     def close_if_idle(self) -> None:
         """Close between requests."""
-        if not self.busy and not self._waiting and self.transport is not None and not self._closing:
-            self._closing = True
+        if not (self.busy or self._waiting or self._begun or self.closing) and self.transport is not None:
+            self.closing = True
             self.transport.close()
 
     def abort(self) -> None:
         """End the connection at once."""
-        self._closing = True
+        self.closing = True
+        self.north.closed(self)
         if self.transport is not None:
             self.transport.abort()
 
     def _next(self) -> None:
-        while self._waiting and not self.busy and not self._closing:
+        while self._waiting and not self.busy and not self.closing:
             self.busy = True
-            self.north.deadlines.drop(self._deadline)
-            self.north.serve(self, self._waiting.popleft())
-
-    def _rest(self, wait: float) -> None:
-        self.north.deadlines.drop(self._deadline)
-        self._deadline = self.north.deadlines.after(wait, self.abort)
+            if not self._begun:
+                self.north.deadlines.drop(self._deadline)
+            try:
+                self.north.serve(self, self._waiting.popleft())
+            except Bad as bad:
+                self._reject(bad)
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
         if self._head_size > http.MAX_HEAD:
             raise Bad(431, "the head is too large")
 
+    def _wait(self, wait: float) -> None:
+        self.north.deadlines.drop(self._deadline)
+        self._deadline = self.north.deadlines.after(wait, self._overdue)
+
+    def _overdue(self) -> None:
+        """A request begun is not whole in time, or nothing comes at all."""
+        if self._begun:
+            self._reject(Bad(408, "the request is not whole in time"))
+        else:
+            self.abort()
+
     def _reject(self, bad: Bad) -> None:
-        """Broken input: a plain 4xx once what came before it has been answered, and the end of the connection."""
-        self.north.owner.log("bad_request", status=bad.status, text=str(bad))
-        self._broken = True
-        if self.busy or self._waiting:  # earlier requests on this connection are still owed their answers
-            self._waiting.append(Request())  # of no method: it will get its 4xx in turn
+        """What cannot be read gets its error at once and ends the connection, whatever waits before it.
+
+        Those before it are owed whole answers all the same: what may have run has failed, the rest is refused.
+        """
+        if self.closing or self.transport is None:
             return
-        self.answer(http.response(bad.status, str(bad).encode() + b"\n", close=True), False)
+        self.north.owner.log("bad_request", status=bad.status, text=str(bad))
+        waiting = [http.response(503)] * len(self._waiting)
+        for request in (self._request, *self._waiting):
+            self.north.release(request)
+        self._waiting.clear()
+        if self.message is not None:
+            self.north.owner.core.fail(self.message)  # answers by way of this connection
+            if self.closing:
+                return
+        self.transport.write(b"".join(waiting) + http.response(bad.status, str(bad).encode() + b"\n", close=True))
+        self.closing = True
+        self.transport.write_eof()
+        self.since = self.north.deadlines.clock()
+        self.north.deadlines.drop(self._deadline)
+        self._deadline = self.north.deadlines.after(LINGER, self.abort)
 
 
 class North:
     """The clients' connections."""
 
-    def __init__(self, owner: Owner, settings: pk.Settings, max_connections: int, turn: Callable[[], None]) -> None:
+    def __init__(
+        self, owner: Owner, settings: pk.Settings, max_connections: int, max_held: int, turn: Callable[[], None]
+    ) -> None:
         self.owner, self.terms, self.turn = owner, Terms(settings), turn
         self.deadlines = owner.core.deadlines
-        self.max_connections = max_connections
+        self.max_connections, self.max_held = max_connections, max_held
+        self.held = 0  # bytes of bodies, of requests being read too
         self.connections: Slots[Connection] = Slots()
         self.opened_at = self.deadlines.clock()  # when the last connection came
 
@@ -265,13 +348,38 @@
         return Connection(self)
 
     def opened(self, connection: Connection) -> None:
-        """Book a connection; past the limit of descriptors an idle one makes room."""
+        """Book a connection; past the limit of descriptors another one makes room."""
         connection.ticket = self.connections.put(connection)
         self.opened_at = self.deadlines.clock()
         if len(self.connections) > self.max_connections:
-            idle = next((c for c in self.connections if not c.busy and c is not connection), connection)
             self.owner.log("too_many_clients", connections=len(self.connections))
-            idle.abort()
+            min((c for c in self.connections if c is not connection), key=self._worth, default=connection).abort()
+
+    @staticmethod
+    def _worth(connection: Connection) -> tuple[int, float]:
+        """Whom to part with first: who is turned away, has never asked, asked for no message, or rested longest.
+
+        Guards an ordinary client's place against hundreds that say nothing.
+        """
+        if connection.closing:
+            return 0, connection.since
+        if connection.busy:
+            return 4, -connection.since
+        if not connection.asked:
+            return 1, connection.since
+        return 3 if connection.messages else 2, connection.since
+
+    def hold(self, request: Request, size: int) -> None:
+        """So many bytes more of a body; raises :class:`Bad` where memory has no room for them."""
+        request.held += size
+        self.held += size
+        if self.held > self.max_held:
+            raise Bad(503, "no room for a body now")
+
+    def release(self, request: Request) -> None:
+        """Nothing is relayed of it any more."""
+        self.held -= request.held
+        request.held, request.body = 0, b""
 
     def closed(self, connection: Connection) -> None:
         """A connection has ended."""
@@ -286,27 +394,33 @@
         """One whole request."""
         path = request.target.split(b"?", 1)[0]
         keep = request.keep_alive and not self.owner.stopping
-        if request.method == b"GET" and path == b"/health/ready":
-            ready = self.owner.ready()
-            connection.answer(http.response(200 if ready else 503, b"ready\n" if ready else b"", close=not keep), keep)
-        elif request.method == b"GET" and path == b"/health/live":
-            connection.answer(http.response(200, b"alive\n", close=not keep), keep)
-        else:
-            try:
-                lane, remaining, fields = self.terms.read(request)
-            except Bad as bad:
-                self.owner.log("bad_request", status=bad.status, text=str(bad))
-                connection.answer(http.response(bad.status, str(bad).encode() + b"\n", close=True), False)
-                return
-            message = self.owner.core.take(request, lane, remaining, size=len(request.body), **fields)
-            if not message.closed:
-                connection.message = message
+        if request.lane < 0:
+            self.release(request)
+            if path == b"/health/ready":
+                ready = self.owner.ready()
+                text = b"ready\n" if ready else b""
+                connection.answer(http.response(200 if ready else 503, text, close=not keep), keep)
+            else:
+                known = path == b"/health/live"
+                connection.answer(
+                    http.response(200 if known else 404, b"alive\n" if known else b"", close=not keep), keep
+                )
+            return
+        if self.owner.core.is_open(request.txn):
+            self.release(request)
+            raise Bad(409, "a message of this X-Txn is open")  # another client's, or it would not be open
+        connection.messages += 1
+        message = self.owner.core.take(
+            request, request.lane, request.remaining, name=request.txn, size=len(request.body), **request.figures
+        )
+        if not message.closed:
+            connection.message = message
 
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The final answer of a message, on its connection."""
         request: Request = message.load
         connection = request.connection
-        request.body = b""  # nothing is relayed any more
+        self.release(request)  # nothing is relayed any more
         if connection is None:
             return
         keep = request.keep_alive and not self.owner.stopping
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -6,7 +6,7 @@
 ``nothing`` it cannot be read).  ``c1`` is a client, ``f1`` a connection to the Faktory front, ``h1``
 a host, ``inv`` discovery, ``p1`` a peer.  ``[[TEXT]]`` is a chunk, ``((TEXT))`` a bulk string, ``<9xa>`` nine times a.
 A host's or discovery's step takes the next connection if it has none; ``next WHO`` leaves the one it has,
-and ``rename WHO NAME`` keeps it under another name.
+and ``rename WHO NAME`` keeps it under another name; ``dial WHO N`` makes so many connections that say nothing.
 ``let NAME = TEXT`` gives a word, used as ``{NAME arg arg}`` with ``$1`` for its arguments.  What is left unread at
 the end fails the exchange.
 """
@@ -100,7 +100,7 @@
         settings["limits"] = {**SETTINGS["limits"], **changes.pop("limits", {})}
         config = {
             "name": "n0", "listen": self.listen, "discovery": address(self.listeners["inv"]), "seed": "ab12",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}, "settings": settings,
             "peer_listen": self.own, "peers": [self.own, address(self.peers["p1"])],
             "known": self.listed(3, True, *(f"h{n + 1}" for n in range(hosts))), **changes,
         }  # fmt: skip
@@ -182,6 +182,9 @@
             elif word == "next":
                 self.left.append((args[0], self.open.pop(args[0])))
                 self.unread.pop(args[0], None)
+            elif word == "dial":
+                for number in range(int(args[1])):
+                    self._socket(f"{args[0]}{number}")
             elif word == "rename":
                 self.open[args[1]] = self.open.pop(args[0])
             elif word == "signal":
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,7 +14,8 @@
 
     def play(self, name: str) -> None:
         text = (FOLDER / name).read_text()
-        options = {key: json.loads(value) for key, value in re.findall(r"^# (limits|hosts|state) (.*)$", text, re.M)}
+        given = re.findall(r"^# (limits|hosts|sockets|state) (.*)$", text, re.M)
+        options = {key: json.loads(value) for key, value in given}
         player = Player(**options)
         try:
             for line in WORDS.splitlines():
