Tell a message's own fault from its host's: a 4xx ejects no host and ends at two opinions

Checked: each 400 was for a client's message (an id open at another dispatcher); the hosts were well. Ruled out: 5xx and lost connections, of which there was none. Wrong: wire/south.py made any status but 200 an ERROR, and logic.py ejects a host for one.

Now a 4xx (but 408 and 429) is the outcome UNUSABLE: nothing is learned of the host; what may be repeated gets one second opinion, if there is room for it at once; two make it the message's fault, which fails. If the second host serves it, the first is judged to have erred.

--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -56,6 +56,7 @@
     RESET = 6
     CANCELLED = 7
     MOOT = 8
+    UNUSABLE = 9  # the worker finds fault with the job itself; a host's own, no simulator tells it
 
 
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -27,6 +27,7 @@
 
 SUSPECT, SUSPECTS = 15, 0.2  # in the sums, the digit of a worker that fails; at most this share are marked so
 ILL, WELL = 0.6, 0.8  # health below which it is marked, after two bad ends, and above which no more
+FAULTS = 2  # workers that find fault with a job, and it is the job's
 BAD = frozenset({pk.Outcome.ERROR, pk.Outcome.FULL, pk.Outcome.CONNECT_FAILED, pk.Outcome.RESET})
 
 
@@ -97,6 +98,8 @@
             self._finish(job)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
+        elif job.faulted:
+            self._finish(job)  # most likely the job's own fault: no wait for a second opinion
         else:
             self._hold(job, now)
 
@@ -290,17 +293,23 @@
         self.freed = [worker] if outcome == pk.Outcome.SERVED else []
         if self.jobs.get(job.id) is not job:
             return
+        if outcome == pk.Outcome.UNUSABLE:  # a second opinion tells whose fault it is
+            job.faulted.append(worker)
+        elif outcome == pk.Outcome.SERVED:
+            for liar in job.faulted:
+                self._judge(liar, pk.Outcome.ERROR, now)
         if event.final:
             self.ledger.win(job.cls, job.value * (1.0 if now <= job.due else job.lane.late_value))
             self._close(job.id)
-        elif outcome == pk.Outcome.MOOT or (flight.may_have_run and job.once):
+        elif outcome == pk.Outcome.MOOT or (flight.may_have_run and job.once) or len(job.faulted) >= FAULTS:
             self._finish(job)
         elif not any(f.out for f in job.attempts):
             self._place(job, now)
 
     def _finish(self, job: Job, _: float = 0.0) -> None:
         """Rule 1: the one place of final answers.  Refuse only where a retry is surely harmless."""
-        harmless = job.harmless or not any(f.may_have_run for f in job.attempts)
+        harmless = job.harmless and not job.faulted  # to ask again would change nothing
+        harmless = harmless or not any(f.may_have_run for f in job.attempts)
         self.out.append(pk.Refuse(job.id) if harmless else pk.Fail(job.id))
         self._close(job.id)
 
@@ -314,7 +323,7 @@
 
     def _learn(self, worker: Worker, job: Job, outcome: int, latency: float, now: float) -> None:
         """One payoff: graded by latency against the class's usual for the size, 0 for every failure."""
-        if outcome in (pk.Outcome.CANCELLED, pk.Outcome.MOOT):
+        if outcome in (pk.Outcome.CANCELLED, pk.Outcome.MOOT, pk.Outcome.UNUSABLE):
             return
         payoff = 0.0
         if outcome == pk.Outcome.SERVED:
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -49,7 +49,7 @@
     """A job taken and not yet answered."""
 
     __slots__ = (
-        "attempts", "cls", "due", "give_up_at", "harmless", "id", "lane", "last_start", "need", "once",
+        "attempts", "cls", "due", "faulted", "give_up_at", "harmless", "id", "lane", "last_start", "need", "once",
         "over", "patient_until", "room", "size", "value", "work",
     )  # fmt: skip
 
@@ -62,6 +62,7 @@
         everywhere = lane.effect is pk.Effect.BY_KEY and lane.key_scope is pk.KeyScope.ALL
         self.harmless = everywhere or lane.effect is pk.Effect.REPEATABLE  # to try again, whatever ran
         self.attempts: list[Flight] = []
+        self.faulted: list[Worker] = []  # who found fault with it
         self.over = False  # beyond its tenant's share
         self.work = 0.0  # expected, over all its slots
         self.value = 0.0  # worth, by its expected work
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -20,6 +20,7 @@
 # reset, which send-invites does not survive: ours are retired at this share of that time.
 RETIRE_SHARE = 0.7
 LAST_CHUNK_WAIT = 1000.0  # after the last line, for the end of the answer
+OF_THE_HOST = (408, 429)  # of the 4xx, these find no fault with the message
 ENDS = {"done": Outcome.SERVED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
@@ -104,6 +105,8 @@
         self._status = self._parser.get_status_code()
         if self._status in (503, 504) and self._turned_away:
             self._verdict = Outcome.FULL, b""
+        elif 400 <= self._status < 500 and self._status not in OF_THE_HOST:
+            self._verdict = Outcome.UNUSABLE, b""
         elif self._status >= 200 and self._status != 200:
             self._verdict = Outcome.ERROR, b""
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -436,3 +436,38 @@
         host.give(Note(jobs[-1], 0, 1, NoteKind.STARTED))
         jobs.append(host.job(0))
     assert all(job in host.sent for job in jobs)
+
+
+def test_fault_of_the_job_ejects_no_worker_and_ends_the_job_at_the_second_opinion() -> None:
+    """A client with unusable requests had all workers ejected, each request six of them."""
+    host = Host()
+    warm_up(host)
+    job = host.job(0)
+    host.end(job, 0, Outcome.UNUSABLE)
+    assert job not in host.answered and host.sent[job][1] != host.sent[job][0]
+    host.end(job, 1, Outcome.UNUSABLE)
+    assert host.answered[job] == "failed" and len(host.sent[job]) == 2  # a refusal would have it asked again
+    assert not any(w.ejections for w in host.dispatcher.order)
+    once = host.job(2)
+    host.end(once, 0, Outcome.UNUSABLE)
+    assert host.answered[once] == "failed"
+
+
+def test_worker_that_alone_finds_fault_is_the_one_that_fails() -> None:
+    host = Host()
+    warm_up(host)
+    job = host.job(0)
+    host.end(job, 0, Outcome.UNUSABLE)
+    host.end(job, 1, Outcome.SERVED, (4.0,))
+    assert [w.id for w in host.dispatcher.order if w.ejections] == [host.sent[job][0]]
+
+
+def test_job_found_unusable_does_not_wait_for_a_second_opinion() -> None:
+    """The client is owed its error soon; held for room, it would have it at its deadline."""
+    host = Host(workers=2)
+    warm_up(host)
+    job = host.job(0)
+    for worker in host.dispatcher.order:
+        worker.own += 99
+    host.end(job, 0, Outcome.UNUSABLE)
+    assert host.answered[job] == "failed"
