Planned stop: keep clients while no other dispatcher is heard, answer all before the kill

Checked: the answers in both logs by time. n0 took its last message 0.4 s after its SIGTERM, at 16.9 s, n1 its first after its restart at 18.8 s; between them nobody had a connection that a client could use. Ruled out: our own answers (2 failed in all), discovery (whole lists in time).

Now clients are sent away only while another dispatcher is heard at work (wire/peers.py; one that stops says so), or in the last second; from SIGTERM on no give-up time lies beyond 3.45 s, and what is left then is given up by the module (event NoTimeLeft): refused where harmless, else failed.

What remains at the stop are print-orders longer than the time left.

--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -218,6 +218,12 @@
     job: int
 
 
+class NoTimeLeft(NamedTuple):
+    """The host can wait no longer for the job: it wants the final answer now.  No simulator tells it."""
+
+    job: int
+
+
 class PeerMessage(NamedTuple):
     """Bytes told by another dispatcher."""
 
@@ -247,6 +253,7 @@
     | Note
     | AnswerStarted
     | ClientGone
+    | NoTimeLeft
     | PeerMessage
     | ProbeResult
     | TimerFired
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -82,7 +82,9 @@
             deadlines, log, self.turn,
             conn_idle=config.conn_idle, dial_timeout=settings.dial_timeout, max_connections=half,
         )  # fmt: skip
-        self.peers = Peers(config.peers, config.peers_all, settings.position, self._heard, log, self.turn)
+        self.peers = Peers(
+            config.peers, config.peers_all, settings.position, self._heard, log, self.turn, deadlines.clock
+        )
         read = partial(read_list, zones=config.zones, kinds=config.kinds, to_clock=float)  # our clock is Unix time
         self.inventory = Inventory(config.discovery, 0, read, self._news, deadlines, log, self.turn)
         self.core = Core(
@@ -94,7 +96,8 @@
         self.south.core = self.core
         self.north = North(self, settings, half, int(spare * 1024 * 1024), self.turn)
         self.stop = Stop(
-            deadlines, self._busy, lambda: self.north.opened_at, self.north.close_idle, self.left.set
+            deadlines, max(lane.deadline for lane in settings.classes), self._busy, lambda: self.north.opened_at,
+            self.peers.serving, self.peers.leave, self.core.give_up_all, self.north.close_idle, self.left.set,
         )
 
         self.reload = Reload(config, reload, self._moved, log)
@@ -119,6 +122,10 @@
         """Whether serving is possible."""
         return not self.stopping and self.core.can_serve
 
+    def parting(self) -> bool:
+        """Whether clients' connections end with their next answer."""
+        return self.stop.parting()
+
     async def run(self, desired: State, control_path: str) -> None:
         """Serve until a planned stop is over; raises :class:`StateError` when the desired state can't be had."""
         loop = asyncio.get_running_loop()
@@ -221,10 +228,11 @@
     def _on_signal(self) -> None:
         if not self.stopping:
             self.log("stopping", messages=len(self.core.messages))
+            self.stop.begin()
+            self.core.answer_by = self.stop.answer_by
         self.stopping = True
         if self.faktory is not None:
             self.faktory.open(False)
-        self.stop.begin()
         self.turn()
 
     def _busy(self) -> int:
--- a/heronlug/life/stop.py
+++ b/heronlug/life/stop.py
@@ -6,36 +6,62 @@
 
 COMING = 700.0  # connections keep coming for 0.2 to 0.4 s after the signal, and then none may have come for as long
 AT_MOST = 2000.0  # who goes on dialling longer than this has not come by way of the front, and holds up no stop
+GRACE, LONGEST = 700.0, 3000.0  # we are killed so long after the longest deadline, of which so much counts, or later
+BEFORE = 250.0  # and have answered everything so long before that
+LAST_TURN = 1000.0  # what comes later than so long before that could hardly be served: clients go elsewhere
 LOOK = 50.0  # between two looks
 
 
 class Stop:
-    """From the signal to the exit."""
+    """From the signal to the exit.
+
+    The front brings no new clients, but those that we have stay for as long as their connections do.  Where another
+    dispatcher serves they are sent there; where none does (a restart in turn may overlap with the one before), we
+    are all that they have, and keep them to the last.
+    """
 
     def __init__(
         self,
         deadlines: Deadlines,
+        longest: float,
         busy: Callable[[], int],
         came_at: Callable[[], float],
+        others: Callable[[], bool],
+        look: Callable[[], None],
+        give_up: Callable[[], None],
         close_idle: Callable[[], None],
         leave: Callable[[], None],
     ) -> None:
-        self._deadlines, self._busy, self._came_at = deadlines, busy, came_at
-        self._close_idle, self._leave = close_idle, leave
+        self._deadlines, self._busy, self._came_at, self._others = deadlines, busy, came_at, others
+        self._tell, self._give_up, self._close_idle, self._leave = look, give_up, close_idle, leave
+        self._whole = min(longest, LONGEST) + GRACE - BEFORE
         self._since = 0.0
 
+    @property
+    def answer_by(self) -> float:
+        """When the last answer must be out."""
+        return self._since + self._whole
+
+    def parting(self) -> bool:
+        """Whether clients' connections end with their next answer."""
+        if not self._since:
+            return False
+        return self._others() or self._deadlines.clock() >= self.answer_by - LAST_TURN
+
     def begin(self) -> None:
         """The signal has come; a second one changes nothing."""
         if not self._since:
             self._since = self._deadlines.clock()
+            self._deadlines.at(self.answer_by, self._give_up)
             self._look()
 
     def _look(self) -> None:
         now = self._deadlines.clock()
+        self._tell()
         # clients use the connections they have for as long as those stay open: once no new ones come, the front
         # has let go of us, and what is closed between requests is opened elsewhere
         quiet = now - max(self._since, self._came_at()) >= COMING or now - self._since >= AT_MOST
-        if quiet:
+        if quiet and self.parting():
             self._close_idle()
         if quiet and not self._busy():
             self._leave()
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -60,6 +60,7 @@
         self.handlers: dict[type, Callable[..., None]] = {
             pk.JobArrived: self._on_job, pk.AttemptEnded: self._on_ended, pk.Note: self._on_note,
             pk.WorkerList: self._on_list, pk.ClientGone: lambda event, now: self._close(event.job),
+            pk.NoTimeLeft: self._on_no_time,
             pk.TimerFired: lambda event, now: self.agenda.fired(), pk.PeerMessage: self._on_peer,
         }  # fmt: skip
 
@@ -313,6 +314,10 @@
         self.out.append(pk.Refuse(job.id) if harmless else pk.Fail(job.id))
         self._close(job.id)
 
+    def _on_no_time(self, event: pk.NoTimeLeft, now: float) -> None:
+        if (job := self.jobs.get(event.job)) is not None:
+            self._finish(job)
+
     def _close(self, job_id: int) -> None:
         job = self.jobs.pop(job_id, None)
         if job is not None and self.s.may_cancel:
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import Any, NamedTuple, Protocol
 from zlib import crc32
 
@@ -145,6 +146,7 @@
         self._pumping = False
         self._log, self._subscribe, self._tell = log, subscribe, tell
         self.max_open, self._max_come_back = max_open, max_come_back
+        self.answer_by = inf  # the last moment for any answer, once a stop has begun
         self.counts = dict.fromkeys(Final, 0)
 
     # -- the north side
@@ -158,12 +160,12 @@
     ) -> Message:
         """Take a message in; from here on it is owed one final answer.  ``fields`` are those of ``JobArrived``."""
         now = self.deadlines.clock()
-        message = Message(load, lane, now + remaining, now, name)
+        message = Message(load, lane, min(now + remaining, self.answer_by), now, name)
         message.ticket = self.messages.put(message)
         if name:
             self._names.add(name)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
-        full = remaining <= 0 or len(self.messages) > self.max_open
+        full = message.give_up_at <= now or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
             self._close(message, Final.REFUSED, b"", self._max_come_back / 2)
         else:
@@ -185,6 +187,12 @@
             self._give(pk.ClientGone(message.ticket))
             self._forget(message)
 
+    def give_up_all(self) -> None:
+        """The process ends: whatever is still owed is answered now, as the module words it."""
+        for message in list(self.messages):
+            if not message.closed:
+                self._give(pk.NoTimeLeft(message.ticket))
+
     # -- the south side
 
     def may_write(self, relay: Relay) -> bool:
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -56,7 +56,9 @@
     """What a connection asks of the daemon."""
 
     core: Core
-    stopping: bool
+
+    def parting(self) -> bool:
+        """Whether connections end with their next answer."""
 
     def log(self, event: str, **fields: object) -> None:
         """One line."""
@@ -393,7 +395,7 @@
     def serve(self, connection: Connection, request: Request) -> None:
         """One whole request."""
         path = request.target.split(b"?", 1)[0]
-        keep = request.keep_alive and not self.owner.stopping
+        keep = request.keep_alive and not self.owner.parting()
         if request.lane < 0:
             self.release(request)
             if path == b"/health/ready":
@@ -423,7 +425,7 @@
         self.release(request)  # nothing is relayed any more
         if connection is None:
             return
-        keep = request.keep_alive and not self.owner.stopping
+        keep = request.keep_alive and not self.owner.parting()
         status = {Final.SERVED: 200, Final.REFUSED: 503, Final.FAILED: 500}[final]
         connection.answer(
             http.response(status, body, close=not keep, retry_after=come_back if status == 503 else 0.0), keep
--- a/heronlug/wire/peers.py
+++ b/heronlug/wire/peers.py
@@ -7,6 +7,9 @@
 from heronlug.wire import http
 
 MAX_CONTENT = 256
+LEAVING = b"l"  # a stopping dispatcher says so again and again; the module's own messages begin otherwise
+SILENCE = 500.0  # who said so and speaks again so long after is a new process
+HEARD = 1000.0  # who has work tells of it more often than this
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -20,7 +23,11 @@
         heard: Callable[[int, bytes], None],
         log: Callable[..., None],
         turn: Callable[[], None],
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
+        self._heard_at: dict[int, float] = {}
+        self._leaving: dict[int, float] = {}  # when they last said so
         self._addresses = [http.split_address(peer) for peer in peers]
         self._numbers = {address: number for number, address in enumerate(self._addresses)}
         self._everyone = http.split_address(everyone) if everyone else None
@@ -36,6 +43,13 @@
         number = self._numbers.get(addr[:2])
         if number is None or number == self._position or len(data) > MAX_CONTENT:
             return
+        now = self._clock()
+        if data == LEAVING:
+            self._leaving[number] = now
+            return
+        self._heard_at[number] = now
+        if now - self._leaving.get(number, now) >= SILENCE:
+            del self._leaving[number]
         try:
             self._heard(number, data)
         except Exception as error:  # a peer's bytes must not end us
@@ -45,6 +59,15 @@
     def error_received(self, exc: Exception) -> None:
         """A peer that is down answers so; nothing is owed."""
 
+    def serving(self) -> bool:
+        """Whether another dispatcher has lately been heard at work that is not leaving."""
+        now = self._clock()
+        return any(now - at < HEARD and number not in self._leaving for number, at in self._heard_at.items())
+
+    def leave(self) -> None:
+        """Tell the others that our clients will come to them."""
+        self.tell(LEAVING, -1)
+
     def tell(self, content: bytes, peer: int) -> None:
         """Send to one peer, or to all with -1; a longer datagram than allowed is never sent."""
         if self._transport is None or len(content) > MAX_CONTENT:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -146,13 +146,29 @@
         heard: list[tuple[int, bytes]] = []
         addresses = ["127.0.0.1:1001", "127.0.0.1:1002"]
         peers = Peers(
-            addresses, None, 0, lambda n, data: heard.append((n, data)), lambda *a, **k: None, lambda: None
+            addresses, None, 0, lambda n, data: heard.append((n, data)), lambda *a, **k: None, lambda: None, lambda: 0.0
         )
         for port, size in ((1001, 9), (1002, 9), (1003, 9), (1002, 257), (1002, 256)):
             peers.datagram_received(b"c" * size, ("127.0.0.1", port))
         self.assertEqual(heard, [(1, b"c" * 9), (1, b"c" * 256)])
 
 
+class Handover(unittest.TestCase):
+    def test_who_is_silent_or_leaving_takes_no_clients_over(self) -> None:
+        """Clients sent away while nobody else served had no dispatcher at all."""
+        now = [0.0]
+        addresses = ["127.0.0.1:1001", "127.0.0.1:1002"]
+        quiet: Any = lambda *a, **k: None  # noqa: E731
+        peers = Peers(addresses, None, 0, quiet, quiet, quiet, lambda: now[0])
+        seen = []
+        for at, data in ((0, b""), (10, b"c"), (1100, b""), (1200, b"c"), (1210, b"l"), (1300, b"c"), (1900, b"c")):
+            now[0] = at
+            if data:
+                peers.datagram_received(data, ("127.0.0.1", 1002))
+            seen.append(peers.serving())
+        self.assertEqual(seen, [False, True, False, True, False, False, True])
+
+
 class Tables(unittest.TestCase):
     def test_old_ticket_finds_nothing_in_a_slot_used_again(self) -> None:
         slots: Slots[str] = Slots()
