Hold back the last byte of send-invites 10 ms; new connections for it once warm ones break

Ruled out: idle time (ours are retired at 0.7 of conn_idle; the breaks came on connections used seconds before). Wrong: wire/south.py wrote at once what must not run twice, and trusted every warm connection. For the crowd: wire/north.py scanned all connections for each newcomer, and a connection and its parser held each other until the collector came; a fresh ordinary client could be the oldest silent one.

Now the last byte waits 10 ms and is written only if the connection has held; after a break of a warm connection with no word from the host such messages are dialled afresh for 30 s. Clients' connections are kept in ranks, first come first gone, a newcomer of under 100 ms after those that asked for nothing.

--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -203,6 +203,10 @@
         """
         return relay.out and not relay.message.closed and relay.host.ready
 
+    def runs_once(self, relay: Relay) -> bool:
+        """Whether it must not run a second time, so that only proof that it never ran lets it go out again."""
+        return self.settings.classes[relay.message.lane].effect is pk.Effect.ONCE
+
     def noted(self, relay: Relay, kind: pk.NoteKind, share: float = 0.0) -> None:
         """The host tells that a relay has started, or how far it has come."""
         if relay.out:
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -4,6 +4,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from enum import IntEnum
 from typing import Any, Protocol, cast
 
 import httptools
@@ -22,6 +23,8 @@
 MAX_PIPELINED = 16  # requests read ahead on one connection
 MAX_READ = http.MAX_HEAD + 8 * http.MAX_BODY  # of one message with all framing: chunks may be small, not for ever
 MAX_ID = 256
+FRESH = 100.0  # a connection's first request may be on its way for so long
+CROWD_LOG = 1000.0  # a crowd is worth a line a second
 PASSED = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent")
 # of these a second one would silently replace the first, and the two ends would read different requests
 ONCE = frozenset({*PASSED, b"x-remaining-ms", b"content-length", b"transfer-encoding", b"host", b"expect"})
@@ -111,6 +114,19 @@
         request.lane, request.remaining = lane, min(remaining, 71 * 60_000.0) - MARGIN
 
 
+class Rank(IntEnum):
+    """Whom to part with first where descriptors are short; within a rank, who has been in it longest.
+
+    Guards an ordinary client's place against hundreds that say nothing, or ask once and stay.
+    """
+
+    REJECTED = 0
+    SILENT = 1  # has never sent a whole request
+    ASKED = 2  # rests, and has handed in no message yet
+    SERVED = 3  # rests, an ordinary client
+    BUSY = 4  # not to be parted with
+
+
 class Connection(asyncio.Protocol):
     """One client connection: requests in turn, pipelined ones wait."""
 
@@ -121,7 +137,8 @@
         self.message: Message | None = None
         self.busy = False  # a request is being served
         self.messages = 0  # taken from it so far
-        self.since = 0.0  # when it was opened, or came to rest
+        self.opened_at = north.deadlines.clock()
+        self.rank = -1  # its place among those to part with, see Rank
         self.asked = False  # a whole request has come
         self.closing = False
         self._waiting: deque[Request] = deque()
@@ -139,7 +156,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
-        self.since = self.north.deadlines.clock()
         self._wait(READ_WAIT)
         self.north.opened(self)
 
@@ -174,6 +190,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has closed: it has gone away, and with it what it asked for."""
         self.closing = True
+        self._parser = None  # it holds us, and we it: in a crowd that would wait long for the collector
         self.north.deadlines.drop(self._deadline)
         self.north.closed(self)
         for request in (self._request, *self._waiting):
@@ -264,7 +281,7 @@
             self.closing = True
             self.transport.close()
             return
-        self.since = self.north.deadlines.clock()
+        self.north.rank(self, Rank.SERVED if self.messages else Rank.ASKED)
         if not self._begun:
             self._wait(IDLE_WAIT)
         self._next()
@@ -285,6 +302,7 @@
     def _next(self) -> None:
         while self._waiting and not self.busy and not self.closing:
             self.busy = True
+            self.north.rank(self, Rank.BUSY)
             if not self._begun:
                 self.north.deadlines.drop(self._deadline)
             try:
@@ -327,7 +345,7 @@
         self.transport.write(b"".join(waiting) + http.response(bad.status, str(bad).encode() + b"\n", close=True))
         self.closing = True
         self.transport.write_eof()
-        self.since = self.north.deadlines.clock()
+        self.north.rank(self, Rank.REJECTED)
         self.north.deadlines.drop(self._deadline)
         self._deadline = self.north.deadlines.after(LINGER, self.abort)
 
@@ -343,7 +361,9 @@
         self.max_connections, self.max_held = max_connections, max_held
         self.held = 0  # bytes of bodies, of requests being read too
         self.connections: Slots[Connection] = Slots()
+        self.ranks: list[dict[int, Connection]] = [{} for _ in Rank]  # by ticket, who came into it first
         self.opened_at = self.deadlines.clock()  # when the last connection came
+        self._crowded_at = 0.0  # when the log was told last that there are too many
 
     def protocol(self) -> Connection:
         """A protocol for a new connection."""
@@ -354,22 +374,27 @@
         connection.ticket = self.connections.put(connection)
         self.opened_at = self.deadlines.clock()
         if len(self.connections) > self.max_connections:
-            self.owner.log("too_many_clients", connections=len(self.connections))
-            min((c for c in self.connections if c is not connection), key=self._worth, default=connection).abort()
-
-    @staticmethod
-    def _worth(connection: Connection) -> tuple[int, float]:
-        """Whom to part with first: who is turned away, has never asked, asked for no message, or rested longest.
-
-        Guards an ordinary client's place against hundreds that say nothing.
-        """
-        if connection.closing:
-            return 0, connection.since
-        if connection.busy:
-            return 4, -connection.since
-        if not connection.asked:
-            return 1, connection.since
-        return 3 if connection.messages else 2, connection.since
+            if self.opened_at - self._crowded_at >= CROWD_LOG:
+                self._crowded_at = self.opened_at
+                self.owner.log("too_many_clients", connections=len(self.connections))
+            self._first_to_go(connection).abort()
+        self.rank(connection, Rank.SILENT)
+
+    def _first_to_go(self, newcomer: Connection) -> Connection:
+        """The first in rank, but one whose first request may be under way comes after those that asked for nothing."""
+        rejected, silent, asked, served = (next(iter(those.values()), None) for those in self.ranks[: Rank.BUSY])
+        fresh = silent is not None and self.opened_at - silent.opened_at < FRESH
+        return rejected or (not fresh and silent) or asked or silent or served or newcomer
+
+    def rank(self, connection: Connection, rank: int) -> None:
+        """Put a connection last in its new rank; -1 is none."""
+        if connection.rank >= 0:
+            del self.ranks[connection.rank][connection.ticket]
+        if connection.closing and rank > Rank.REJECTED:
+            rank = -1
+        connection.rank = rank
+        if rank >= 0:
+            self.ranks[rank][connection.ticket] = connection
 
     def hold(self, request: Request, size: int) -> None:
         """So many bytes more of a body; raises :class:`Bad` where memory has no room for them."""
@@ -385,6 +410,7 @@
 
     def closed(self, connection: Connection) -> None:
         """A connection has ended."""
+        self.rank(connection, -1)
         self.connections.take(connection.ticket)
 
     def close_idle(self) -> None:
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -19,6 +19,12 @@
 # The host closes an idle connection at the latest after conn_idle, and a request written to it from then on is a
 # reset, which send-invites does not survive: ours are retired at this share of that time.
 RETIRE_SHARE = 0.7
+# The last byte of what must not run twice is held back for so long: what breaks until then, as a warm connection that
+# the host has forgotten or a new one that it drops, proves that the message never ran, and it may go elsewhere.
+HOLD_BACK = 10.0
+# So long after a warm connection has broken under its next request, what must not run twice goes out on new ones: some
+# hosts drop a connection only when the request is whole, and then it may have run.
+DISTRUST = 30_000.0
 LAST_CHUNK_WAIT = 1000.0  # after the last line, for the end of the answer
 OF_THE_HOST = (408, 429)  # of the 4xx, these find no fault with the message
 ENDS = {"done": Outcome.SERVED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
@@ -36,7 +42,10 @@
         self.deadline: Key | None = None  # of the dial, of the idle time, or of the last chunk
         self.sent = False  # the first byte of a request has been handed to the network
         self.unwritten = False  # not all of it has gone out
+        self.held_back = b""  # its last byte, while that is not to go out yet
         self.closed = False
+        self.warm = False  # has served a request before
+        self._answered = False  # the host has said something to this one
         self._parser: Any = None
         self._status = 0
         self._turned_away = False
@@ -71,6 +80,7 @@
         if self.relay is None and self._parser is None:
             self.close()  # it talks with nobody asking
             return
+        self._answered = True
         try:
             self._parser.feed_data(data)
             self._settle()
@@ -89,7 +99,9 @@
         if self._parser is not None and self.sent and exc is None:
             self._finish_lines()
             self._settle()
-        self._end(Outcome.CONNECT_FAILED if self.unwritten or not self.sent else Outcome.RESET)
+        if self.warm and self.relay is not None and not self._answered:
+            self.south.distrust_until = self.south.deadlines.clock() + DISTRUST
+        self._end(Outcome.CONNECT_FAILED if self.unwritten or self.held_back or not self.sent else Outcome.RESET)
         self.close()
         self.south.turn()
 
@@ -138,8 +150,11 @@
         self.relay = relay
         self._parser = httptools.HttpResponseParser(self)
         self._status, self._turned_away, self._lines = 0, False, http.Lines()
-        self._verdict, self._complete = None, False
-        self.sent, self.unwritten = True, False
+        self._verdict, self._complete, self._answered = None, False, False
+        self.sent, self.unwritten, self.held_back = True, False, b""
+        if self.south.core.runs_once(relay):
+            data, self.held_back = data[:-1], data[-1:]
+            self.deadline = self.south.deadlines.after(HOLD_BACK, self._write_last)
         self.transport.write(data)
 
     def close(self) -> None:
@@ -153,6 +168,26 @@
             elif self.dial is not None:
                 self.dial.cancel()
 
+    def _write_last(self) -> None:
+        """The connection has held: the last byte goes out, and from here on the message may have run."""
+        relay = self.relay
+        if self.closed or relay is None or self.transport is None:
+            return
+        if self.sound() and self.south.core.may_write(relay):
+            data, self.held_back = self.held_back, b""
+            self.transport.write(data)
+        else:
+            self._end(Outcome.CONNECT_FAILED)
+            self.close()
+
+    def sound(self) -> bool:
+        """Whether no end of it is waiting to be read, nor anything else."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        return not poll.poll(0)
+
     def _finish_lines(self) -> None:
         for line in self._lines.end():
             self._line(line)
@@ -184,9 +219,9 @@
         if self._verdict is None or self.closed:
             return
         relay, self.relay = self.relay, None
-        if self._complete and self._keep:
+        if self._complete and self._keep and not self.held_back:
             self.south.rest(self)
-        elif self._complete:
+        elif self._complete or self.held_back:
             self.close()
         elif relay is not None:
             self.south.deadlines.drop(self.deadline)
@@ -224,13 +259,16 @@
         self.connections: Slots[Connection] = Slots()
         self.idle: dict[int, deque[Connection]] = {}  # by host, the one used last at the end
         self.dials = 0  # so many made so far
+        self.distrust_until = 0.0  # warm connections have broken lately
 
     def send(self, relay: Relay) -> None:
         """Put a relay on a warm connection, or dial one for it."""
         pool = self.idle.get(relay.host.number)
+        if self.deadlines.clock() < self.distrust_until and self.core.runs_once(relay):
+            pool = None
         while pool:
             connection = pool.pop()
-            if self._sound(connection, relay.host.entry.address):
+            if connection.address == relay.host.entry.address and connection.sound():
                 self.deadlines.drop(connection.deadline)
                 relay.wire = connection
                 connection.write(relay)
@@ -274,7 +312,7 @@
         if connection.closed:
             return
         connection._parser = None
-        connection.sent = False
+        connection.warm, connection.sent = connection.warm or connection.sent, False
         self.deadlines.drop(connection.deadline)
         connection.deadline = self.deadlines.after(self.retire_after, connection.close)
         self.idle.setdefault(connection.host.number, deque()).append(connection)
@@ -293,14 +331,6 @@
                 if not hosts[number].ready or hosts[number].entry.address != connection.address:
                     connection.close()
 
-    def _sound(self, connection: Connection, address: str) -> bool:
-        """Whether an idle connection may be written to: same place, and no end of it waiting to be read."""
-        if connection.transport is None or connection.transport.is_closing() or connection.address != address:
-            return False
-        poll = select.poll()
-        poll.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
-
     def _evict(self) -> bool:
         """Close the connection that has stood idle longest, to make room for a dial."""
         oldest = [pool[0] for pool in self.idle.values() if pool]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,6 +1,7 @@
 """What the core and the tables guard against, without a socket."""
 
 import os
+import socket
 import unittest
 from typing import Any, cast
 
@@ -51,6 +52,14 @@
 
     def __init__(self) -> None:
         self.written = b""
+        self.socket, self.other = socket.socketpair()
+
+    def get_extra_info(self, name: str) -> Any:
+        return self.socket
+
+    def close(self) -> None:
+        self.socket.close()
+        self.other.close()
 
     def write(self, data: bytes) -> None:
         self.written += data
@@ -121,24 +130,36 @@
                 self.core.inventory(ListKind.CHANGES, [HostEntry("h", "127.0.0.1:9", WorkerState.DRAINING)])
             south.dialled(connection)
             self.assertEqual(bool(cast(Any, connection.transport).written), not told_off)
+            cast(Any, connection.transport).close()
         self.assertEqual(self.module.events[-1].outcome, Outcome.CONNECT_FAILED)
 
     def test_break_is_never_ran_only_while_a_byte_is_unwritten(self) -> None:
+        """The last byte of send-invites waits for 10 ms: a connection that breaks at its next request costs nothing."""
         south = South(
             self.deadlines, lambda *a, **k: None, lambda: None, conn_idle=4000, dial_timeout=250, max_connections=9
         )
         south.core = self.core
-        for unwritten, outcome in ((True, Outcome.CONNECT_FAILED), (False, Outcome.RESET)):
-            load = type("Load", (), {"method": b"POST", "target": b"/x", "headers": {}, "body": b"", "txn": "t"})()
+        never, perhaps = Outcome.CONNECT_FAILED, Outcome.RESET
+        for wait, stuck, ended, whole, outcome in (
+            (0, False, False, False, never),
+            (11, False, False, True, perhaps),
+            (11, True, False, True, never),
+            (11, False, True, False, never),  # its end has come and waits to be read
+        ):
+            load = type("Load", (), {"method": b"POST", "target": b"/x", "headers": {}, "body": b"ab", "txn": "t"})()
             _, relay = self.sent(load)
             connection = Connection(south, relay.host, "127.0.0.1:9")
             connection.transport = cast(Any, Transport())
             connection.write(relay)
-            connection.pause_writing()
-            if not unwritten:
-                connection.resume_writing()
+            if ended:
+                cast(Any, connection.transport).other.close()
+            self.later(wait)
+            if stuck:
+                connection.pause_writing()
+            self.assertEqual(cast(Any, connection.transport).written.endswith(b"ab"), whole)
             connection.connection_lost(ConnectionResetError())
             self.assertEqual(self.module.events[-1].outcome, outcome)
+            cast(Any, connection.transport).close()
 
 
 class Echoes(unittest.TestCase):
