Module: a job that has started and fallen silent gets a copy, its worker no send-invites

Checked: hosts tell progress each second (settings: progress 1000), and the module did nothing with it. Ruled out: the south side, which delivers each note. Wrong: logic.py's _on_note looked at starts alone.

Now a started job that has told nothing for 3.5 periods is copied elsewhere, if its class allows and nothing is held; a worker of which nothing at all has been heard meanwhile gets one job at a time and none that may not repeat.

Tests: three in test_logic.py.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -27,6 +27,7 @@
 
 SUSPECT, SUSPECTS = 15, 0.2  # in the sums, the digit of a worker that fails; at most this share are marked so
 ILL, WELL = 0.6, 0.8  # health below which it is marked, after two bad ends, and above which no more
+QUIET = 3.5  # periods without a word from a job that has started: its worker, or the way to it, stands still
 FAULTS = 2  # workers that find fault with a job, and it is the job's
 BAD = frozenset({pk.Outcome.ERROR, pk.Outcome.FULL, pk.Outcome.CONNECT_FAILED, pk.Outcome.RESET})
 
@@ -54,6 +55,7 @@
         self.can_repeat = any(c.effect is not pk.Effect.ONCE for c in settings.classes)
         self.free_at = next((i for i, name in enumerate(settings.report_fields) if name == "x0"), -1)
         # with no reports, a start or a wait at a worker tells of its slots; with neither, nothing does
+        self.silence_at = 0.0 if settings.tells_start and settings.progress_every else inf
         self.by_starts = self.free_at < 0 and settings.tells_start
         if self.by_starts:
             self.kinds.default_factory = lambda: Kind(UNTOLD)
@@ -70,6 +72,8 @@
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(event, now)
+            if now >= self.silence_at:
+                self._look_for_silence(now)
             idle = self.seen == self.peers.reads and isinstance(event, pk.Note | pk.PeerMessage)
             if (self.held or self.late) and handler != self._on_job and not (idle and self.relayed):
                 self._drain(now)
@@ -154,6 +158,8 @@
             return False  # rule 3: nothing new to a worker told draining or gone
         if job.attempts and not self._may_repeat(job, worker, now):
             return False
+        if worker.still and (job.once or worker.flights > worker.mute):
+            return False  # one job at a time tries whether it still does, and none that cannot be repeated
         # half-open: one job at a time, and none that cannot be repeated
         closed = now < worker.ejected_until or worker.flights or (self.can_repeat and job.once)
         if worker.ejections and worker.trials and closed and self.ejected <= PANIC * len(self.order):
@@ -256,15 +262,37 @@
 
     def _on_note(self, event: pk.Note, now: float) -> None:
         flight = self.flights.get((event.job, event.attempt))
-        if flight is not None and flight.waiting:
+        if flight is None:
+            return
+        worker = flight.worker
+        self._hear(flight, now)
+        if flight.waiting:
             flight.waiting = False
-            worker = flight.worker
             worker.waiting -= 1
             if self.by_starts:
                 worker.model.started(worker.own - worker.waiting + worker.told)
             attempts = flight.job.attempts if self.s.may_cancel else []  # its copies elsewhere have lost
             self.out += [pk.Cancel(event.job, n) for n, f in enumerate(attempts) if f.waiting and f.out]
 
+    def _hear(self, flight: Flight, now: float) -> None:
+        worker = flight.worker
+        worker.mute -= flight.mute
+        flight.mute = worker.still = False
+        flight.heard = worker.heard = now
+
+    def _look_for_silence(self, now: float) -> None:
+        """Outlier detection by silence: who runs a job tells so every period, unless it stands still."""
+        silence = QUIET * self.s.progress_every
+        self.silence_at = now + silence / 4
+        for flight in [f for f in self.flights.values() if not f.waiting and now - f.heard >= silence]:
+            job, worker = flight.job, flight.worker
+            worker.mute += not flight.mute
+            flight.mute = True
+            worker.still = worker.still or now - worker.heard >= silence
+            alone = self.jobs.get(job.id) is job and all(f.mute or not f.out for f in job.attempts)
+            if alone and self.can_hedge and not (self.held or job.once) and (other := self._choose(job, now)):
+                self._send(job, other, now)
+
     def _on_unstarted(self, flight: Flight, now: float) -> None:
         """Hedge: a job behind others' work is copied to a free slot; the worker is full for a while."""
         job = flight.job
@@ -288,7 +316,10 @@
         if 0 <= self.free_at < len(event.report):
             self._learn_slots(worker.model, event.report[self.free_at])
         self._book(flight, -1)
-        flight.out = flight.waiting = False
+        worker.mute -= flight.mute
+        if outcome == pk.Outcome.SERVED:
+            worker.heard, worker.still = now, False
+        flight.out = flight.waiting = flight.mute = False
         flight.may_have_run = outcome not in pk.NEVER_RAN
         self._learn(worker, job, outcome, event.latency, now)
         self.freed = [worker] if outcome == pk.Outcome.SERVED else []
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -16,9 +16,9 @@
     """What one dispatcher knows of a worker."""
 
     __slots__ = (
-        "budget", "cell", "ejected_until", "ejections", "flights", "health", "id", "kind", "mean", "model",
-        "moved", "moved_at", "n", "own", "rank", "recent", "started_at", "state", "stuck_until", "suspect",
-        "told", "trials", "waiting", "zone",
+        "budget", "cell", "ejected_until", "ejections", "flights", "health", "heard", "id", "kind", "mean", "model",
+        "moved", "moved_at", "mute", "n", "own", "rank", "recent", "started_at", "state", "still", "stuck_until",
+        "suspect", "told", "trials", "waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: pk.WorkerEntry, model: "Kind") -> None:
@@ -27,6 +27,7 @@
         self.own = 0.0  # our slots in flight
         self.flights = 0  # our attempts in flight
         self.waiting = 0  # of them, told not to have started yet, where workers tell
+        self.mute = 0  # of those that have started, not heard of for some periods of progress
         self.moved = 0.0  # by so many they have changed since the last sums were read; which those were
         self.moved_at = 0
         self.told = 0.0  # slots in flight from other dispatchers, as they tell
@@ -38,6 +39,8 @@
         self.n = self.mean = self.rank = 0.0  # aged count and mean of payoffs; the score it is ranked by
         self.health = 1.0  # how the last attempts of all dispatchers ended, as a relay hears
         self.suspect = False
+        self.heard = 0.0  # when it last told of a job's start or progress, or served one
+        self.still = False  # it has told nothing for some periods although a job of ours had started there
         self.stuck_until = 0.0  # before that, a job of ours would wait there for others'
         self.ejected_until = 0.0
         self.ejections = self.trials = 0  # ejections in a row; trials to pass before it is taken back
@@ -78,11 +81,13 @@
 class Flight:
     """One attempt."""
 
-    __slots__ = ("job", "may_have_run", "out", "sent", "waiting", "worker")
+    __slots__ = ("heard", "job", "may_have_run", "mute", "out", "sent", "waiting", "worker")
 
     def __init__(self, job: Job, worker: Worker, sent: float, waiting: bool) -> None:
         self.job, self.worker, self.sent, self.waiting = job, worker, sent, waiting
         self.out = self.may_have_run = True  # an attempt still out may have run
+        self.heard = sent  # when it last told of its start or progress
+        self.mute = False  # it has started, and told nothing for some periods
 
 
 class Bucket:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -471,3 +471,52 @@
         worker.own += 99
     host.end(job, 0, Outcome.UNUSABLE)
     assert host.answered[job] == "failed"
+
+
+def tell(host: Host, job: int, attempt: int, kind: NoteKind = NoteKind.PROGRESS) -> None:
+    host.give(Note(job, attempt, host.sent[job][attempt], kind, 0.5))
+
+
+def test_job_that_started_and_fell_silent_gets_a_copy() -> None:
+    """Connections went silent under running jobs, which then waited for their deadlines, 10 to 25 s."""
+    host = Host(with_settings(tells_start=True, progress_every=500.0, report_fields=()), workers=3)
+    job, well, once = host.job(0), host.job(0), host.job(2)
+    for each in (job, well, once):
+        tell(host, each, 0, NoteKind.STARTED)
+    for _ in range(6):
+        host.until(host.now + 400)
+        tell(host, well, 0)
+    assert [len(host.sent[each]) for each in (job, well, once)] == [2, 1, 1]
+    assert host.sent[job][1] != host.sent[job][0]
+    host.until(host.now + 200)
+    assert len(host.sent[job]) >= 2
+    host.end(job, 1, Outcome.SERVED)
+    assert host.answered[job] == "served" and Cancel(job, 0) in host.actions
+
+
+def test_worker_that_stands_still_gets_nothing_that_must_not_repeat() -> None:
+    host = Host(with_settings(tells_start=True, progress_every=500.0, report_fields=()), workers=1)
+    stuck = host.job(2)
+    tell(host, stuck, 0, NoteKind.STARTED)
+    host.until(host.now + 2000)
+    host.give(PeerMessage(1, b""))  # any event will do
+    held = host.job(2)
+    assert held not in host.sent
+    trial, second = host.job(0), host.job(0)
+    assert trial in host.sent and second not in host.sent  # one at a time tries it
+    for job in (trial, second):
+        tell(host, job, 0, NoteKind.STARTED)
+    host.until(host.now + 100)
+    assert held in host.sent  # it moves again
+
+
+def test_progress_of_one_job_keeps_its_worker_trusted() -> None:
+    """One silent connection is not yet a worker that stands still."""
+    host = Host(with_settings(tells_start=True, progress_every=500.0, report_fields=()), workers=1)
+    stuck, well = host.job(2), host.job(0)
+    for job in (stuck, well):
+        tell(host, job, 0, NoteKind.STARTED)
+    for _ in range(6):
+        host.until(host.now + 400)
+        tell(host, well, 0)
+    assert host.job(2) in host.sent
