Module: an attempt its client did not wait for tells of a slow worker

Ruled out: our limits on clients' connections, and lost answers. Wrong: logic.py's _learn passed over every CANCELLED, so the slower a worker, the fewer of its latencies were learned, and it kept its rank.

Now an attempt that had started and was cancelled after more than the class's usual latency counts with the latency that it had; sooner ones and those that had not started tell nothing, as before. Test in test_logic.py.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -319,9 +319,11 @@
         worker.mute -= flight.mute
         if outcome == pk.Outcome.SERVED:
             worker.heard, worker.still = now, False
+        ran = not flight.waiting
         flight.out = flight.waiting = flight.mute = False
         flight.may_have_run = outcome not in pk.NEVER_RAN
-        self._learn(worker, job, outcome, event.latency, now)
+        if outcome != pk.Outcome.CANCELLED or (ran and self.s.tells_start):
+            self._learn(worker, job, outcome, event.latency, now)
         self.freed = [worker] if outcome == pk.Outcome.SERVED else []
         if self.jobs.get(job.id) is not job:
             return
@@ -359,14 +361,19 @@
 
     def _learn(self, worker: Worker, job: Job, outcome: int, latency: float, now: float) -> None:
         """One payoff: graded by latency against the class's usual for the size, 0 for every failure."""
-        if outcome in (pk.Outcome.CANCELLED, pk.Outcome.MOOT, pk.Outcome.UNUSABLE):
+        if outcome in (pk.Outcome.MOOT, pk.Outcome.UNUSABLE):
             return
-        payoff = 0.0
+        payoff, usual = 0.0, self.usual_pace[job.cls]
+        if outcome == pk.Outcome.CANCELLED:  # it would have taken longer still: slow workers lose clients
+            pace = latency / (job.size or 1.0)
+            if not usual or pace <= usual:
+                return
+            payoff = 1 / (1 + pace / usual) - self.s.cross_zone_price * (worker.zone != self.s.zone)
         if outcome == pk.Outcome.SERVED:
             pace, span = max(latency, 1e-3) / (job.size or 1.0), self.span[job.cls]
             self.span[job.cls] += (LEARN if span else 1.0) * (pace - span)
             self.mean_span += (LEARN if self.mean_span else 1.0) * (latency - self.mean_span)
-            usual = self.usual_pace[job.cls] or pace
+            usual = usual or pace
             self.usual_pace[job.cls] = usual = usual * (pace / usual) ** LEARN
             payoff = 1 / (1 + pace / usual) - self.s.cross_zone_price * (worker.zone != self.s.zone)
         worker.mean = (worker.mean * worker.n + PAYOFF_TOP * payoff) / (worker.n + 1)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -6,6 +6,7 @@
 
 from heronlug import (
     Cancel,
+    ClientGone,
     Dispatcher,
     Effect,
     JobClass,
@@ -520,3 +521,23 @@
         host.until(host.now + 400)
         tell(host, well, 0)
     assert host.job(2) in host.sent
+
+
+def test_attempt_that_its_client_did_not_wait_for_tells_of_a_slow_worker() -> None:
+    """Clients left jobs on workers at a quarter of the usual speed, so that nothing was ever learned of those."""
+    host = Host(with_settings(tells_start=True, progress_every=500.0, report_fields=()), workers=2)
+    for wait, learned in ((50, 0), (400, 1)):  # sooner than usual it tells nothing
+        first = host.job(0)
+        tell(host, first, 0, NoteKind.STARTED)
+        host.until(host.now + 100)
+        host.end(first, 0, Outcome.SERVED)
+        left = host.job(0)
+        worker = host.dispatcher.workers[host.sent[left][0]]
+        tell(host, left, 0, NoteKind.STARTED)
+        host.until(host.now + wait)
+        n, mean = worker.n, worker.mean
+        host.give(ClientGone(left))
+        host.answered[left] = "gone"
+        host.end(left, 0, Outcome.CANCELLED)
+        assert (worker.n > n + 0.3) == bool(learned)
+        assert not learned or worker.mean < mean or not n
