--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -17,6 +17,11 @@
     """A setting that cannot be used; the text names file and key."""
 
 
+FROM_ENVIRONMENT = {
+    "name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY", "admin_addr": "RELAY_ADMIN_ADDR",
+}  # fmt: skip
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a start needs."""
@@ -37,6 +42,7 @@
     peer_listen: tuple[str, int] | None = None
     peers: list[str] = field(default_factory=list)
     peers_all: str | None = None
+    admin: tuple[str, int] | None = None  # where operators call; None is nowhere
 
 
 def _table(raw: Mapping[str, Any], key: str, where: str) -> dict[str, Any]:
@@ -73,7 +79,7 @@
         **raw,
         **{
             key: environ[variable]
-            for key, variable in (("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"), ("discovery", "RELAY_DISCOVERY"))
+            for key, variable in FROM_ENVIRONMENT.items()
             if environ.get(variable)
         },
     }
@@ -91,6 +97,8 @@
         split_address(str(raw["discovery"]))
         key = "peer_listen"
         peer_listen = split_address(str(raw["peer_listen"])) if raw.get("peer_listen") else None
+        key = "admin_addr"
+        admin = split_address(str(raw["admin_addr"])) if raw.get("admin_addr") else None
         key = "peers"
         peers = [str(peer) for peer in raw.get("peers") or ()]
         everyone = str(raw["peers_all"]) if raw.get("peers_all") else None
@@ -119,4 +127,5 @@
         peer_listen=peer_listen,
         peers=peers,
         peers_all=everyone,
+        admin=admin,
     )
--- /dev/null
+++ b/heronlug/life/operate.py
@@ -0,0 +1,76 @@
+"""What operators can call, and what the figures say."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from heronlug.life.parting import Parting
+from heronlug.memory.core import Core, Final
+from heronlug.wire.admin import Answer, Calls
+
+HELP = {
+    "success": ("counter", "jobs served"),
+    "overload": ("counter", "jobs refused"),
+    "error": ("counter", "jobs failed"),
+    "dispatches": ("counter", "attempts written whole to runners"),
+    "concurrent": ("gauge", "jobs taken and not yet ended"),
+    "targets": ("gauge", "runners in the list"),
+    "targets_disabled": ("gauge", "listed runners that are avoided now"),
+}
+NAMES = {Final.SERVED: "success", Final.REFUSED: "overload", Final.FAILED: "error"}
+
+
+def figures(cores: Iterable[Core]) -> str:
+    """The figures in Prometheus' text format: those of all fronts together, and each class from the start."""
+    cores = list(cores)
+    by_class = {name: dict.fromkeys(cores[0].lanes, 0) for name in NAMES.values()}
+    alone = {name: 0 for name in HELP if name not in by_class}
+    for core in cores:
+        for index, lane in enumerate(core.lanes):
+            for final, name in NAMES.items():
+                by_class[name][lane] += core.finals[index][final]
+        alone["dispatches"] += core.dispatches
+        alone["concurrent"] += core.open
+        listed, avoided = core.targets()
+        alone["targets"] += listed
+        alone["targets_disabled"] += avoided
+    return "\n".join([*_lines(by_class, alone), ""])
+
+
+def _lines(by_class: dict[str, dict[str, int]], alone: dict[str, int]) -> Iterator[str]:
+    for name, (kind, text) in HELP.items():
+        yield f"# HELP svc_{name} {text}"
+        yield f"# TYPE svc_{name} {kind}"
+        if name in alone:
+            yield f"svc_{name} {alone[name]}"
+        else:
+            yield from (f'svc_{name}{{type="{lane}"}} {count}' for lane, count in by_class[name].items())
+
+
+def calls(
+    parting: Parting, takes_clients: Callable[[], bool], cores: Callable[[], list[Core]], log: Callable[..., None]
+) -> Calls:
+    """The table of the admin front.  Each call may come again and again."""
+
+    def health() -> Answer:
+        return (200, b"yes\n") if takes_clients() else (503, b"no\n")
+
+    def stats() -> Answer:
+        return 200, figures(cores()).encode()
+
+    def drain() -> Answer:
+        if parting.drain():
+            log("draining")
+        return 200, b"draining\n"
+
+    def undrain() -> Answer:
+        if parting.stopping:
+            return 409, b"stopping: that cannot be taken back\n"
+        if parting.undrain():
+            log("drain_over")
+        return 200, b"serving\n"
+
+    return {
+        (b"GET", b"/healthcheck"): health,
+        (b"GET", b"/stats"): stats,
+        (b"PUT", b"/healthcheck/fail"): drain,
+        (b"PUT", b"/healthcheck/ok"): undrain,
+    }
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -16,11 +16,13 @@
 from heronlug.life.config import Config, reload
 from heronlug.life.control import Running
 from heronlug.life.log import Log
+from heronlug.life.operate import calls
+from heronlug.life.parting import Parting
 from heronlug.life.reload import Reload
 from heronlug.life.state import EMPTY, State, StateError, digest
-from heronlug.life.stop import Stop
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Clock, Deadlines
+from heronlug.wire.admin import MAX_CALLERS, Admin
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
 from heronlug.wire.inventory import BadList, Inventory, read_list
@@ -73,7 +75,6 @@
         self._faktory_server: asyncio.AbstractServer | None = None
         self.loop = Loop(log)
         self.turn = self.loop.turn
-        self.stopping = False
         self.left = asyncio.Event()
         deadlines, settings = self.loop.deadlines, config.settings
         half = max(16, (config.sockets - SPARE_DESCRIPTORS) // 2)
@@ -95,11 +96,11 @@
         )  # fmt: skip
         self.south.core = self.core
         self.north = North(self, settings, half, int(spare * 1024 * 1024), self.turn)
-        self.stop = Stop(
-            deadlines, max(lane.deadline for lane in settings.classes), self._busy, lambda: self.north.opened_at,
+        self.leaving = Parting(
+            deadlines, max(lane.deadline for lane in settings.classes), self._busy, lambda: self.north.came_at,
             self.peers.serving, self.peers.leave, self.core.give_up_all, self.north.close_idle, self.left.set,
-        )
-
+        )  # fmt: skip
+        self.admin = Admin(calls(self.leaving, self.ready, self._cores, log), deadlines, log, self.turn)
         self.reload = Reload(config, reload, self._moved, log)
 
     # -- the front of the platform's protocol
@@ -120,11 +121,11 @@
 
     def ready(self) -> bool:
         """Whether serving is possible."""
-        return not self.stopping and self.core.can_serve
+        return self.leaving.wanted and self.core.can_serve
 
     def parting(self) -> bool:
         """Whether clients' connections end with their next answer."""
-        return self.stop.parting()
+        return self.leaving.parting()
 
     async def run(self, desired: State, control_path: str) -> None:
         """Serve until a planned stop is over; raises :class:`StateError` when the desired state can't be had."""
@@ -139,6 +140,9 @@
         controller = await control.listen(control_path, self.running) if control_path else None
         self._cached()
         server = await loop.create_server(self.north.protocol, *self.config.listen, backlog=512)
+        operators = None
+        if self.config.admin is not None:
+            operators = await loop.create_server(self.admin.protocol, *self.config.admin, backlog=MAX_CALLERS)
         gc.collect()
         gc.freeze()
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
@@ -146,6 +150,9 @@
         await self.left.wait()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         server.close()
+        if operators is not None:
+            operators.close()
+            self.admin.close()
         self.inventory.stop()
         self.peers.close()
         if controller is not None:
@@ -226,15 +233,16 @@
         return front
 
     def _on_signal(self) -> None:
-        if not self.stopping:
+        if self.leaving.stop():
             self.log("stopping", messages=len(self.core.messages))
-            self.stop.begin()
-            self.core.answer_by = self.stop.answer_by
-        self.stopping = True
+            self.core.answer_by = self.leaving.answer_by
         if self.faktory is not None:
             self.faktory.open(False)
         self.turn()
 
+    def _cores(self) -> list[Core]:
+        return [self.core, *([self.faktory.core] if self.faktory is not None else [])]
+
     def _busy(self) -> int:
         jobs = len(self.faktory.core.messages) if self.faktory is not None else 0
         return len(self.core.messages) + len(self.north.connections) + jobs
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -466,6 +466,13 @@
         self._rank(now)
         self.peers.list_ready(self.order)
 
+    def avoided(self, now: float) -> set[int]:
+        """Known workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
+        return {
+            w.id for w in self.workers.values()
+            if w.state is not pk.WorkerState.READY or now < w.ejected_until or w.trials or w.still or w.suspect
+        }  # fmt: skip
+
     def _tell(self, now: float) -> None:
         """Counts go to every peer; where that is too much to read, to the relays, which sum them up."""
         to = self.peers.relays_since(now - SILENT * self.view_gap) if self.relayed else [-1]
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -147,7 +147,10 @@
         self._log, self._subscribe, self._tell = log, subscribe, tell
         self.max_open, self._max_come_back = max_open, max_come_back
         self.answer_by = inf  # the last moment for any answer, once a stop has begun
-        self.counts = dict.fromkeys(Final, 0)
+        self.lanes = [lane.name for lane in settings.classes]
+        self.open = 0  # messages taken and not yet ended
+        self.finals = [dict.fromkeys(Final, 0) for _ in self.lanes]  # answers by class, since the start
+        self.dispatches = 0  # relays written whole
 
     # -- the north side
 
@@ -162,6 +165,7 @@
         now = self.deadlines.clock()
         message = Message(load, lane, min(now + remaining, self.answer_by), now, name)
         message.ticket = self.messages.put(message)
+        self.open += 1
         if name:
             self._names.add(name)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
@@ -176,10 +180,15 @@
         """The client has gone: nothing is owed any more."""
         if not message.closed:
             message.gone = True
+            self.open -= 1
             self._log("client_gone", message=message.ticket)
             self._give(pk.ClientGone(message.ticket))
             self._forget(message)
 
+    def turned_away(self, lane: int, final: Final) -> None:
+        """One final answer more; a front counts here too what it answers without having it taken."""
+        self.finals[lane][final] += 1
+
     def fail(self, message: Message) -> None:
         """Give it up from outside the module: its final answer is a failure, and what is out is cancelled."""
         if not message.closed:
@@ -207,6 +216,10 @@
         """Whether it must not run a second time, so that only proof that it never ran lets it go out again."""
         return self.settings.classes[relay.message.lane].effect is pk.Effect.ONCE
 
+    def written(self) -> None:
+        """The last byte of a relay has gone out."""
+        self.dispatches += 1
+
     def noted(self, relay: Relay, kind: pk.NoteKind, share: float = 0.0) -> None:
         """The host tells that a relay has started, or how far it has come."""
         if relay.out:
@@ -248,7 +261,9 @@
             self._tell_state(host, entry.state is pk.WorkerState.READY, now)
         if kind in (pk.ListKind.FULL, pk.ListKind.CACHED):
             for number in self.hosts.keys() - listed:
-                self._tell_state(self.hosts[number], False, now)
+                host = self.hosts[number]
+                host.entry = host.entry._replace(state=pk.WorkerState.GONE)
+                self._tell_state(host, False, now)
         lines = tuple(
             pk.WorkerEntry(self._number(e.name), e.state, e.zone, e.kind, e.cell, e.weight, e.started_at)
             for e in entries
@@ -259,6 +274,17 @@
         """A message from another dispatcher."""
         self._give(pk.PeerMessage(peer, content))
 
+    @property
+    def counts(self) -> dict[Final, int]:
+        """The final answers of all classes."""
+        return {final: sum(finals[final] for finals in self.finals) for final in Final}
+
+    def targets(self) -> tuple[int, int]:
+        """How many hosts the inventory lists, and how many of them the module avoids now."""
+        listed = [number for number, host in self.hosts.items() if host.entry.state is not pk.WorkerState.GONE]
+        avoided = self.dispatcher.avoided(self.deadlines.clock())
+        return len(listed), sum(1 for number in listed if number in avoided)
+
     @property
     def can_serve(self) -> bool:
         """Whether there is a host that may be sent something."""
@@ -349,7 +375,8 @@
     def _close(self, message: Message, final: Final, body: bytes, come_back: float = 0.0) -> None:
         """The one place where a final answer goes out."""
         message.final = final
-        self.counts[final] += 1
+        self.open -= 1
+        self.turned_away(message.lane, final)
         took = self.deadlines.clock() - message.taken_at
         self._log(
             "answer", message=message.ticket, lane=self.settings.classes[message.lane].name,
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -447,6 +447,7 @@
             connection.reserved.add(job.jid)
             data = orjson.dumps({"queue": "default", "retry": 0, **job.table})
             connection.fetched(data)
+            self.core.written()
             self.core.noted(relay, NoteKind.STARTED)
 
     def end(self, connection: Connection, table: dict[str, Any], outcome: Outcome) -> None:
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -335,6 +335,9 @@
             return
         self.north.owner.log("bad_request", status=bad.status, text=str(bad))
         waiting = [http.response(503)] * len(self._waiting)
+        for request in self._waiting:
+            if request.lane >= 0:
+                self.north.owner.core.turned_away(request.lane, Final.REFUSED)
         for request in (self._request, *self._waiting):
             self.north.release(request)
         self._waiting.clear()
@@ -362,7 +365,7 @@
         self.held = 0  # bytes of bodies, of requests being read too
         self.connections: Slots[Connection] = Slots()
         self.ranks: list[dict[int, Connection]] = [{} for _ in Rank]  # by ticket, who came into it first
-        self.opened_at = self.deadlines.clock()  # when the last connection came
+        self.opened_at = self.came_at = self.deadlines.clock()  # when the last connection came, and the last client
         self._crowded_at = 0.0  # when the log was told last that there are too many
 
     def protocol(self) -> Connection:
@@ -414,9 +417,11 @@
         self.connections.take(connection.ticket)
 
     def close_idle(self) -> None:
-        """Close what stands between requests."""
+        """Close what stands between requests, but one whose first request may still be on its way."""
+        since = self.deadlines.clock() - FRESH
         for connection in self.connections:
-            connection.close_if_idle()
+            if connection.asked or connection.opened_at < since:
+                connection.close_if_idle()
 
     def serve(self, connection: Connection, request: Request) -> None:
         """One whole request."""
@@ -436,8 +441,11 @@
             return
         if self.owner.core.is_open(request.txn):
             self.release(request)
+            self.owner.core.turned_away(request.lane, Final.FAILED)
             raise Bad(409, "a message of this X-Txn is open")  # another client's, or it would not be open
         connection.messages += 1
+        if connection.messages == 1:
+            self.came_at = self.deadlines.clock()
         message = self.owner.core.take(
             request, request.lane, request.remaining, name=request.txn, size=len(request.body), **request.figures
         )
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -156,6 +156,8 @@
             data, self.held_back = data[:-1], data[-1:]
             self.deadline = self.south.deadlines.after(HOLD_BACK, self._write_last)
         self.transport.write(data)
+        if not self.held_back:
+            self._count(relay)
 
     def close(self) -> None:
         """Close it, and leave whatever is on it."""
@@ -176,10 +178,22 @@
         if self.sound() and self.south.core.may_write(relay):
             data, self.held_back = self.held_back, b""
             self.transport.write(data)
+            self._count(relay)
         else:
             self._end(Outcome.CONNECT_FAILED)
             self.close()
 
+    def _count(self, relay: Relay) -> None:
+        """Have the relay counted once its last byte is out: the loop writes at the end of a turn, or later."""
+        if self.transport is None or self.closed:
+            return
+        if self.transport.get_write_buffer_size() == 0:
+            self.south.core.written()
+        elif not self.unwritten:
+            asyncio.get_running_loop().call_soon(self._count, relay)
+        elif self.relay is relay:
+            self.south.deadlines.after(HOLD_BACK, self._count, relay)
+
     def sound(self) -> bool:
         """Whether no end of it is waiting to be read, nor anything else."""
         if self.transport is None or self.transport.is_closing():
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -3,8 +3,9 @@
 A step is ``WHO > BYTES`` (the stand-in sends), ``WHO < BYTES`` (the program must send just these), ``WHO close``,
 ``WHO reset``, ``WHO eof`` (the program must have closed), ``WHO refuse`` (a host stops listening), ``wait MS`` or
 ``signal NAME`` (to the program), ``exit N``, ``configure WHO`` (the file is replaced: discovery is WHO, or with
-``nothing`` it cannot be read).  ``c1`` is a client, ``f1`` a connection to the Faktory front, ``h1``
-a host, ``inv`` discovery, ``p1`` a peer.  ``[[TEXT]]`` is a chunk, ``((TEXT))`` a bulk string, ``<9xa>`` nine times a.
+``nothing`` it cannot be read), ``figure LINE`` (an operator is told it in the end).  ``c1`` is a client, ``a1`` an
+operator, ``f1`` a connection to the Faktory front, ``h1`` a host, ``inv`` discovery, ``p1`` a peer.
+``[[TEXT]]`` is a chunk, ``((TEXT))`` a bulk string, ``<9xa>`` nine times a.
 A host's or discovery's step takes the next connection if it has none; ``next WHO`` leaves the one it has,
 and ``rename WHO NAME`` keeps it under another name; ``dial WHO N`` makes so many connections that say nothing.
 ``let NAME = TEXT`` gives a word, used as ``{NAME arg arg}`` with ``$1`` for its arguments.  What is left unread at
@@ -91,7 +92,7 @@
         self.left: list[tuple[str, socket.socket]] = []
         self.unread: dict[str, bytes] = {}
         self.words: dict[str, str] = {}
-        self.listen = f"127.0.0.1:{free_port()}"
+        self.listen, self.admin = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
         own = self.peers.pop("p0")
         self.own = address(own)
         own.close()
@@ -101,7 +102,7 @@
         config = {
             "name": "n0", "listen": self.listen, "discovery": address(self.listeners["inv"]), "seed": "ab12",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}, "settings": settings,
-            "peer_listen": self.own, "peers": [self.own, address(self.peers["p1"])],
+            "admin_addr": self.admin, "peer_listen": self.own, "peers": [self.own, address(self.peers["p1"])],
             "known": self.listed(3, True, *(f"h{n + 1}" for n in range(hosts))), **changes,
         }  # fmt: skip
         self.config = config
@@ -193,6 +194,8 @@
                 listening = self.listeners.get(args[0])
                 text = json.dumps({**self.config, "discovery": address(listening)}) if listening else '{"name":'
                 (Path(self.folder.name) / "config.json").write_text(text)
+            elif word == "figure":
+                self.figure(line.removeprefix("figure "))
             elif word == "exit":
                 status = self.program.wait(3 * PATIENCE)
                 assert status == int(args[0]), f"the program ended with {status}"
@@ -257,6 +260,15 @@
         if plain[len(wanted) :]:
             self.unread[who] = plain[len(wanted) :]
 
+    def figure(self, wanted: str) -> None:
+        """Ask for the figures until they hold this line."""
+        end, host_port, told = time.monotonic() + PATIENCE, self.admin.split(":"), ""
+        while wanted not in told.splitlines():
+            assert time.monotonic() < end, f"not among the figures:\n{told}"
+            with socket.create_connection((host_port[0], int(host_port[1])), PATIENCE) as sock:
+                sock.sendall(b"GET /stats HTTP/1.1\r\n\r\n")
+                told = b"".join(iter(lambda: sock.recv(65536), b"")).decode()
+
     def logged(self) -> str:
         """The end of the program's log."""
         self.log.flush()
@@ -302,7 +314,7 @@
             if who in self.listeners:
                 self.open[who], _ = self.listeners[who].accept()
             else:
-                host, port = (self.faktory if who.startswith("f") else self.listen).split(":")
+                host, port = {"f": self.faktory, "a": self.admin}.get(who[0], self.listen).split(":")
                 self.open[who] = socket.create_connection((host, int(port)))
             self.open[who].settimeout(PATIENCE)
         return self.open[who]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -64,6 +64,9 @@
     def write(self, data: bytes) -> None:
         self.written += data
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def abort(self) -> None:
         pass
 
