--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -42,6 +42,7 @@
     peer_listen: tuple[str, int] | None = None
     peers: list[str] = field(default_factory=list)
     peers_all: str | None = None
+    inherited_fd: int | None = None  # the clients' listening socket, held by others too
     admin: tuple[str, int] | None = None  # where operators call; None is nowhere
 
 
@@ -75,6 +76,9 @@
         raise ConfigError(f"{where}: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{where}: not an object")
+    inherited = environ.get("RELAY_INHERITED_FD", "")
+    if inherited and not inherited.isdecimal():
+        raise ConfigError(f"environment: RELAY_INHERITED_FD: {inherited!r} is no descriptor")
     raw = {
         **raw,
         **{
@@ -83,7 +87,7 @@
             if environ.get(variable)
         },
     }
-    return parse(raw, where)
+    return replace(parse(raw, where), inherited_fd=int(inherited) if inherited else None)
 
 
 def parse(raw: Mapping[str, Any], where: str) -> Config:
--- a/heronlug/life/parting.py
+++ b/heronlug/life/parting.py
@@ -1,4 +1,4 @@
-"""Parting with the clients: for a drain, which can be taken back, and for a planned stop, which cannot."""
+"""Parting with the clients: for a drain, which can be taken back, an upgrade, and a planned stop, which cannot."""
 
 from collections.abc import Callable
 
@@ -10,6 +10,7 @@
 BEFORE = 250.0  # and have answered everything so long before that
 LAST_TURN = 1000.0  # what comes later than so long before that could hardly be served: clients go elsewhere
 LOOK = 50.0  # between two looks
+LOOK_TO_PASS = 10.0  # the same while clients are passed on
 
 
 class Parting:
@@ -19,6 +20,7 @@
     idle ones once no new ones come.  At a stop the front brings no new clients either, but those that we have stay
     for as long as their connections do.  Where another dispatcher serves they are sent there; where none does (a
     restart in turn may overlap with the one before), we are all that they have, and keep them to the last.
+    In an upgrade another process serves in our place, and clients' connections are passed on to it as they are.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         self._tell, self._give_up, self._close_idle, self._leave = look, give_up, close_idle, leave
         self._whole = min(longest, LONGEST) + GRACE - BEFORE
         self._drained_at = self._stopped_at = 0.0
+        self._pass_on: Callable[[], None] | None = None  # once another process serves in our place
         self._looking = False
 
     @property
@@ -56,6 +59,8 @@
 
     def parting(self) -> bool:
         """Whether clients' connections end with their next answer."""
+        if self._pass_on is not None:
+            return False
         if self._drained_at:
             return True
         if not self._stopped_at:
@@ -75,6 +80,11 @@
         drained, self._drained_at = self._drained_at > 0, 0.0
         return drained
 
+    def hand_over(self, pass_on: Callable[[], None] | None) -> None:
+        """Another process serves in our place and takes what is passed on; None when that is over."""
+        self._pass_on = pass_on
+        self._begin()
+
     def stop(self) -> bool:
         """The signal has come; a second one changes nothing."""
         if self._stopped_at:
@@ -90,17 +100,21 @@
             self._look()
 
     def _look(self) -> None:
-        self._looking = not self.wanted
+        pass_on = self._pass_on
+        self._looking = not self.wanted or pass_on is not None
         if not self._looking:
             return
         now, since = self._deadlines.clock(), max(self._drained_at, self._stopped_at)
-        self._tell()
+        if pass_on is not None:
+            pass_on()
+        else:
+            self._tell()
         # clients use the connections they have for as long as those stay open: once no new ones come, the front
         # has let go of us, and what is closed between requests is opened elsewhere
-        quiet = now - max(since, self._came_at()) >= COMING or now - since >= AT_MOST
+        quiet = pass_on is not None or now - max(since, self._came_at()) >= COMING or now - since >= AT_MOST
         if quiet and self.parting():
             self._close_idle()
         if quiet and self._stopped_at and not self._busy():
             self._leave()
         else:
-            self._deadlines.after(LOOK, self._look)
+            self._deadlines.after(LOOK if pass_on is None else LOOK_TO_PASS, self._look)
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 import traceback
@@ -15,17 +16,19 @@
 from heronlug.life import control
 from heronlug.life.config import Config, reload
 from heronlug.life.control import Running
+from heronlug.life.listener import Listener
 from heronlug.life.log import Log
 from heronlug.life.operate import calls
 from heronlug.life.parting import Parting
 from heronlug.life.reload import Reload
 from heronlug.life.state import EMPTY, State, StateError, digest
+from heronlug.life.takeover import Takeover
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Clock, Deadlines
 from heronlug.wire.admin import MAX_CALLERS, Admin
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
-from heronlug.wire.inventory import BadList, Inventory, read_list
+from heronlug.wire.inventory import Inventory, read_list
 from heronlug.wire.north import North
 from heronlug.wire.peers import Peers
 from heronlug.wire.south import South
@@ -90,7 +93,7 @@
         self.inventory = Inventory(config.discovery, 0, read, self._news, deadlines, log, self.turn)
         self.core = Core(
             settings, config.seed, self, deadlines, log=log,
-            subscribe=self.inventory.subscribe, tell=self.peers.tell,
+            subscribe=self.inventory.subscribe, tell=lambda content, peer: self.takeover.tell(content, peer),
             max_open=min(config.max_open, int(config.memory_mb * 32)),  # bodies apart, a message takes a few KB
             max_come_back=config.max_come_back,
         )  # fmt: skip
@@ -100,7 +103,10 @@
             deadlines, max(lane.deadline for lane in settings.classes), self._busy, lambda: self.north.came_at,
             self.peers.serving, self.peers.leave, self.core.give_up_all, self.north.close_idle, self.left.set,
         )  # fmt: skip
-        self.admin = Admin(calls(self.leaving, self.ready, self._cores, log), deadlines, log, self.turn)
+        self.listener = Listener(self.north.protocol)
+        self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
+        self.core.named = self.takeover.named
+        self.admin = Admin(calls(self.leaving, self._takes_clients, self._cores, log), deadlines, log, self.turn)
         self.reload = Reload(config, reload, self._moved, log)
 
     # -- the front of the platform's protocol
@@ -121,7 +127,7 @@
 
     def ready(self) -> bool:
         """Whether serving is possible."""
-        return self.leaving.wanted and self.core.can_serve
+        return (self.leaving.wanted or self.takeover.handover.handed) and self.core.can_serve
 
     def parting(self) -> bool:
         """Whether clients' connections end with their next answer."""
@@ -134,12 +140,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         loop.add_signal_handler(signal.SIGHUP, self.reload.begin)
-        if self.config.peer_listen and self.config.settings.may_tell:
-            await loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        await self.takeover.join()
+        await self.takeover.open_peers()
         await self.running.apply(digest(EMPTY), desired)
         controller = await control.listen(control_path, self.running) if control_path else None
-        self._cached()
-        server = await loop.create_server(self.north.protocol, *self.config.listen, backlog=512)
+        self.takeover.take_up()
+        self.takeover.open_listener()
+        await self.listener.accept()
+        self.takeover.serving()
         operators = None
         if self.config.admin is not None:
             operators = await loop.create_server(self.admin.protocol, *self.config.admin, backlog=MAX_CALLERS)
@@ -149,7 +157,8 @@
         self.turn()
         await self.left.wait()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
-        server.close()
+        self.takeover.handover.close()
+        self.listener.close()
         if operators is not None:
             operators.close()
             self.admin.close()
@@ -240,6 +249,9 @@
             self.faktory.open(False)
         self.turn()
 
+    def _takes_clients(self) -> bool:
+        return self.ready() and not self.takeover.handover.handed
+
     def _cores(self) -> list[Core]:
         return [self.core, *([self.faktory.core] if self.faktory is not None else [])]
 
@@ -247,17 +259,6 @@
         jobs = len(self.faktory.core.messages) if self.faktory is not None else 0
         return len(self.core.messages) + len(self.north.connections) + jobs
 
-    def _cached(self) -> None:
-        """The list as last held: perhaps old, and the module asks for a new one at once."""
-        entries: list[HostEntry] = []
-        if self.config.known is not None:
-            try:
-                version, _, entries = self.inventory._read(self.config.known)
-                self.inventory.version = version
-            except BadList as error:
-                self.log("bad_known_list", error=str(error))
-        self.core.inventory(ListKind.CACHED, entries)
-
     def _news(self, kind: ListKind, entries: list[HostEntry]) -> None:
         self.core.inventory(kind, entries)
         self.south.retire(self.core.hosts)
--- /dev/null
+++ b/heronlug/life/takeover.py
@@ -0,0 +1,213 @@
+"""What passes from one process of a dispatcher to the next, and what each of the two does meanwhile."""
+
+import asyncio
+import errno
+import os
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from heronlug.interface import ListKind
+from heronlug.learned import learned
+from heronlug.life.config import Config
+from heronlug.life.handover import Handover
+from heronlug.life.listener import Listener
+from heronlug.life.parting import Parting
+from heronlug.memory.core import Core, HostEntry
+from heronlug.memory.deadlines import Deadlines
+from heronlug.wire.inventory import BadList, Inventory, write_list
+from heronlug.wire.north import North
+from heronlug.wire.partner import place
+from heronlug.wire.peers import Peers
+from heronlug.wire.south import South
+
+PEERS_AGAIN = 500.0  # until the peers' address is tried again, where another process has it
+
+
+class Daemon(Protocol):
+    """The parts that have to do with it."""
+
+    config: Config
+    core: Core
+    north: North
+    south: South
+    inventory: Inventory
+    peers: Peers
+    listener: Listener
+    leaving: Parting
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """Where events are told."""
+
+    @property
+    def turn(self) -> Callable[[], None]:
+        """To be called after whatever came from elsewhere."""
+
+
+class Takeover:
+    """The parts of a daemon, as the process before or after it needs them."""
+
+    def __init__(self, daemon: Daemon, deadlines: Deadlines, folder: str | None) -> None:
+        config = daemon.config
+        path = place(folder, config.name, ":".join(map(str, config.listen))) if folder else ""
+        self._daemon, self._deadlines = daemon, deadlines
+        self.handover = Handover(self, config.name, path, deadlines, daemon.log, daemon.turn)
+        self._whole = daemon.north.max_connections, daemon.south.max_connections, daemon.core.max_open
+        self._sockets: dict[str, int] = {}
+        self._table: dict[str, Any] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    # -- the start of a process
+
+    async def join(self) -> None:
+        """Ask the process that runs, if there is one."""
+        joined = await self.handover.join()
+        if joined is not None:
+            self._table, fds = joined
+            names = self._table.get("sockets")
+            self._sockets = dict(zip(names if isinstance(names, list) else [], fds, strict=False))
+            for fd in fds[len(self._sockets) :]:
+                os.close(fd)
+            self._share(2)
+            self.told({"opened": self._table.get("names")})
+
+    async def open_peers(self) -> None:
+        """Hear the peers; while another process holds the address and does not pass it on, do without."""
+        config, peers = self._daemon.config, self._daemon.peers
+        fd = self._sockets.pop("peers", None)
+        if config.peer_listen is None or not config.settings.may_tell or peers.open or self.handover.handed:
+            if fd is not None:
+                os.close(fd)
+            return
+        if fd is not None:
+            sock = socket.socket(fileno=fd)
+        else:
+            sock = socket.socket(socket.AF_INET6 if ":" in config.peer_listen[0] else socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                sock.bind(config.peer_listen)
+            except OSError as error:
+                sock.close()
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                self._daemon.log("peers_unavailable", error=str(error))
+                self._deadlines.after(PEERS_AGAIN, self._later, self.open_peers)
+                self._daemon.turn()
+                return
+        sock.setblocking(False)
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: peers, sock=sock)
+
+    def open_listener(self) -> None:
+        """The clients' socket: inherited, passed on, or our own; raises ``OSError``."""
+        config, fd = self._daemon.config, self._sockets.pop("listen", None)
+        try:
+            if config.inherited_fd is not None:
+                self._daemon.listener.use(config.inherited_fd)
+            elif fd is not None:
+                self._daemon.listener.use(fd)
+            else:
+                self._daemon.listener.bind(config.listen)
+        finally:
+            for left in [*([fd] if fd is not None else []), *self._sockets.values()]:
+                os.close(left)
+            self._sockets.clear()
+
+    def take_up(self) -> None:
+        """The list as last held, here or by the process before: perhaps old, and the module asks for a new one."""
+        inventory, core = self._daemon.inventory, self._daemon.core
+        entries: list[HostEntry] = []
+        for known in (self._table.get("known"), self._daemon.config.known):
+            if known is not None:
+                try:
+                    inventory.version, _, entries = inventory.read(known)
+                    break
+                except BadList as error:
+                    self._daemon.log("bad_known_list", error=str(error))
+        core.inventory(ListKind.CACHED, entries)
+        if self._table:
+            try:
+                core.dispatcher.resume(self._table.get("learned"), self._deadlines.clock())
+                self._daemon.log("taken_over", version=inventory.version, hosts=len(entries))
+            except (ValueError, OverflowError) as error:
+                self._daemon.log("handover_failed", error=str(error))
+        self._table = {}
+
+    def serving(self) -> None:
+        """We take clients: tell the process before us, and be found by the next."""
+        self.handover.serving()
+        self.handover.listen()
+
+    # -- while there are two
+
+    def state(self) -> tuple[dict[str, Any], list[int]]:
+        """All that a new process needs to know, and the sockets that it can use."""
+        daemon = self._daemon
+        sockets = {"listen": daemon.listener.fileno(), "peers": daemon.peers.fileno()}
+        there = {name: fd for name, fd in sockets.items() if fd >= 0}
+        entries = [host.entry for host in daemon.core.hosts.values()]
+        table = {
+            "known": write_list(daemon.inventory.version or 0, entries, daemon.config.zones, daemon.config.kinds),
+            "learned": learned(daemon.core.dispatcher),
+            "names": sorted(daemon.core.names),
+            "sockets": list(there),
+        }
+        return table, list(there.values())
+
+    def give_way(self) -> None:
+        """Another process serves: what is idle goes to it, what is running ends here."""
+        self._share(2)
+        self._daemon.listener.pause()
+        self._daemon.peers.close()
+        self._daemon.south.close_idle()
+        self._daemon.leaving.hand_over(self._pass_on)
+
+    def take_back(self) -> None:
+        """The process after us has gone before we have ended."""
+        self.alone()
+        self._daemon.leaving.hand_over(None)
+        if not self._daemon.leaving.stopping:
+            self._later(self._daemon.listener.accept)
+        self._later(self.open_peers)
+        self.handover.listen()  # the file that others find us by was its own at last
+
+    def alone(self) -> None:
+        """There is no other process of this dispatcher any more."""
+        self._daemon.core.elsewhere.clear()
+        self._share(1)
+
+    def told(self, table: dict[str, Any]) -> None:
+        """The partner opens messages and ends them, and counts what it has out; raises ``TypeError``."""
+        core = self._daemon.core
+        core.elsewhere.update(map(str, table.get("opened") or ()))
+        core.elsewhere.difference_update(map(str, table.get("ended") or ()))
+        if "counts" in table:
+            core.heard(core.settings.position, bytes.fromhex(table["counts"]))
+
+    def client(self, fd: int, served: bool) -> None:
+        """A client's connection, passed on by the process before us."""
+        self._daemon.north.adopt(socket.socket(fileno=fd), served)
+
+    def named(self, name: str, opened: bool) -> None:
+        """A message of ours begins or ends."""
+        self.handover.tell({"opened" if opened else "ended": [name]})
+
+    def tell(self, content: bytes, peer: int) -> None:
+        """What the module has to tell: once another process speaks for us, to that one."""
+        if self.handover.handed:
+            self.handover.tell({"counts": content.hex()})
+        else:
+            self._daemon.peers.tell(content, peer)
+
+    def _pass_on(self) -> None:
+        self._daemon.north.pass_on(self.handover.pass_on)
+
+    def _share(self, parts: int) -> None:
+        """The limits hold for all processes together."""
+        north, south, messages = (limit // parts for limit in self._whole)
+        self._daemon.north.max_connections, self._daemon.south.max_connections = north, south
+        self._daemon.core.max_open = messages
+
+    def _later(self, what: Callable[[], Any]) -> None:
+        task = asyncio.get_running_loop().create_task(what())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from heronlug import interface as pk
+from heronlug.learned import recall
 from heronlug.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
@@ -466,6 +467,11 @@
         self._rank(now)
         self.peers.list_ready(self.order)
 
+    def resume(self, table: object, now: float) -> None:
+        """Go on with what another process has learned; raises ``ValueError`` where that makes no sense."""
+        recall(self, table, self.s.position, now)
+        self._rank(now)
+
     def avoided(self, now: float) -> set[int]:
         """Known workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
         return {
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -141,7 +141,9 @@
         self.hosts: dict[int, Host] = {}
         self.dispatcher = Dispatcher(settings, seed)
         self._numbers: dict[str, int] = {}
-        self._names: set[str] = set()  # of the messages in the table
+        self.names: set[str] = set()  # of the messages in the table
+        self.elsewhere: set[str] = set()  # of those that another process of this dispatcher has
+        self.named: Callable[[str, bool], None] | None = None  # told when one opens, and when it ends
         self._queue: deque[Event] = deque()
         self._pumping = False
         self._log, self._subscribe, self._tell = log, subscribe, tell
@@ -155,8 +157,8 @@
     # -- the north side
 
     def is_open(self, name: str) -> bool:
-        """Whether a message of that name is in the table: a host could not tell another one from it."""
-        return name in self._names
+        """Whether a message of that name is open: a host could not tell another one from it."""
+        return name in self.names or name in self.elsewhere
 
     def take(
         self, load: Any, lane: int, remaining: float, *, name: str = "", size: int = 0, **fields: Any
@@ -167,7 +169,9 @@
         message.ticket = self.messages.put(message)
         self.open += 1
         if name:
-            self._names.add(name)
+            self.names.add(name)
+            if self.named is not None:
+                self.named(name, True)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
         full = message.give_up_at <= now or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
@@ -391,5 +395,7 @@
         """Free the slot once nothing is owed and nothing is out."""
         if message.closed and not any(relay.out for relay in message.relays):
             self.deadlines.drop(message.guard)
-            if self.messages.take(message.ticket) is not None:
-                self._names.discard(message.name)
+            if self.messages.take(message.ticket) is not None and message.name:
+                self.names.discard(message.name)
+                if self.named is not None:
+                    self.named(message.name, False)
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -106,6 +106,15 @@
         self._at = at
         return self._level >= 1
 
+    @property
+    def level(self) -> float:
+        """The tokens there were when it was last asked."""
+        return self._level
+
+    def refill(self, level: float, at: float) -> None:
+        """So many tokens at that time."""
+        self._level, self._at = min(self._burst, level), at
+
     def take(self, at: float) -> bool:
         """Take a token; False if there is none."""
         taken = self.has(at)
@@ -127,6 +136,10 @@
         self._items.append((at, amount))
         self._total += amount
 
+    def items(self) -> list[tuple[float, float]]:
+        """All that is remembered, oldest first."""
+        return list(self._items)
+
     def total(self, since: float) -> float:
         """The sum of what came since; what is older is forgotten."""
         while self._items and self._items[0][0] < since:
@@ -262,6 +275,13 @@
             self.read(event.content)
         return outcomes
 
+    def book(self, peer: int, counts: dict[int, int], workers: dict[int, Worker], now: float) -> None:
+        """Slots that somebody has in flight, as known from elsewhere than a message."""
+        self._heard[peer] = now
+        for worker_id, slots in counts.items():
+            workers[worker_id].told += slots - self._counts.pop((peer, worker_id), (0, now))[0]
+            self._counts[peer, worker_id] = (slots, now)
+
     def read(self, content: bytes) -> None:
         """Take in a part of the sums; those of a list that is not known here are lost."""
         if len(content) >= self.HEAD.size:
@@ -375,6 +395,7 @@
     """What a dispatcher holds, before anything has happened."""
 
     def __init__(self) -> None:
+        self.retries = Bucket(0.0, 0.0)  # as the settings grant
         self.out: list[pk.Action] = []  # what is to be done about this event
         self.agenda, self.peers = Agenda(), Peers()
         self.kinds: defaultdict[int, Kind] = defaultdict(Kind)
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -67,6 +67,26 @@
     )
 
 
+def write_list(version: int, entries: list[HostEntry], zones: list[str], kinds: list[str]) -> dict[str, Any]:
+    """A whole list in the form that is read here; who is gone is not on it."""
+    words, listed = {state: word for word, state in STATES.items()}, []
+    for entry in entries:
+        if entry.state is not WorkerState.GONE:
+            listed.append(
+                {
+                    "instanceId": entry.name,
+                    "hostPort": entry.address,
+                    "lifecycle": words[entry.state],
+                    "zone": zones[entry.zone] if entry.zone < len(zones) else None,
+                    "machineType": kinds[entry.kind] if entry.kind < len(kinds) else None,
+                    "cell": entry.cell,
+                    "weight": entry.weight,
+                    "startedAtMs": entry.started_at,
+                }
+            )
+    return {"generation": version, "reset": True, "instances": listed}
+
+
 class _Call(asyncio.Protocol):
     """A connection to discovery, and the call on it."""
 
@@ -149,7 +169,7 @@
         self.address, self.version = address, version
         self.call: _Call | None = None
         self.turn = turn
-        self._read, self._news, self._deadlines, self._log = read, news, deadlines, log
+        self.read, self._news, self._deadlines, self._log = read, news, deadlines, log
         self._watching = False
         self._fresh = False  # the first answer of a watch is told even when it brings nothing
         self._deadline: Key | None = None
@@ -189,7 +209,7 @@
         if call is not self.call:
             return
         try:
-            version, whole, entries = self._read(orjson.loads(body))
+            version, whole, entries = self.read(orjson.loads(body))
         except ValueError as error:
             self.failed(call, f"bad list: {error}")
             return
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import socket
 from collections import deque
 from collections.abc import Callable
 from enum import IntEnum
@@ -156,7 +157,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
-        self._wait(READ_WAIT)
+        self._wait(IDLE_WAIT if self.asked else READ_WAIT)
         self.north.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -292,6 +293,16 @@
             self.closing = True
             self.transport.close()
 
+    def pass_on(self, take: Callable[[int, bool], None]) -> None:
+        """Give it to another process, if nothing of it is in our hands: nothing read, begun or unwritten."""
+        transport = self.transport
+        if self.busy or self._waiting or self._begun or self.closing or not self.asked or transport is None:
+            return
+        if not transport.is_closing() and transport.get_write_buffer_size() == 0:
+            transport.pause_reading()  # from here on what the client writes is left for the other to read
+            take(transport.get_extra_info("socket").fileno(), self.messages > 0)
+            self.abort()  # closes our descriptor, and nothing goes out: the other one holds the connection
+
     def abort(self) -> None:
         """End the connection at once."""
         self.closing = True
@@ -366,6 +377,7 @@
         self.connections: Slots[Connection] = Slots()
         self.ranks: list[dict[int, Connection]] = [{} for _ in Rank]  # by ticket, who came into it first
         self.opened_at = self.came_at = self.deadlines.clock()  # when the last connection came, and the last client
+        self._adopting: set[asyncio.Task[Any]] = set()
         self._crowded_at = 0.0  # when the log was told last that there are too many
 
     def protocol(self) -> Connection:
@@ -381,7 +393,8 @@
                 self._crowded_at = self.opened_at
                 self.owner.log("too_many_clients", connections=len(self.connections))
             self._first_to_go(connection).abort()
-        self.rank(connection, Rank.SILENT)
+        rested = Rank.SERVED if connection.messages else Rank.ASKED
+        self.rank(connection, rested if connection.asked else Rank.SILENT)
 
     def _first_to_go(self, newcomer: Connection) -> Connection:
         """The first in rank, but one whose first request may be under way comes after those that asked for nothing."""
@@ -423,6 +436,21 @@
             if connection.asked or connection.opened_at < since:
                 connection.close_if_idle()
 
+    def pass_on(self, take: Callable[[int, bool], None]) -> None:
+        """Give whatever stands between requests to another process."""
+        for connection in self.connections:
+            connection.pass_on(take)
+
+    def adopt(self, sock: socket.socket, served: bool) -> None:
+        """A client's connection that another process has passed on: it stands between requests."""
+        sock.setblocking(False)
+        connection = Connection(self)
+        connection.asked, connection.messages = True, int(served)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
+        self._adopting.add(task)
+        task.add_done_callback(self._adopting.discard)
+
     def serve(self, connection: Connection, request: Request) -> None:
         """One whole request."""
         path = request.target.split(b"?", 1)[0]
--- a/heronlug/wire/peers.py
+++ b/heronlug/wire/peers.py
@@ -85,3 +85,13 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
+
+    @property
+    def open(self) -> bool:
+        """Whether there is a socket."""
+        return self._transport is not None
+
+    def fileno(self) -> int:
+        """The socket's descriptor, -1 for none."""
+        return int(self._transport.get_extra_info("socket").fileno()) if self._transport is not None else -1
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -345,6 +345,12 @@
                 if not hosts[number].ready or hosts[number].entry.address != connection.address:
                     connection.close()
 
+    def close_idle(self) -> None:
+        """Close what stands idle."""
+        for pool in self.idle.values():
+            for connection in list(pool):
+                connection.close()
+
     def _evict(self) -> bool:
         """Close the connection that has stood idle longest, to make room for a dial."""
         oldest = [pool[0] for pool in self.idle.values() if pool]
