--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -225,7 +225,7 @@
             return  # nothing that a trailer says is heeded
         if name in ONCE and name in headers:
             raise Bad(400, "a header is given twice")
-        headers[name] = value
+        headers[name] = value.strip(b" \t")  # the parser takes the white space before a value off, and none behind
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
