--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -224,6 +224,37 @@
     job: int
 
 
+class Attempt(NamedTuple):
+    """An attempt of a job that goes over to another process; all of them go, in their order."""
+
+    worker: int
+    sent: float
+    out: bool
+    waiting: bool  # told not to have started yet
+    may_have_run: bool
+    heard: float  # when it last told of its start or progress
+
+
+class JobAdopted(NamedTuple):
+    """A job that another process took at that time, with its attempts: they go on.  No simulator tells it."""
+
+    job: JobArrived
+    taken_at: float
+    attempts: tuple[Attempt, ...]
+
+
+class JobPassedOn(NamedTuple):
+    """Another process goes on with the job: nothing is owed, and nothing has ended.  No simulator tells it."""
+
+    job: int
+
+
+class PeerGone(NamedTuple):
+    """What a peer has told of its attempts holds no more.  No simulator tells it."""
+
+    peer: int
+
+
 class PeerMessage(NamedTuple):
     """Bytes told by another dispatcher."""
 
@@ -254,6 +285,9 @@
     | AnswerStarted
     | ClientGone
     | NoTimeLeft
+    | JobAdopted
+    | JobPassedOn
+    | PeerGone
     | PeerMessage
     | ProbeResult
     | TimerFired
@@ -318,20 +352,24 @@
     "NEVER_RAN",
     "Action",
     "AnswerStarted",
+    "Attempt",
     "AttemptEnded",
     "Cancel",
     "ClientGone",
     "Effect",
     "Event",
     "Fail",
+    "JobAdopted",
     "JobArrived",
     "JobClass",
+    "JobPassedOn",
     "KeyScope",
     "ListKind",
     "Log",
     "Note",
     "NoteKind",
     "Outcome",
+    "PeerGone",
     "PeerMessage",
     "ProbeResult",
     "Refuse",
--- a/heronlug/learned.py
+++ b/heronlug/learned.py
@@ -3,7 +3,8 @@
 from math import isfinite
 from typing import Any
 
-from heronlug.records import Peers, State, Worker
+from heronlug.interface import Attempt
+from heronlug.records import Flight, Job, Peers, State, Worker
 
 WORKER = (
     "n", "mean", "health", "heard", "stuck_until", "ejected_until", "ejections", "trials",
@@ -27,6 +28,24 @@
     }
 
 
+def attempts(state: State, job_id: int) -> tuple[Attempt, ...] | None:
+    """The attempts of a job, for another process to go on with; None if it is over."""
+    job = state.jobs.get(job_id)
+    if job is None:
+        return None
+    return tuple(Attempt(f.worker.id, f.sent, f.out, f.waiting, f.may_have_run, f.heard) for f in job.attempts)
+
+
+def flights(state: State, job: Job, passed: tuple[Attempt, ...]) -> list[Flight]:
+    """The same attempts here."""
+    made = []
+    for attempt in passed:
+        flight = Flight(job, state.workers[attempt.worker], attempt.sent, attempt.out and attempt.waiting)
+        flight.out, flight.may_have_run, flight.heard = attempt.out, attempt.may_have_run, attempt.heard
+        made.append(flight)
+    return made
+
+
 def recall(state: State, table: Any, position: int, now: float) -> None:
     """Take such a table up, for the workers that are listed; raises ``ValueError`` and changes nothing.
 
--- a/heronlug/life/handover.py
+++ b/heronlug/life/handover.py
@@ -39,6 +39,9 @@
     def client(self, fd: int, served: bool) -> None:
         """A client's connection, passed on."""
 
+    def message(self, table: dict[str, Any], fds: list[int]) -> None:
+        """A message that runs, passed on with its connections."""
+
 
 class Handover:
     """Both ends of it; a process may have one before it and one after it."""
@@ -100,6 +103,11 @@
         if self.after is not None:
             self.after.send({"kind": "client", "served": served}, [fd])
 
+    def pass_message(self, table: dict[str, Any], fds: list[int]) -> None:
+        """A message that runs goes to the process after us."""
+        if self.after is not None:
+            self.after.send({"kind": "message", **table}, fds)
+
     # -- both
 
     def tell(self, table: dict[str, Any]) -> None:
@@ -145,6 +153,9 @@
             elif other is self.before and kind == "client" and len(fds) == 1:
                 self._parts.client(fds[0], message["served"] is True)
                 kept = True
+            elif other is self.before and kind == "message" and fds:
+                kept = True
+                self._parts.message(message, fds)
             elif kind == "news":
                 self._parts.told(message)
             elif other in self._asking and kind == "hello":
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -244,7 +244,8 @@
     def _on_signal(self) -> None:
         if self.leaving.stop():
             self.log("stopping", messages=len(self.core.messages))
-            self.core.answer_by = self.leaving.answer_by
+            if not self.takeover.handover.handed:  # else what runs longer passes on
+                self.core.answer_by = self.leaving.answer_by
         if self.faktory is not None:
             self.faktory.open(False)
         self.turn()
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -7,17 +7,18 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from heronlug.interface import ListKind
+from heronlug.interface import Attempt, ListKind
 from heronlug.learned import learned
 from heronlug.life.config import Config
 from heronlug.life.handover import Handover
 from heronlug.life.listener import Listener
 from heronlug.life.parting import Parting
-from heronlug.memory.core import Core, HostEntry
+from heronlug.memory.core import Core, HostEntry, Message
 from heronlug.memory.deadlines import Deadlines
 from heronlug.wire.inventory import BadList, Inventory, write_list
-from heronlug.wire.north import North
-from heronlug.wire.partner import place
+from heronlug.wire.north import Connection, North
+from heronlug.wire.partner import MAX_FDS, place
+from heronlug.wire.passing import read_request, write_request
 from heronlug.wire.peers import Peers
 from heronlug.wire.south import South
 
@@ -172,7 +173,7 @@
 
     def alone(self) -> None:
         """There is no other process of this dispatcher any more."""
-        self._daemon.core.elsewhere.clear()
+        self._daemon.core.alone()
         self._share(1)
 
     def told(self, table: dict[str, Any]) -> None:
@@ -187,6 +188,33 @@
         """A client's connection, passed on by the process before us."""
         self._daemon.north.adopt(socket.socket(fileno=fd), served)
 
+    def message(self, table: dict[str, Any], fds: list[int]) -> None:
+        """A message that runs, passed on by the process before us: first its client, then the hosts in turn."""
+        first, *rest = [socket.socket(fileno=fd) for fd in fds]
+        try:
+            request = read_request(table["request"])
+            whole, _, entries = self._daemon.inventory.read(table["hosts"])
+            passed = [(entry, Attempt(*values)) for entry, values in zip(entries, table["attempts"], strict=True)]
+            out = [dict(wire) for wire in table["wires"]]
+            if len(out) != len(rest) or len(out) != sum(attempt.out for _, attempt in passed) or whole != 0:
+                raise ValueError("not one connection for each relay that is out")
+            times = float(table["give_up_at"]), float(table["taken_at"])
+        except (KeyError, TypeError, ValueError) as error:
+            for sock in (first, *rest):
+                sock.close()
+            self._daemon.log("handover_failed", error=repr(error))
+            return
+
+        def made(connection: Connection) -> None:
+            request.connection = connection
+            message = self._daemon.core.adopt(request, request.lane, *times, request.txn, passed, **request.figures)
+            for relay, sock, wire in zip([r for r in message.relays if r.out], rest, out, strict=True):
+                self._daemon.south.adopt(relay, sock, wire.get("answered") is True, wire.get("last") is True)
+            if not message.closed:
+                connection.carry(message)
+
+        self._daemon.north.adopt(first, True, made)
+
     def named(self, name: str, opened: bool) -> None:
         """A message of ours begins or ends."""
         self.handover.tell({"opened" if opened else "ended": [name]})
@@ -200,6 +228,34 @@
 
     def _pass_on(self) -> None:
         self._daemon.north.pass_on(self.handover.pass_on)
+        if self._daemon.leaving.stopping:
+            for message in self._daemon.core.messages:
+                self._pass_message(message)
+
+    def _pass_message(self, message: Message) -> None:
+        """What runs longer than we may goes on in the process after us, once all of it is between two reads."""
+        core, client = self._daemon.core, message.load.connection
+        attempts = core.attempts(message)
+        wires = [relay.wire for relay in message.relays if relay.out]
+        if attempts is None or client is None or not client.can_pass() or len(wires) >= MAX_FDS:
+            return
+        if not all(wire is not None and wire.can_pass() for wire in wires):
+            return
+        config = self._daemon.config
+        paused = [wire.pause() for wire in wires]
+        table = {
+            "request": write_request(message.load),
+            "give_up_at": message.give_up_at,
+            "taken_at": message.taken_at,
+            "hosts": write_list(0, [entry for entry, _ in attempts], config.zones, config.kinds, True),
+            "attempts": [list(attempt) for _, attempt in attempts],
+            "wires": [known for _, known in paused],
+        }
+        self.handover.pass_message(table, [client.pause(), *(fd for fd, _ in paused)])
+        core.pass_on(message)
+        client.let_go()
+        for wire in wires:
+            wire.let_go()
 
     def _share(self, parts: int) -> None:
         """The limits hold for all processes together."""
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from heronlug import interface as pk
-from heronlug.learned import recall
+from heronlug.learned import flights, recall
 from heronlug.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
@@ -63,7 +63,8 @@
         self.handlers: dict[type, Callable[..., None]] = {
             pk.JobArrived: self._on_job, pk.AttemptEnded: self._on_ended, pk.Note: self._on_note,
             pk.WorkerList: self._on_list, pk.ClientGone: lambda event, now: self._close(event.job),
-            pk.NoTimeLeft: self._on_no_time,
+            pk.NoTimeLeft: self._on_no_time, pk.JobAdopted: self._on_adopted, pk.JobPassedOn: self._on_passed_on,
+            pk.PeerGone: lambda event, now: self.peers.forget(event.peer, self.workers),
             pk.TimerFired: lambda event, now: self.agenda.fired(), pk.PeerMessage: self._on_peer,
         }  # fmt: skip
 
@@ -84,8 +85,30 @@
         return self.out
 
     def _on_job(self, event: pk.JobArrived, now: float) -> None:
-        if event.job_class >= len(self.s.classes) or event.job in self.jobs:
-            return
+        if event.job_class < len(self.s.classes) and event.job not in self.jobs:
+            self._place(self._admit(event, now), now)
+
+    def _on_adopted(self, event: pk.JobAdopted, now: float) -> None:
+        """Another process had it: what is out goes on, and nothing is sent twice."""
+        job = self._admit(event.job, event.taken_at)
+        job.attempts = flights(self, job, event.attempts)
+        for number, flight in enumerate(job.attempts):
+            if flight.out:
+                self.flights[job.id, number] = flight
+                self._book(flight, 1)
+                if self.can_hedge and not job.once and flight.waiting:
+                    self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
+        if not any(f.out for f in job.attempts):
+            self._place(job, now)
+
+    def _on_passed_on(self, event: pk.JobPassedOn, now: float) -> None:
+        if (job := self.jobs.pop(event.job, None)) is not None:
+            for number, flight in enumerate(job.attempts):
+                if self.flights.pop((job.id, number), None) is not None:
+                    self._book(flight, -1)
+                    flight.worker.mute -= flight.mute
+
+    def _admit(self, event: pk.JobArrived, now: float) -> Job:
         job = self.jobs[event.job] = Job(event, self.s.classes[event.job_class])
         self.arrivals += 1  # a tenant's part of all traffic is not seen from here: its part of ours must do
         job.over = event.tenant < len(self.tenants) and not self.tenants[event.tenant].take(self.arrivals)
@@ -97,7 +120,7 @@
         job.value = job.lane.worth * run * job.need
         self.ledger.ask(job.cls, job.value)
         self.agenda.at(job.give_up_at - self.s.tick, self._finish, job)
-        self._place(job, now)
+        return job
 
     def _place(self, job: Job, now: float) -> None:
         if job.give_up_at - self.s.tick <= now or len(job.attempts) >= self.s.attempts_cap:
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -13,6 +13,7 @@
 from zlib import crc32
 
 from heronlug import interface as pk
+from heronlug.learned import attempts
 from heronlug.logic import Dispatcher
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
@@ -180,6 +181,48 @@
             self._give(pk.JobArrived(message.ticket, lane, message.give_up_at, **fields))
         return message
 
+    def adopt(
+        self, load: Any, lane: int, give_up_at: float, taken_at: float, name: str,
+        passed: Sequence[tuple[HostEntry, pk.Attempt]], **fields: Any,
+    ) -> Message:  # fmt: skip
+        """Go on with a message that another process took; its relays that are out need their wires."""
+        message = Message(load, lane, give_up_at, taken_at, name)
+        message.ticket = self.messages.put(message)
+        self.open += 1
+        self.names.add(name)
+        message.guard = self.deadlines.at(give_up_at, self._give_up, message)
+        attempts = []
+        for entry, attempt in passed:
+            number = self._number(entry.name)
+            if number not in self.hosts:
+                self.inventory(pk.ListKind.CHANGES, [entry])
+            relay = Relay(message, len(message.relays), self.hosts[number], attempt.sent, out=attempt.out)
+            message.relays.append(relay)
+            if relay.out:
+                relay.ticket = self.relays.put(relay)
+            attempts.append(attempt._replace(worker=number))
+        arrived = pk.JobArrived(message.ticket, lane, give_up_at, **fields)
+        self._give(pk.JobAdopted(arrived, taken_at, tuple(attempts)))
+        return message
+
+    def attempts(self, message: Message) -> list[tuple[HostEntry, pk.Attempt]] | None:
+        """What is known of its relays, for another process to go on with; None if it is over."""
+        passed = None if message.closed else attempts(self.dispatcher, message.ticket)
+        if passed is None or len(passed) != len(message.relays):
+            return None
+        return [(relay.host.entry, attempt) for relay, attempt in zip(message.relays, passed, strict=True)]
+
+    def pass_on(self, message: Message) -> None:
+        """Another process goes on with it: nothing is owed here, and nothing has ended."""
+        message.gone = True
+        self.open -= 1
+        for relay in message.relays:
+            if relay.out:
+                relay.out = False
+                self.relays.take(relay.ticket)
+        self._give(pk.JobPassedOn(message.ticket))
+        self._forget(message)
+
     def leave(self, message: Message) -> None:
         """The client has gone: nothing is owed any more."""
         if not message.closed:
@@ -289,6 +332,11 @@
         avoided = self.dispatcher.avoided(self.deadlines.clock())
         return len(listed), sum(1 for number in listed if number in avoided)
 
+    def alone(self) -> None:
+        """There is no other process of this dispatcher any more."""
+        self.elsewhere.clear()
+        self._give(pk.PeerGone(self.settings.position))
+
     @property
     def can_serve(self) -> bool:
         """Whether there is a host that may be sent something."""
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -282,6 +282,11 @@
             workers[worker_id].told += slots - self._counts.pop((peer, worker_id), (0, now))[0]
             self._counts[peer, worker_id] = (slots, now)
 
+    def forget(self, peer: int, workers: dict[int, Worker]) -> None:
+        """Void all counts of one who has told them."""
+        for key in [key for key in self._counts if key[0] == peer]:
+            workers[key[1]].told -= self._counts.pop(key)[0]
+
     def read(self, content: bytes) -> None:
         """Take in a part of the sums; those of a list that is not known here are lost."""
         if len(content) >= self.HEAD.size:
--- a/heronlug/wire/http.py
+++ b/heronlug/wire/http.py
@@ -61,6 +61,11 @@
             raise ValueError("line too long")
         return [line for line in lines if line.strip()]
 
+    @property
+    def begun(self) -> bool:
+        """Whether a line has begun and is not whole."""
+        return bool(self._rest)
+
     def end(self) -> list[bytes]:
         """What is left when no more comes: a last line may lack its end."""
         rest, self._rest = self._rest, b""
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -67,11 +67,13 @@
     )
 
 
-def write_list(version: int, entries: list[HostEntry], zones: list[str], kinds: list[str]) -> dict[str, Any]:
-    """A whole list in the form that is read here; who is gone is not on it."""
+def write_list(
+    version: int, entries: list[HostEntry], zones: list[str], kinds: list[str], gone: bool = False
+) -> dict[str, Any]:
+    """A whole list in the form that is read here; who is gone is on it only if so wanted."""
     words, listed = {state: word for word, state in STATES.items()}, []
     for entry in entries:
-        if entry.state is not WorkerState.GONE:
+        if gone or entry.state is not WorkerState.GONE:
             listed.append(
                 {
                     "instanceId": entry.name,
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -131,8 +131,8 @@
 class Connection(asyncio.Protocol):
     """One client connection: requests in turn, pipelined ones wait."""
 
-    def __init__(self, north: "North") -> None:
-        self.north = north
+    def __init__(self, north: "North", made: "Callable[[Connection], None] | None" = None) -> None:
+        self.north, self._made = north, made
         self.ticket = 0
         self.transport: asyncio.Transport | None = None
         self.message: Message | None = None
@@ -159,6 +159,8 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass, and keeps to it
         self._wait(IDLE_WAIT if self.asked else READ_WAIT)
         self.north.opened(self)
+        if self._made is not None:
+            self._made(self)
 
     def data_received(self, data: bytes) -> None:
         """Bytes from the client.  What is whole is served only once all of them have been read."""
@@ -293,15 +295,31 @@
             self.closing = True
             self.transport.close()
 
-    def pass_on(self, take: Callable[[int, bool], None]) -> None:
-        """Give it to another process, if nothing of it is in our hands: nothing read, begun or unwritten."""
+    def can_pass(self) -> bool:
+        """Whether nothing of it is in our hands but the message that runs: nothing read, begun or unwritten."""
         transport = self.transport
-        if self.busy or self._waiting or self._begun or self.closing or not self.asked or transport is None:
-            return
-        if not transport.is_closing() and transport.get_write_buffer_size() == 0:
-            transport.pause_reading()  # from here on what the client writes is left for the other to read
-            take(transport.get_extra_info("socket").fileno(), self.messages > 0)
-            self.abort()  # closes our descriptor, and nothing goes out: the other one holds the connection
+        if self._waiting or self._begun or self.closing or not self.asked or transport is None:
+            return False
+        return not transport.is_closing() and transport.get_write_buffer_size() == 0
+
+    def pause(self) -> int:
+        """Read no more, and leave that to whoever gets this descriptor."""
+        assert self.transport is not None
+        self.transport.pause_reading()
+        return int(self.transport.get_extra_info("socket").fileno())
+
+    def let_go(self) -> None:
+        """Another process holds the connection: close our descriptor, and nothing goes out."""
+        if self.message is not None:
+            self.north.release(self.message.load)
+        self.message, self.busy = None, False
+        self.abort()
+
+    def carry(self, message: Message) -> None:
+        """Go on with a message that was taken from it in another process."""
+        self.message, self.busy = message, True
+        self.north.deadlines.drop(self._deadline)
+        self.north.rank(self, Rank.BUSY)
 
     def abort(self) -> None:
         """End the connection at once."""
@@ -439,12 +457,14 @@
     def pass_on(self, take: Callable[[int, bool], None]) -> None:
         """Give whatever stands between requests to another process."""
         for connection in self.connections:
-            connection.pass_on(take)
+            if connection.can_pass() and not connection.busy:
+                take(connection.pause(), connection.messages > 0)
+                connection.let_go()
 
-    def adopt(self, sock: socket.socket, served: bool) -> None:
-        """A client's connection that another process has passed on: it stands between requests."""
+    def adopt(self, sock: socket.socket, served: bool, made: Callable[[Connection], None] | None = None) -> None:
+        """A client's connection that another process has passed on."""
         sock.setblocking(False)
-        connection = Connection(self)
+        connection = Connection(self, made)
         connection.asked, connection.messages = True, int(served)
         loop = asyncio.get_running_loop()
         task = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
@@ -46,6 +47,8 @@
         self.closed = False
         self.warm = False  # has served a request before
         self._answered = False  # the host has said something to this one
+        self._between = True  # what it has said ends with a chunk, or it has said nothing
+        self._chunked = self._last = False  # as the head says: in chunks; the connection ends with it
         self._parser: Any = None
         self._status = 0
         self._turned_away = False
@@ -62,6 +65,8 @@
         if self.closed:
             self.transport.abort()
             return
+        if self.sent:
+            return  # adopted, with its request written
         self.south.dialled(self)
         self.south.turn()
 
@@ -83,6 +88,7 @@
         self._answered = True
         try:
             self._parser.feed_data(data)
+            self._between = self._between and data.endswith(b"\r\n")
             self._settle()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._end(Outcome.ERROR)
@@ -109,8 +115,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header of the answer."""
-        if name.lower() == b"x-turned-away":
+        name = name.lower()
+        if name == b"x-turned-away":
             self._turned_away = value.strip() == b"1"
+        elif name == b"transfer-encoding":
+            self._chunked = value.strip().lower() == b"chunked"
+        elif name == b"connection":
+            self._last = b"close" in value.lower()
 
     def on_headers_complete(self) -> None:
         """The head is whole: all but a 200 ends the relay."""
@@ -122,6 +133,14 @@
         elif self._status >= 200 and self._status != 200:
             self._verdict = Outcome.ERROR, b""
 
+    def on_chunk_header(self) -> None:
+        """A chunk begins."""
+        self._between = False
+
+    def on_chunk_complete(self) -> None:
+        """A chunk is whole."""
+        self._between = True
+
     def on_body(self, body: bytes) -> None:
         """A chunk, which may end anywhere in a line."""
         if self._status == 200:
@@ -151,6 +170,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._status, self._turned_away, self._lines = 0, False, http.Lines()
         self._verdict, self._complete, self._answered = None, False, False
+        self._between, self._chunked, self._last = True, False, False
         self.sent, self.unwritten, self.held_back = True, False, b""
         if self.south.core.runs_once(relay):
             data, self.held_back = data[:-1], data[-1:]
@@ -170,6 +190,37 @@
             elif self.dial is not None:
                 self.dial.cancel()
 
+    def can_pass(self) -> bool:
+        """Whether another process can read on: the request is out, and what has been read ends with a line."""
+        transport = self.transport
+        if self.closed or transport is None or transport.is_closing() or self.held_back or not self.sent:
+            return False
+        if transport.get_write_buffer_size() or self._verdict is not None:
+            return False
+        told = self._status == 200 and self._chunked and self._between and not self._lines.begun
+        return told or not self._answered
+
+    def pause(self) -> tuple[int, dict[str, bool]]:
+        """Read no more, and leave that to whoever gets this descriptor, and what it has to know."""
+        assert self.transport is not None
+        self.transport.pause_reading()
+        fd = int(self.transport.get_extra_info("socket").fileno())
+        return fd, {"answered": self._answered, "last": self._last}
+
+    def let_go(self) -> None:
+        """Another process holds the connection: close our descriptor, and nothing goes out."""
+        self.relay = None
+        self.close()
+
+    def read_on(self, relay: Relay, answered: bool, last: bool) -> None:
+        """Go on with an answer in chunks that another process has begun to read, or with one not begun."""
+        self.relay, self.sent = relay, True
+        self._parser = httptools.HttpResponseParser(self)
+        if answered:
+            end = b"Connection: close\r\n" if last else b""
+            self._parser.feed_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + end + b"\r\n")
+            self._answered = True
+
     def _write_last(self) -> None:
         """The connection has held: the last byte goes out, and from here on the message may have run."""
         relay = self.relay
@@ -272,6 +323,7 @@
         self.max_connections = max_connections
         self.connections: Slots[Connection] = Slots()
         self.idle: dict[int, deque[Connection]] = {}  # by host, the one used last at the end
+        self._adopting: set[asyncio.Task[Any]] = set()
         self.dials = 0  # so many made so far
         self.distrust_until = 0.0  # warm connections have broken lately
 
@@ -300,6 +352,18 @@
         connection.dial = asyncio.get_running_loop().create_task(self._dial(connection))
         self.dials += 1
 
+    def adopt(self, relay: Relay, sock: socket.socket, answered: bool, last: bool) -> None:
+        """Go on with a relay that another process has written."""
+        sock.setblocking(False)
+        connection = Connection(self, relay.host, relay.host.entry.address)
+        connection.ticket = self.connections.put(connection)
+        relay.wire = connection
+        connection.read_on(relay, answered, last)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
+        self._adopting.add(task)
+        task.add_done_callback(self._adopting.discard)
+
     def cancel(self, relay: Relay) -> None:
         """Give a relay up by closing its connection."""
         connection, relay.wire = relay.wire, None
