--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -21,7 +21,7 @@
 PANIC = 0.7  # with more than this share of the ready workers ejected, the fault lies elsewhere
 SHARE_SLACK, SHARE_BURST = 1.2, 4.0  # a tenant is over its share of our jobs beyond this, and so many at once
 READS = 16  # news of others that one may have to read for each own job; past that, relays sum them up
-RELAYS, VIEWS = 2, 4  # so many sum up, for one may die, and tell sums so often within the longest aim
+RELAYS, VIEWS = 2, 4  # so many sum up, for one may die, and tell sums so often within the middle aim
 SILENT = 4  # who misses so many sums is dead; counts of the dead, or not told again, are void
 SCORES, SCORES_PER_US = 128, 3.2  # for an outcome at most; where CPU is short, a sixth of what a job may use
 LOOKS_PER_AIM = 16  # views are told, and held jobs looked at again, so often within the shortest aim
@@ -48,7 +48,8 @@
         self.look = min(c.aim for c in settings.classes) / LOOKS_PER_AIM
         self.relayed = self.tell and 2 * (settings.instances - 1) > READS
         self.tell_gap = 0.0 if self.relayed else self.look * settings.instances / 2  # what each has to read
-        self.view_gap = max(c.aim for c in settings.classes) / VIEWS  # alike at all; mean runs differ
+        aims = sorted(c.aim for c in settings.classes)
+        self.view_gap = aims[len(aims) // 2] / VIEWS  # alike at all; mean runs differ
         if self.relayed:
             self.agenda.at(0.0, self._on_beat, None)
         self.scores = SCORES_PER_US * settings.cpu_per_request or SCORES
@@ -521,7 +522,7 @@
         # messages get lost, and who begins as a relay knows nothing: a count that is not told again is void
         self.peers.changed.update({f.worker.id: f.worker for f in self.flights.values()})
         heard = self.peers.relays_heard(self.s.position, RELAYS, now)
-        silent = now - heard > (SILENT + self.s.position) * self.view_gap
+        silent = self.s.position < RELAYS or now - heard > (SILENT + self.s.position) * self.view_gap
         if silent and self.peers.relaying:
             roster = self.peers.roster
             loads = {w: max(0.0, w.told + w.own) / w.model.slots for w in roster}
