--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -28,7 +28,7 @@
 
 SUSPECT, SUSPECTS = 15, 0.2  # in the sums, the digit of a worker that fails; at most this share are marked so
 ILL, WELL = 0.6, 0.8  # health below which it is marked, after two bad ends, and above which no more
-QUIET = 3.5  # periods without a word from a job that has started: its worker, or the way to it, stands still
+QUIET = 2.25  # periods without a word from a job that has started: its worker, or the way to it, stands still
 FAULTS = 2  # workers that find fault with a job, and it is the job's
 BAD = frozenset({pk.Outcome.ERROR, pk.Outcome.FULL, pk.Outcome.CONNECT_FAILED, pk.Outcome.RESET})
 
