What was passed on is read before the old process's end is: four requests lost at an upgrade

Cause: a Unix socket that is closed with anything unread (the new process's news of its X-Txn) tells the other end ECONNRESET before what is still queued. partner.py, _read, took that for the end and closed the socket, and with it the connections of clients and hosts in the queue; a failed write did the same. Shown by a test with a socket pair, which gets none of three messages with the lines as they were, and all three now. Now a reset is read over until the end itself, a write that fails only stops the writing, and the old process asks before it ends ('bye') and waits for the new one to close, 1 s at most.

--- a/heronlug/life/handover.py
+++ b/heronlug/life/handover.py
@@ -16,6 +16,7 @@
 
 VERSION = 1
 SILENT = 1000.0  # a partner that has not told its state by then is none
+FAREWELL = 1000.0  # so long the old one waits for the new one to have read all that it passed on
 
 
 class Parts(Protocol):
@@ -54,6 +55,7 @@
         self._deadlines, self._log, self._turn = deadlines, log, turn
         self._listening: socket.socket | None = None
         self._state: asyncio.Future[tuple[dict[str, Any], list[int]] | None] | None = None
+        self._parted: asyncio.Future[None] | None = None
         self._asking: set[Partner] = set()  # they have asked and do not serve yet
         self.before: Partner | None = None  # the process that we take over from
         self.after: Partner | None = None  # the one that has taken over from us
@@ -108,6 +110,21 @@
         if self.after is not None:
             self.after.send({"kind": "message", **table}, fds)
 
+    async def part(self) -> None:
+        """The old process ends: it waits until the new one has everything, for what is unread might end with it."""
+        if self.after is None:
+            return
+        self._parted = asyncio.get_running_loop().create_future()
+        self.after.send({"kind": "bye"})
+        over = self._deadlines.after(FAREWELL, self._part_anyway)
+        self._turn()
+        await self._parted
+        self._deadlines.drop(over)
+
+    def _part_anyway(self) -> None:
+        if self._parted is not None and not self._parted.done():
+            self._parted.set_result(None)
+
     # -- both
 
     def tell(self, table: dict[str, Any]) -> None:
@@ -156,6 +173,9 @@
             elif other is self.before and kind == "message" and fds:
                 kept = True
                 self._parts.message(message, fds)
+            elif other is self.before and kind == "bye":
+                other.close()
+                self._lost(other, "parted")
             elif kind == "news":
                 self._parts.told(message)
             elif other in self._asking and kind == "hello":
@@ -185,6 +205,8 @@
             if self._state is not None and not self._state.done():
                 self._state.set_result(None)
             self._parts.alone()
+        elif other is self.after and self._parted is not None:
+            self._part_anyway()
         elif other is self.after:
             self.after = None
             self._log("partner_gone", which="after", why=why)
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -156,6 +156,7 @@
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
         self.turn()
         await self.left.wait()
+        await self.takeover.handover.part()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.takeover.handover.close()
         self.listener.close()
--- a/heronlug/wire/partner.py
+++ b/heronlug/wire/partner.py
@@ -130,6 +130,12 @@
             self._loop.remove_writer(self._sock.fileno())
         except (BlockingIOError, InterruptedError):
             self._loop.add_writer(self._sock.fileno(), self._write)
+        except (BrokenPipeError, ConnectionResetError):
+            # the other has gone, and what it passed on before may still wait to be read: its end is read after that
+            self._loop.remove_writer(self._sock.fileno())
+            for _, fds in self._out:
+                _close(fds)
+            self._out.clear()
         except OSError as error:
             self._loop.call_soon(self._end, repr(error))
 
@@ -141,6 +147,10 @@
                 data, fds, _, _ = socket.recv_fds(self._sock, PIECE + 1, MAX_FDS, socket.MSG_CMSG_CLOEXEC)
             except (BlockingIOError, InterruptedError):
                 return
+            except ConnectionResetError:
+                # the other has closed with something of ours unread; that is told before what it sent, which is
+                # not lost: connections of clients may be among it
+                continue
             except OSError as error:
                 self._end(repr(error))
                 return
