--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -64,7 +64,8 @@
         self.handlers: dict[type, Callable[..., None]] = {
             pk.JobArrived: self._on_job, pk.AttemptEnded: self._on_ended, pk.Note: self._on_note,
             pk.WorkerList: self._on_list, pk.ClientGone: lambda event, now: self._close(event.job),
-            pk.NoTimeLeft: self._on_no_time, pk.JobAdopted: self._on_adopted, pk.JobPassedOn: self._on_passed_on,
+            pk.NoTimeLeft: self._on_no_time, pk.JobAdopted: self._on_adopted,
+            pk.JobPassedOn: self._on_passed_on,
             pk.PeerGone: lambda event, now: self.peers.forget(event.peer, self.workers),
             pk.TimerFired: lambda event, now: self.agenda.fired(), pk.PeerMessage: self._on_peer,
         }  # fmt: skip
@@ -497,10 +498,11 @@
         self._rank(now)
 
     def avoided(self, now: float) -> set[int]:
-        """Known workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
+        """Workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
         return {
             w.id for w in self.workers.values()
-            if w.state is not pk.WorkerState.READY or now < w.ejected_until or w.trials or w.still or w.suspect
+            if w.state is not pk.WorkerState.READY or now < w.ejected_until
+            or w.trials or w.still or w.suspect
         }  # fmt: skip
 
     def _tell(self, now: float) -> None:
