Renounce a partner whose state makes no sense, before anything of it is used

Read in takeover.py, join: a state whose 'names' or 'sockets' were of another shape raised TypeError out of the start and ended the process, which should start without. Shown by the exchange partner_lying, which fails with the lines as they were (connection refused, the program had ended); partner_half covers a state that is half right. Ruled out as harmful: bytes that are no message, which partner.py already took for an end (partner_babbling).

--- a/heronlug/life/handover.py
+++ b/heronlug/life/handover.py
@@ -76,6 +76,12 @@
         self._deadlines.drop(over)
         return state
 
+    def renounce(self) -> None:
+        """What it told makes no sense: start without it."""
+        if self.before is not None:
+            self.before.close()
+            self.before = None
+
     def serving(self) -> None:
         """We take clients from now on."""
         if self.before is not None:
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -64,14 +64,23 @@
     async def join(self) -> None:
         """Ask the process that runs, if there is one."""
         joined = await self.handover.join()
-        if joined is not None:
-            self._table, fds = joined
-            names = self._table.get("sockets")
-            self._sockets = dict(zip(names if isinstance(names, list) else [], fds, strict=False))
-            for fd in fds[len(self._sockets) :]:
+        if joined is None:
+            return
+        table, fds = joined
+        try:
+            kinds = {"peers": socket.SOCK_DGRAM, "listen": socket.SOCK_STREAM}
+            sockets = dict(zip(map(str, table["sockets"]), fds, strict=True))
+            if any(kinds.get(name) != _kind(fd) for name, fd in sockets.items()) or len(sockets) != len(fds):
+                raise ValueError("sockets of the wrong kinds")
+            self.told({"opened": table["names"]})
+        except (KeyError, TypeError, ValueError, OSError) as error:
+            for fd in fds:
                 os.close(fd)
-            self._share(2)
-            self.told({"opened": self._table.get("names")})
+            self._daemon.log("handover_failed", error=repr(error))
+            self.handover.renounce()
+            return
+        self._table, self._sockets = table, sockets
+        self._share(2)
 
     async def open_peers(self) -> None:
         """Hear the peers; while another process holds the address and does not pass it on, do without."""
@@ -267,3 +276,9 @@
         task = asyncio.get_running_loop().create_task(what())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _kind(fd: int) -> int:
+    """Which kind of socket a descriptor is; raises ``OSError`` for what is none."""
+    with socket.socket(fileno=os.dup(fd)) as sock:
+        return sock.type
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -31,6 +31,11 @@
 from heronlug.wire.partner import listen, place
 
 FOLDER = Path(__file__).parent / "exchanges"
+ANSWERS = {
+    "babbling": b"+\xff\x00",
+    "lying": b'.{"kind":"state","names":5,"sockets":["peers"],"known":[],"learned":{"all":1}}',
+    "half right": b'.{"kind":"state","names":["t9"],"sockets":[],"known":7,"learned":{"all":[]}}',
+}
 PATIENCE = 10.0  # for something that must come; no speed is asserted
 SETTINGS: dict[str, Any] = {
     "instances": 2,
@@ -148,8 +153,8 @@
         sock.setblocking(True)
         if kind == "stale":
             sock.close()
-        elif kind == "babbling":
-            threading.Thread(target=lambda: sock.accept()[0].sendall(b"+\xff\x00"), daemon=True).start()
+        elif kind in ANSWERS:
+            threading.Thread(target=lambda: sock.accept()[0].sendall(ANSWERS[kind]), daemon=True).start()
         return sock
 
 
