--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run try
 
 PYTHON = .venv-dev/bin/python
 
@@ -18,7 +18,10 @@
 	$(PYTHON) -m mypy
 
 run: build
-	exec .venv/bin/python -m heronlug
+	exec .venv/bin/python -m heronlug serve deploy/local.toml
+
+try: build
+	exec .venv/bin/python -m heronlug try deploy/local.toml
 
 .venv-dev/ready: requirements.txt requirements-dev.txt
 	test -x $(PYTHON) || python3 -m venv .venv-dev
--- a/heronlug/__main__.py
+++ b/heronlug/__main__.py
@@ -1,30 +1,32 @@
-"""``python -m heronlug``: one real dispatcher; with ``plan`` or ``apply``, a change of one that runs."""
+"""``python -m heronlug``: one real dispatcher, as the environment tells; with words, the command line."""
 
 import os
 import sys
-from pathlib import Path
 
-from heronlug.life.config import ConfigError, load
-from heronlug.life.state import StateError, read
-
-STATE = Path(__file__).parent.parent / "deploy" / "faktory.toml"
+from heronlug.life.config import ConfigError
+from heronlug.life.files import Files
+from heronlug.life.state import StateError
 
 
 def main() -> int:
     """Start; the exit status is 2 for a configuration that cannot be used."""
     if sys.argv[1:]:
-        from heronlug.life.plan import main as plan
+        from heronlug.cli import main as command
+
+        return command()
+    return start(Files.told())
+
 
-        return plan(sys.argv[1:])
+def start(files: Files) -> int:
+    """Serve as these files say."""
     try:
-        config = load()
-        desired = read(Path(os.environ.get("HERONLUG_STATE") or STATE))
+        config, desired = files.load()
     except (ConfigError, StateError) as error:
-        print(f"heronlug: {error}", file=sys.stderr)
+        print("\n".join(f"heronlug: {line}" for line in str(error).splitlines()), file=sys.stderr)
         return 2
     from heronlug.life.start import main as serve
 
-    return serve(config, desired, os.environ.get("HERONLUG_CONTROL", ""))
+    return serve(config, desired, files, os.environ.get("HERONLUG_CONTROL", ""))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/heronlug/cli/__init__.py
@@ -0,0 +1,40 @@
+"""The command line.  The daemon as the platform starts it imports none of this."""
+
+import sys
+
+import click
+
+from heronlug import __version__
+from heronlug.cli.change import apply, plan
+from heronlug.cli.inspect import check, limits
+from heronlug.cli.serve import serve, try_
+from heronlug.life.config import ConfigError
+from heronlug.life.state import StateError
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="heronlug")
+def group() -> None:
+    """A dispatcher of jobs: serve, check its files, and change what runs.
+
+    Without any words, one dispatcher starts as the environment tells (RELAY_CONFIG).
+    """
+
+
+for command in (serve, check, plan, apply, limits, try_):
+    group.add_command(command)
+
+
+def main() -> int:
+    """The exit status: 0 done, 1 it could not be done, 2 the words or the files are wrong."""
+    try:
+        status = group.main(prog_name="heronlug", standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 1
+    except (ConfigError, StateError) as error:
+        print("\n".join(f"heronlug: {line}" for line in str(error).splitlines()), file=sys.stderr)
+        return 1
+    return status if isinstance(status, int) else 0
--- /dev/null
+++ b/heronlug/cli/inspect.py
@@ -0,0 +1,90 @@
+"""``check`` and ``limits show``: files looked at without a daemon."""
+
+import sys
+from pathlib import Path
+
+import click
+import orjson
+
+from heronlug.forms import Fault, Faults, Source
+from heronlug.interface import Settings
+from heronlug.life.config import ConfigError, load
+from heronlug.life.state import State, StateError, parse
+from heronlug.limits.load import advice, rows
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+CONFIG = click.option(
+    "--config", type=FILE, envvar="RELAY_CONFIG", help="the platform's JSON, where FILE holds no [site]"
+)
+
+
+def look(file: Path, config: Path | None) -> tuple[State | None, Settings | None, list[Fault]]:
+    """A file's state, the site that it was checked against, and all its faults."""
+    site = load({"RELAY_CONFIG": str(config)}).settings if config is not None else None
+    faults: list[Fault] = []
+    state: State | None = None
+    try:
+        source = Source.read(file)
+        if source.table.keys() & {"serve", "site"}:
+            from heronlug.life.site import read_site
+
+            conf, faults = read_site(source)
+            site = conf.settings if conf is not None else None
+        state = parse(source, site)
+    except Faults as error:
+        faults = [*faults, *error.faults]
+    return state, site, Faults(faults).faults
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@CONFIG
+@click.option("--json", "as_json", is_flag=True, help="one JSON object: ok, faults, notes")
+def check(file: Path, config: Path | None, as_json: bool) -> int:
+    """Check FILE: its form and, with a [site] in it or --config, every rule.  The exit status is 1 for a fault."""
+    state, site, faults = look(file, config)
+    notes = advice(site, state["classes"]) if state is not None and site is not None and not faults else []
+    if site is None and state is not None and not faults:
+        notes.append("checked by its form alone: --config names the platform's settings")
+    if as_json:
+        table = {"ok": not faults, "faults": [fault._asdict() for fault in faults], "notes": notes}
+        sys.stdout.write(orjson.dumps(table, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE).decode())
+    else:
+        for fault in faults:
+            print(fault)
+        for note in notes:
+            print(f"{file}: note: {note}")
+        print(f"{file}: {len(faults)} faults" if faults else f"{file}: good")
+    return 1 if faults else 0
+
+
+@click.group()
+def limits() -> None:
+    """The limits of each class."""
+
+
+@limits.command()
+@click.argument("file", type=FILE)
+@CONFIG
+@click.option("--json", "as_json", is_flag=True, help="a JSON list of rows")
+def show(file: Path, config: Path | None, as_json: bool) -> int:
+    """The resolved table: every limit of every class, and where it comes from."""
+    state, site, faults = look(file, config)
+    if faults or state is None:
+        raise StateError("\n".join(map(str, faults)))
+    if site is None:
+        raise ConfigError(f"{file}: no [site] in it, and no --config")
+    table = list(rows(site, state["classes"], str(file)))
+    if as_json:
+        text = orjson.dumps([row._asdict() for row in table], option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE)
+        sys.stdout.write(text.decode())
+        return 0
+    lines = [("class", "limit", "value", "from"), *((r.name, r.key, _text(r.value), r.origin) for r in table)]
+    widths = [max(len(line[column]) for line in lines) for column in range(3)]
+    for line in lines:
+        print("  ".join([*(word.ljust(width) for word, width in zip(line, widths, strict=False)), line[3]]))
+    return 0
+
+
+def _text(value: object) -> str:
+    return value if isinstance(value, str) else orjson.dumps(value).decode()
--- /dev/null
+++ b/heronlug/cli/serve.py
@@ -0,0 +1,58 @@
+"""``serve`` and ``try``: a whole dispatcher from one file, and a first job for it."""
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from heronlug.life.files import Files
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+@click.command()
+@click.argument("file", type=FILE, required=False)
+def serve(file: Path | None) -> int:
+    """Run a dispatcher in the foreground.
+
+    FILE is the operators' file.  With [serve] and [site] in it, it is the whole configuration; else RELAY_CONFIG names
+    the rest.
+    """
+    from heronlug.__main__ import start
+
+    files = Files(file, os.environ) if file is not None else Files.told()
+    if file is not None:
+        _announce(files)
+    return start(files)
+
+
+def _announce(files: Files) -> None:
+    """Where it will listen and one command to try, for people; faults are told by the start itself."""
+    try:
+        config, state = files.load()
+    except ValueError:
+        return
+    where = [("clients (HTTP)", config.listen), ("operators (HTTP)", config.admin)]
+    lines = [f"{what:18}{address[0]}:{address[1]}" for what, address in where if address is not None]
+    if state["faktory"]:
+        lines.append(f"{'workers (Faktory)':18}{state['faktory']['listen']}")
+    hosts = len((config.known or {}).get("instances", ()))
+    lines.append(f"{'hosts':18}{hosts} listed in {files.state}")
+    if not config.discovery:
+        lines.append(f"to try it:        {Path(sys.executable)} -m heronlug try {files.state}")
+    print("\n".join(lines), file=sys.stderr, flush=True)
+
+
+@click.command("try")
+@click.argument("file", type=FILE)
+@click.option("--seconds", default=5.0, help="how long to wait for each answer")
+def try_(file: Path, seconds: float) -> int:
+    """Hand one job of each class to the dispatcher that runs FILE.
+
+    Where nothing listens at a host's loopback address in FILE, a stand-in host answers there meanwhile.
+    """
+    from heronlug.standin.first_job import run
+
+    config, _ = Files(file, os.environ).load()
+    return int(run(config, seconds))
--- /dev/null
+++ b/heronlug/forms/faults.py
@@ -0,0 +1,27 @@
+"""What is wrong with a file."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Fault(NamedTuple):
+    """One thing that is wrong: where, what, and what would be right."""
+
+    path: str
+    line: int  # from 1; 0 where no line can be named
+    key: str  # dotted, as in ``class.send-invites.attempts``; empty for the file as a whole
+    wrong: str
+    right: str = ""
+
+    def __str__(self) -> str:
+        place = f"{self.path}:{self.line}: " if self.line else f"{self.path}: "
+        key = f"{self.key}: " if self.key else ""
+        return " ".join(f"{place}{key}{self.wrong}{', ' if self.right else ''}{self.right}".split())
+
+
+class Faults(ValueError):
+    """All faults of a file, one line each, in the order of their lines."""
+
+    def __init__(self, faults: Iterable[Fault]) -> None:
+        self.faults = sorted(faults, key=lambda fault: (fault.path, fault.line, fault.key))
+        super().__init__("\n".join(map(str, self.faults)))
--- /dev/null
+++ b/heronlug/forms/source.py
@@ -0,0 +1,85 @@
+"""A TOML file as it was read at one moment, and where each of its keys stands."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from heronlug.forms.faults import Fault, Faults
+
+MAX_BYTES = 1024 * 1024
+TRIES = 5  # a file that changes while it is read is read anew so often
+Keys = tuple[str | int, ...]
+
+
+class Source:
+    """The text of a file, the table in it, and the lines of its keys.
+
+    The lines are found only when a fault has to be told: the parser for that is not loaded before.
+    """
+
+    def __init__(self, path: str, text: str, table: dict[str, Any]) -> None:
+        self.path, self.text, self.table = path, text, table
+        self._lines: dict[Keys, int] | None = None
+
+    @classmethod
+    def read(cls, path: Path) -> "Source":
+        """Read a file; raises :class:`Faults`."""
+        try:
+            return cls.parse(str(path), _whole(path))
+        except OSError as error:
+            raise Faults([Fault(str(path), 0, "", error.strerror or str(error), "a file that can be read")]) from None
+
+    @classmethod
+    def parse(cls, path: str, data: bytes) -> "Source":
+        """A file's bytes; raises :class:`Faults`."""
+        if len(data) > MAX_BYTES:
+            right = f"{MAX_BYTES} bytes at most"
+            raise Faults([Fault(path, 0, "", f"it holds more than {MAX_BYTES} bytes", right)])
+        try:
+            text = data.decode()
+        except UnicodeDecodeError as error:
+            line = data.count(b"\n", 0, error.start) + 1
+            raise Faults([Fault(path, line, "", f"byte {data[error.start]:#04x} is no UTF-8", "UTF-8 text")]) from None
+        try:
+            return cls(path, text, tomllib.loads(text))
+        except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+            wrong, line = _syntax(str(error) or "nested too deeply", text)
+            raise Faults([Fault(path, line, "", wrong, "TOML 1.0")]) from None
+
+    def fault(self, keys: Keys, wrong: str, right: str = "") -> Fault:
+        """A fault of a key; where the key is absent, at the table it should be in."""
+        return Fault(self.path, self.line(keys), ".".join(map(str, keys)), wrong, right)
+
+    def line(self, keys: Keys) -> int:
+        """The line of a key, or else of the nearest table round it; 0 if there is none."""
+        if self._lines is None:
+            from heronlug.forms.places import places
+
+            self._lines = places(self.text)
+        while keys and keys not in self._lines:
+            keys = keys[:-1]
+        return self._lines.get(keys, 0)
+
+
+def _whole(path: Path) -> bytes:
+    """The bytes of one state of a file: one that changes under the reading is read anew; raises ``OSError``."""
+    data = b""
+    for _ in range(TRIES):
+        with path.open("rb") as file:
+            before = os.fstat(file.fileno())
+            data = file.read(MAX_BYTES + 1)
+            after = os.fstat(file.fileno())
+        if (before.st_mtime_ns, before.st_size) == (after.st_mtime_ns, after.st_size):
+            return data
+    return data  # whoever writes it all the time has to live with what its checks say
+
+
+def _syntax(text: str, whole: str) -> tuple[str, int]:
+    """The parser's own words and the line in them."""
+    words, _, place = text.rpartition(" (at ")
+    if place.startswith("line "):
+        return words, int(place[5:].partition(",")[0])
+    if place.startswith("end of document"):
+        return words + " at the end of the file", whole.count("\n") + 1
+    return text, 0
--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -92,12 +92,27 @@
     repeat_window: float = 0.0
     worker_kind: int = -1  # the kind of worker it needs, or -1
     name: str = ""  # for people only
+    # -- limits that operators may set; as they stand here, the settings alone hold
+    attempts: int = 0  # at most so many, 0 for as many as the settings allow
+    attempt_timeout: float = 0.0  # an attempt is waited for this long, 0 for as long as the job has
+    again: bool = True  # after that time-out another attempt may follow, where the effect allows it
+    waits: tuple[float, ...] = ()  # before the 2nd, 3rd ... attempt; the last holds for all further ones
+    second_copy: bool = True  # a copy may go out beside an attempt, where the settings and the effect allow it
+    second_copy_after: float = 0.0  # so long after an attempt that has not ended; 0 for when it seems stuck
+    give_up: float = 0.0  # the longest that a job is waited for, 0 for its deadline
 
     def __post_init__(self) -> None:
         for key in ("aim", "deadline"):
             _require(getattr(self, key) > 0, key, getattr(self, key))
         for key in ("stretch", "worth", "late_value", "repeat_window"):
             _require(getattr(self, key) >= 0, key, getattr(self, key))
+        for key in ("attempts", "attempt_timeout", "second_copy_after", "give_up"):
+            _require(getattr(self, key) >= 0, key, getattr(self, key))
+        _require(all(wait >= 0 for wait in self.waits), "waits", self.waits)
+
+    def wait_before(self, number: int) -> float:
+        """The wait before an attempt, counted from 0; there is none before the first."""
+        return self.waits[min(number, len(self.waits)) - 1] if self.waits and number else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +194,7 @@
     tenant: int = 0
     key: int = 0
     retry: bool = False
+    terms: JobClass | None = None  # its class as it was accepted; None for as the settings say now
 
 
 class AttemptEnded(NamedTuple):
@@ -241,6 +257,7 @@
     job: JobArrived
     taken_at: float
     attempts: tuple[Attempt, ...]
+    not_before: float = 0.0  # it waits until then for its next attempt
 
 
 class JobPassedOn(NamedTuple):
--- a/heronlug/learned.py
+++ b/heronlug/learned.py
@@ -36,6 +36,12 @@
     return tuple(Attempt(f.worker.id, f.sent, f.out, f.waiting, f.may_have_run, f.heard) for f in job.attempts)
 
 
+def not_before(state: State, job_id: int) -> float:
+    """Until when its limits have a job wait for its next attempt; 0 if it does not wait."""
+    job = state.jobs.get(job_id)
+    return job.not_before if job is not None else 0.0
+
+
 def flights(state: State, job: Job, passed: tuple[Attempt, ...]) -> list[Flight]:
     """The same attempts here."""
     made = []
--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -28,7 +28,7 @@
 
     name: str
     listen: tuple[str, int]
-    discovery: str
+    discovery: str  # empty where the hosts are known from a file
     seed: int
     settings: Settings
     sockets: int
@@ -90,15 +90,20 @@
     return replace(parse(raw, where), inherited_fd=int(inherited) if inherited else None)
 
 
-def parse(raw: Mapping[str, Any], where: str) -> Config:
-    """A configuration from its JSON object; raises :class:`ConfigError` naming the key."""
+def parse(raw: Mapping[str, Any], where: str, watched: bool = True) -> Config:
+    """A configuration from its JSON object; raises :class:`ConfigError` naming the key.
+
+    Unless the hosts are ``watched`` for at discovery, they are those that are known at the start.
+    """
     conf, limits = _table(raw, "settings", where), _table(raw, "limits", where)
     site = _table(conf, "limits", where)
     key = "listen"
     try:
         listen = split_address(str(raw["listen"]))
         key = "discovery"
-        split_address(str(raw["discovery"]))
+        discovery = str(raw["discovery"]) if watched else ""
+        if watched:
+            split_address(discovery)
         key = "peer_listen"
         peer_listen = split_address(str(raw["peer_listen"])) if raw.get("peer_listen") else None
         key = "admin_addr"
@@ -117,7 +122,7 @@
     return Config(
         name=str(raw.get("name", "")),
         listen=listen,
-        discovery=str(raw["discovery"]),
+        discovery=discovery,
         seed=seed,
         settings=settings,
         sockets=int(_number(limits, "sockets", 1024, where)) or 1024,
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from heronlug.life.state import EMPTY, State, StateError, difference, digest
+from heronlug.life.state import EMPTY, State, StateError, changed_limits, difference, digest
 from heronlug.wire.http import Lines
 
 
@@ -36,6 +36,12 @@
     def use_level(self, level: str) -> None:
         """Log from this level on."""
 
+    def broken_limits(self, classes: State) -> list[tuple[str, str, str, str]]:
+        """The rules that limits break here: class, key, what is wrong, what would be right."""
+
+    def use_limits(self, classes: State) -> None:
+        """Take jobs in under these limits from now on."""
+
 
 class Running:
     """The running state; a change of it is made whole or not at all."""
@@ -52,6 +58,8 @@
                 return []
             if digest(self.state) != base:
                 raise StateError("the plan is stale: the running state has changed since it was made")
+            if broken := self._parts.broken_limits(desired["classes"]):
+                raise StateError("\n".join(f"class.{n}.{key}: {wrong}, {right}" for n, key, wrong, right in broken))
             changes = difference(self.state, desired)
             plugins_change = self.state["plugins"] != desired["plugins"]
             faktory_changes = self.state["faktory"] != desired["faktory"]
@@ -70,10 +78,25 @@
             if faktory_changes:
                 self._parts.use_faktory(listener)
             self._parts.use_level(desired["log_level"])
+            if self.state["classes"] != desired["classes"]:
+                self._parts.use_limits(desired["classes"])
             self.state = desired
             self._parts.log("applied", changes=changes)
             return changes
 
+    async def limit(self, classes: State) -> list[str]:
+        """Other limits, which have been checked, in place of those that run; all else stays."""
+        async with self._lock:
+            changes = changed_limits(self.state["classes"], classes)
+            if changes:
+                self._parts.use_limits(classes)
+                self.state = {**self.state, "classes": classes}
+            return changes
+
+    def broken(self, classes: State) -> list[tuple[str, str, str, str]]:
+        """The rules that limits would break."""
+        return self._parts.broken_limits(classes)
+
     @staticmethod
     def _module(name: str, plugin: dict[str, Any]) -> tuple[bytes, int, int]:
         try:
@@ -115,6 +138,8 @@
             asked = orjson.loads(line)
             if asked["ask"] == "state":
                 answer = {"state": self._running.state}
+            elif asked["ask"] == "check":
+                answer = {"broken": self._running.broken(asked["classes"])}
             elif asked["ask"] == "apply":
                 answer = {"changes": await self._running.apply(asked["base"], asked["desired"])}
             else:
--- /dev/null
+++ b/heronlug/life/site.py
@@ -0,0 +1,180 @@
+"""A file that is the whole configuration of a dispatcher: ``[serve]``, ``[site]``, ``[[site.class]]``, ``[[host]]``.
+
+What it says becomes the object that the platform gives as JSON, so that there is one reading of that.
+"""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from heronlug.forms import Fault, Source
+from heronlug.forms.decode import decode
+from heronlug.forms.source import Keys
+from heronlug.life.config import Config, ConfigError, parse
+from heronlug.wire.http import split_address
+
+Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
+Address = Annotated[str, Meta(min_length=1, description="an address such as 127.0.0.1:8081")]
+Span = Annotated[float, Meta(gt=0, le=86_400_000, description="milliseconds, more than 0 and at most a day")]
+Wait = Annotated[float, Meta(ge=0, le=86_400_000, description="milliseconds, 0 to a day")]
+Share = Annotated[float, Meta(gt=0, le=1, description="a share, more than 0 and at most 1")]
+Factor = Annotated[float, Meta(ge=0, le=1e6, description="a number from 0 to 1e6")]
+Names = Annotated[list[str], Meta(min_length=1, description="a list of at least one name")]
+
+
+class Serve(Struct, forbid_unknown_fields=True):
+    """What the process is called, where it listens and what it may use."""
+
+    listen: Address
+    name: Text = "heronlug"
+    operators: Address | None = None
+    memory_mb: Annotated[float, Meta(ge=32, le=1e6, description="megabytes, 32 or more")] = 512.0
+    sockets: Annotated[int, Meta(ge=128, le=1_000_000, description="descriptors, 128 or more")] = 1024
+
+
+class SiteClass(Struct, forbid_unknown_fields=True):
+    """One class of jobs: what an answer is worth and what its effect allows."""
+
+    name: Text
+    effect: Annotated[
+        Literal["repeatable", "by_key", "once"], Meta(description='"repeatable", "by_key" or "once"')
+    ]
+    aim_ms: Span
+    deadline_ms: Span
+    worth: Factor = 1.0
+    late_worth: Annotated[float, Meta(ge=0, le=1, description="a share of the worth, 0 to 1")] = 0.5
+    stretch: Factor = 0.0
+    key_scope: Annotated[Literal["all", "zone", "cell"], Meta(description='"all", "zone" or "cell"')] = "all"
+    repeat_window_ms: Wait = 0.0
+
+
+class Site(Struct, forbid_unknown_fields=True, rename={"classes": "class"}):
+    """What holds for all dispatchers of an installation; the safety figures are those of the four rules."""
+
+    classes: Annotated[list[Any], Meta(min_length=1, description="at least one [[site.class]]")]
+    zones: Names = msgspec.field(default_factory=lambda: ["here"])
+    kinds: Names = msgspec.field(default_factory=lambda: ["any"])
+    attempts_cap: Annotated[int, Meta(ge=1, le=64, description="a whole number, 1 to 64")] = 6
+    second_copies: Annotated[bool, Meta(description="true or false")] = True
+    may_cancel: Annotated[bool, Meta(description="true or false")] = True
+    tells_start: Annotated[bool, Meta(description="true or false")] = True
+    progress_every_ms: Wait = 1000.0
+    dial_timeout_ms: Span = 250.0
+    conn_idle_ms: Span = 10_000.0
+    max_open: Annotated[int, Meta(ge=1, le=1_000_000, description="open jobs, 1 or more")] = 20_000
+    retry_after_ms: Wait = 2000.0
+    drain_grace_ms: Wait = 2500.0
+    cold_from: Share = 0.15
+    warm_after_ms: Wait = 20_000.0
+    tip_multiple: Annotated[float, Meta(ge=1, le=100, description="a factor, 1 to 100")] = 3.0
+    overload_for_ms: Span = 3000.0
+
+
+class Host(Struct, forbid_unknown_fields=True):
+    """One host that jobs may be sent to."""
+
+    name: Text
+    address: Address
+    zone: str = ""
+    kind: str = ""
+    cell: Annotated[int, Meta(ge=0, le=65535, description="a whole number, 0 to 65535")] = 0
+    draining: Annotated[bool, Meta(description="true or false")] = False
+
+
+def read_site(source: Source) -> tuple[Config | None, list[Fault]]:
+    """The configuration in a file, or all that is wrong with it."""
+    faults: list[Fault] = []
+
+    def form(kind: type[Any], table: Any, *at: str | int) -> Any:
+        decoded, wrong = decode(kind, table, source, at)
+        faults.extend(wrong)
+        return decoded
+
+    serve = form(Serve, source.table.get("serve", {}), "serve")
+    site = form(Site, source.table.get("site", {}), "site")
+    listed = source.table.get("host", [])
+    if not isinstance(listed, list):
+        faults.append(source.fault(("host",), "not a list of tables", "[[host]]"))
+        listed = []
+    hosts = [form(Host, table, "host", number) for number, table in enumerate(listed)]
+    classes = [form(SiteClass, t, "site", "class", n) for n, t in enumerate(site.classes)] if site is not None else []
+    if serve is not None:
+        for key in ("listen", "operators"):
+            _address(getattr(serve, key), source, ("serve", key), faults)
+    names: set[str] = set()
+    for number, host in enumerate(hosts):
+        if host is None:
+            continue
+        at: Keys = ("host", number)
+        _address(host.address, source, (*at, "address"), faults)
+        if host.name in names:
+            faults.append(source.fault((*at, "name"), f"{host.name!r} is there twice", "a name of its own"))
+        names.add(host.name)
+        for key, known in (("zone", site.zones), ("kind", site.kinds)) if site is not None else ():
+            if getattr(host, key) not in ("", *known):
+                wrong = f"{getattr(host, key)!r} is none of the site's"
+                faults.append(source.fault((*at, key), wrong, "one of " + ", ".join(known)))
+    names = set()
+    for number, lane in enumerate(classes):
+        if lane is None:
+            continue
+        at = ("site", "class", number)
+        if lane.name in names:
+            faults.append(source.fault((*at, "name"), f"{lane.name!r} is there twice", "a name of its own"))
+        names.add(lane.name)
+        if lane.aim_ms > lane.deadline_ms:
+            wrong = f"{lane.aim_ms:g} ms is past the deadline"
+            faults.append(source.fault((*at, "aim_ms"), wrong, f"{lane.deadline_ms:g} at most"))
+    if faults:
+        return None, faults
+    try:
+        return parse(_raw(serve, site, classes, hosts), source.path, watched=False), []
+    except ConfigError as error:
+        return None, [Fault(source.path, 0, "", str(error))]
+
+
+def _address(text: str | None, source: Source, at: tuple[str | int, ...], faults: list[Fault]) -> None:
+    try:
+        if text is not None:
+            split_address(text)
+    except ValueError as error:
+        faults.append(source.fault(at, str(error), "such as 127.0.0.1:8081"))
+
+
+def _raw(serve: Serve, site: Site, classes: list[SiteClass], hosts: list[Host]) -> dict[str, Any]:
+    """The same as the platform's object."""
+    lanes = [
+        {
+            "name": lane.name, "effect": lane.effect, "goal_time": lane.aim_ms, "deadline": lane.deadline_ms,
+            "worth": lane.worth, "late_value": lane.late_worth, "aim_stretch": lane.stretch,
+            "key_scope": lane.key_scope, "repeat_window": lane.repeat_window_ms,
+        }
+        for lane in classes
+    ]  # fmt: skip
+    settings = {
+        "lanes": lanes, "zones": site.zones, "skus": site.kinds, "discovery": "pushed", "tick": 5.0,
+        "family_info": {"tells_start": site.tells_start, "progress": site.progress_every_ms},
+        "limits": {
+            "attempts_cap": site.attempts_cap, "second_copies": site.second_copies, "may_cancel": site.may_cancel,
+            "dial_timeout": site.dial_timeout_ms, "conn_idle": site.conn_idle_ms, "max_open": site.max_open,
+            "retry_after": site.retry_after_ms > 0, "max_retry_after": site.retry_after_ms,
+        },
+        "safety": {
+            "drain_grace": site.drain_grace_ms, "cold_from": site.cold_from, "warm_after": site.warm_after_ms,
+            "tip_multiple": site.tip_multiple, "overload_for": site.overload_for_ms,
+        },
+    }  # fmt: skip
+    instances = [
+        {
+            "instanceId": host.name, "hostPort": host.address, "zone": host.zone or site.zones[0],
+            "machineType": host.kind or site.kinds[0], "cell": host.cell,
+            "lifecycle": "leaving" if host.draining else "active", "weight": 1.0, "startedAtMs": 0,
+        }
+        for host in hosts
+    ]  # fmt: skip
+    return {
+        "name": serve.name, "listen": serve.listen, "admin_addr": serve.operators,
+        "limits": {"sockets": serve.sockets, "memory_mb": serve.memory_mb},
+        "known": {"generation": 1, "reset": True, "instances": instances}, "settings": settings,
+    }  # fmt: skip
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -14,8 +14,9 @@
 
 from heronlug.interface import ListKind
 from heronlug.life import control
-from heronlug.life.config import Config, reload
+from heronlug.life.config import Config
 from heronlug.life.control import Running
+from heronlug.life.files import Files
 from heronlug.life.listener import Listener
 from heronlug.life.log import Log
 from heronlug.life.operate import calls
@@ -23,6 +24,7 @@
 from heronlug.life.reload import Reload
 from heronlug.life.state import EMPTY, State, StateError, digest
 from heronlug.life.takeover import Takeover
+from heronlug.limits import resolve
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Clock, Deadlines
 from heronlug.wire.admin import MAX_CALLERS, Admin
@@ -71,7 +73,7 @@
 class Daemon:
     """One dispatcher."""
 
-    def __init__(self, config: Config, log: Log) -> None:
+    def __init__(self, config: Config, files: Files, log: Log) -> None:
         self.config, self.log = config, log
         self.running = Running(self)
         self.faktory: Faktory | None = None  # made when it is first listened for, and kept: it owns its jobs
@@ -107,7 +109,7 @@
         self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
         self.core.named = self.takeover.named
         self.admin = Admin(calls(self.leaving, self._takes_clients, self._cores, log), deadlines, log, self.turn)
-        self.reload = Reload(config, reload, self._moved, log)
+        self.reload = Reload(config, partial(files.load, again=True), self._moved, self.running.limit, log)
 
     # -- the front of the platform's protocol
 
@@ -229,11 +231,25 @@
         """Log from this level on."""
         self.log.level = level
 
+    def broken_limits(self, classes: State) -> list[tuple[str, str, str, str]]:
+        """The rules that limits break here; the checker is loaded only where there are limits to check."""
+        if not classes:
+            return []
+        from heronlug.limits.load import check
+
+        return [(b.name, b.key, b.wrong, b.right) for b in check(self.config.settings, classes)]
+
+    def use_limits(self, classes: State) -> None:
+        """Both fronts take jobs in under these limits from now on; open ones keep theirs."""
+        limited = resolve(self.config.settings.classes, classes)
+        for core in self._cores():
+            core.use(limited)
+
     def _make_faktory(self, terms: Terms) -> Faktory:
         """The second front has a core of its own: its workers cannot run what came by HTTP, nor the other way."""
         front = Faktory(terms, self.loop.deadlines, self.log, self.turn)
         settings = replace(
-            self.config.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=(),
+            self.core.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=(),
             retry_share=1e3, retry_burst=1e6,  # workers pull: no storm; the cap of attempts holds
         )  # fmt: skip
         front.core = Core(
@@ -265,8 +281,12 @@
         self.core.inventory(kind, entries)
         self.south.retire(self.core.hosts)
 
-    def _moved(self, address: str) -> None:
-        self.inventory.move(address)
+    def _moved(self, config: Config) -> None:
+        """What a reload changes: where discovery is, or the hosts that a file lists."""
+        if config.discovery:
+            self.inventory.move(config.discovery)
+        elif config.known is not None:
+            self._news(ListKind.FULL, self.inventory.read(config.known)[2])
         self.turn()
 
     def _heard(self, peer: int, content: bytes) -> None:
@@ -278,15 +298,15 @@
         self.log("exception", where="loop", error=repr(error or context.get("message")), trace=trace)
 
 
-async def _serve(config: Config, log: Log, desired: State, control_path: str) -> None:
-    await Daemon(config, log).run(desired, control_path)
+async def _serve(config: Config, files: Files, log: Log, desired: State, control_path: str) -> None:
+    await Daemon(config, files, log).run(desired, control_path)
 
 
-def main(config: Config, desired: State, control_path: str = "") -> int:
+def main(config: Config, desired: State, files: Files, control_path: str = "") -> int:
     """Run a dispatcher in the foreground; the exit status is 2 when it cannot listen or load what it should."""
     log = Log(level=cast(str, desired["log_level"]))
     try:
-        uvloop.run(_serve(config, log, desired, control_path))
+        uvloop.run(_serve(config, files, log, desired, control_path))
     except (StateError, OSError) as error:
         print(f"heronlug: {error}", file=sys.stderr)
         return 2
--- a/heronlug/life/state.py
+++ b/heronlug/life/state.py
@@ -12,84 +12,124 @@
     file = "audit.wasm"            # beside this file
     fuel = 100000                  # for one call
     memory_kb = 1024
+
+    [class.send-invites]           # limits, see docs/operators/limits.md
+    attempts = 3
+
+The platform's own file has no limits, and reading it loads no more than the standard library and this.
 """
 
 import hashlib
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from heronlug.forms import Fault, Faults, Source
+from heronlug.forms.source import Keys
+from heronlug.interface import Settings
 from heronlug.life.log import LEVELS
 from heronlug.wire.http import split_address
 
 State = dict[str, Any]
-EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}}
+EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}}
 FAKTORY: dict[str, Any] = {
     "listen": "", "password": "", "beat_timeout_s": 60.0, "reserve_for_s": 1800.0, "remember_s": 86400.0,
     "max_known": 100_000, "max_connections": 200,
 }  # fmt: skip
 PLUGIN: dict[str, Any] = {"name": "", "file": "", "fuel": 100_000, "memory_kb": 1024}
+KEYS = ("log_level", "faktory", "plugin", "class")
+WHOLE = ("serve", "site", "host")  # what stands beside them in a file that is the whole configuration
 MAX_MODULE = 1024 * 1024
 
 
 class StateError(ValueError):
-    """A file that cannot be used: one line that names file and key."""
+    """A file or a change that cannot be had; the text has a line for each fault, with file, line and key."""
 
 
-def _checked(table: Any, form: Mapping[str, Any], where: str) -> dict[str, Any]:
+def _checked(table: Any, form: Mapping[str, Any], source: Source, at: Keys, faults: list[Fault]) -> State:
     """The table with what it leaves out; every key is known, and of its type."""
     if not isinstance(table, dict):
-        raise StateError(f"{where}: not a table")
+        faults.append(source.fault(at, "not a table", f"[{at[0]}]"))
+        return dict(form)
     for key, value in table.items():
         if key not in form:
-            raise StateError(f"{where}{key}: unknown key")
+            faults.append(source.fault((*at, key), "unknown key", "one of " + ", ".join(form)))
+            continue
         number = isinstance(form[key], int | float)
         if isinstance(value, bool) or not isinstance(value, int | float if number else str):
-            raise StateError(f"{where}{key}: {value!r} is no {'number' if number else 'text'}")
-        if number and not 0 < value < 1e12:
-            raise StateError(f"{where}{key}: {value!r} is out of range")
+            kind = "number" if number else "text"
+            faults.append(source.fault((*at, key), f"{value!r} is no {kind}", f"expected a {kind}"))
+        elif number and not 0 < value < 1e12:
+            shown = value if isinstance(value, float) else "the number"
+            right = "expected more than 0 and less than 1e12"
+            faults.append(source.fault((*at, key), f"{shown} is out of range", right))
     return {**form, **table}
 
 
 def read(path: Path) -> State:
-    """The state that a file describes; raises :class:`StateError`."""
+    """The state that a file describes, by itself; raises :class:`StateError`."""
     try:
-        table = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise StateError(f"{path}: {' '.join(str(error).split())}") from None
-    for key in table.keys() - {"log_level", "faktory", "plugin"}:
-        raise StateError(f"{path}: {key}: unknown key")
+        return parse(Source.read(path))
+    except Faults as faults:
+        raise StateError(str(faults)) from None
+
+
+def parse(source: Source, site: Settings | None = None) -> State:
+    """The state that a file describes; raises :class:`Faults` with all that is wrong.
+
+    With a site its limits are checked against that too, else only their form.
+    """
+    table, faults = source.table, list[Fault]()
+    for key in table.keys() - {*KEYS, *WHOLE}:
+        faults.append(source.fault((key,), "unknown key", "one of " + ", ".join((*KEYS, *WHOLE))))
     level = table.get("log_level", "info")
     if not isinstance(level, str) or level not in LEVELS:
-        raise StateError(f"{path}: log_level: {level!r} is none of {', '.join(LEVELS)}")
-    faktory = _checked(table.get("faktory", {}), FAKTORY, f"{path}: faktory.")
-    if faktory["listen"]:
+        faults.append(source.fault(("log_level",), f"{level!r} is no level", "one of " + ", ".join(LEVELS)))
+    faktory = _checked(table.get("faktory", {}), FAKTORY, source, ("faktory",), faults)
+    if faktory["listen"] and isinstance(faktory["listen"], str):
         try:
             split_address(faktory["listen"])
         except ValueError as error:
-            raise StateError(f"{path}: faktory.listen: {error}") from None
-    listed = table.get("plugin", [])
+            faults.append(source.fault(("faktory", "listen"), str(error), "such as 127.0.0.1:7419"))
+    plugins = _plugins(table.get("plugin", []), source, faults)
+    classes: dict[str, Any] = {}
+    if "class" in table:
+        from heronlug.limits import load
+
+        classes, wrong = load.read(source)
+        faults += [*wrong, *(load.faults(source, load.check(site, classes)) if site is not None else ())]
+    if faults:
+        raise Faults(faults)
+    return {
+        "log_level": level, "faktory": faktory if faktory["listen"] else {}, "plugins": plugins, "classes": classes,
+    }  # fmt: skip
+
+
+def _plugins(listed: Any, source: Source, faults: list[Fault]) -> State:
     if not isinstance(listed, list):
-        raise StateError(f"{path}: plugin: not a list of tables")
-    plugins: dict[str, Any] = {}
+        faults.append(source.fault(("plugin",), "not a list of tables", "[[plugin]]"))
+        return {}
+    plugins: State = {}
     for number, entry in enumerate(listed):
-        where = f"{path}: plugin[{number}]."
-        plugin = _checked(entry, PLUGIN, where)
+        at, before = ("plugin", number), len(faults)
+        plugin = _checked(entry, PLUGIN, source, at, faults)
+        if len(faults) > before:
+            continue
         if not plugin["name"] or plugin["name"] in plugins:
-            raise StateError(f"{where}name: missing, or there twice")
-        module = (path.parent / plugin["file"]).resolve()
+            faults.append(source.fault((*at, "name"), "missing, or there twice", "a name of its own"))
+        module = (Path(source.path).parent / plugin["file"]).resolve()
         try:
             data = module.read_bytes()
         except OSError as error:
-            raise StateError(f"{where}file: {error.strerror}") from None
+            faults.append(source.fault((*at, "file"), error.strerror or str(error), "a WebAssembly module"))
+            continue
         if len(data) > MAX_MODULE:
-            raise StateError(f"{where}file: over {MAX_MODULE} bytes")
+            faults.append(source.fault((*at, "file"), f"over {MAX_MODULE} bytes", "a smaller module"))
         digest = hashlib.sha256(data).hexdigest()
         plugins[plugin.pop("name")] = {**plugin, "file": str(module), "sha256": digest}
-    return {"log_level": level, "faktory": faktory if faktory["listen"] else {}, "plugins": plugins}
+    return plugins
 
 
 def digest(state: State) -> str:
@@ -114,9 +154,26 @@
             keys = [key for key in sorted({**before, **after}) if before.get(key) != after.get(key)]
             shown = [f"{key}: {_shown(key, before)} -> {_shown(key, after)}" for key in keys] if sign == "~" else []
             lines.append(f"{sign} {what} {name}" + (" (" + "; ".join(shown) + ")" if shown else ""))
+    return [*lines, *changed_limits(running["classes"], desired["classes"])]
+
+
+def changed_limits(running: Mapping[str, Any], desired: Mapping[str, Any]) -> list[str]:
+    """One line for each limit that changes; one that is not given is the site's."""
+    lines = []
+    for name in sorted({**running, **desired}):
+        before, after = running.get(name, {}), desired.get(name, {})
+        for key in sorted({**before, **after}):
+            old, new = (_limit(given, key) for given in (before, after))
+            if old != new:
+                lines.append(f"~ class {name} {key}: {old} -> {new}")
     return lines
 
 
+def _limit(given: Mapping[str, Any], key: str) -> str:
+    value = given.get(key, "the site's")
+    return value if isinstance(value, str) else orjson.dumps(value).decode()
+
+
 def _shown(key: str, table: Mapping[str, Any]) -> str:
     value = str(table.get(key, "nothing"))
     return "(hidden)" if key == "password" else value[:12] if key == "sha256" else value
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -13,6 +13,7 @@
 from heronlug.life.handover import Handover
 from heronlug.life.listener import Listener
 from heronlug.life.parting import Parting
+from heronlug.limits import model
 from heronlug.memory.core import Core, HostEntry, Message
 from heronlug.memory.deadlines import Deadlines
 from heronlug.wire.inventory import BadList, Inventory, write_list
@@ -208,7 +209,11 @@
             if len(out) != len(rest) or len(out) != sum(attempt.out for _, attempt in passed) or whole != 0:
                 raise ValueError("not one connection for each relay that is out")
             times = float(table["give_up_at"]), float(table["taken_at"])
-        except (KeyError, TypeError, ValueError) as error:
+            terms = self._daemon.core.settings.classes[request.lane]
+            if "terms" in table:  # a program of before limits tells none
+                terms = model.read(terms, table["terms"])
+            not_before = float(table.get("not_before", 0.0))
+        except (KeyError, TypeError, ValueError, IndexError) as error:
             for sock in (first, *rest):
                 sock.close()
             self._daemon.log("handover_failed", error=repr(error))
@@ -216,7 +221,9 @@
 
         def made(connection: Connection) -> None:
             request.connection = connection
-            message = self._daemon.core.adopt(request, request.lane, *times, request.txn, passed, **request.figures)
+            message = self._daemon.core.adopt(
+                request, request.lane, *times, request.txn, passed, terms, not_before, **request.figures
+            )
             for relay, sock, wire in zip([r for r in message.relays if r.out], rest, out, strict=True):
                 self._daemon.south.adopt(relay, sock, wire.get("answered") is True, wire.get("last") is True)
             if not message.closed:
@@ -256,6 +263,8 @@
             "request": write_request(message.load),
             "give_up_at": message.give_up_at,
             "taken_at": message.taken_at,
+            "terms": model.write(message.terms),
+            "not_before": core.not_before(message),
             "hosts": write_list(0, [entry for entry, _ in attempts], config.zones, config.kinds, True),
             "attempts": [list(attempt) for _, attempt in attempts],
             "wires": [known for _, known in paused],
--- /dev/null
+++ b/heronlug/limits/__init__.py
@@ -0,0 +1,9 @@
+"""Limits of each class: how often, how long, after which wait, and whether with a second copy.
+
+``model`` is what runs everywhere; ``load``, ``schema`` and ``rules`` read and check an operators' file and are imported
+only where there is one to check.
+"""
+
+from heronlug.limits.model import KEYS, Given, resolve
+
+__all__ = ["KEYS", "Given", "resolve"]
--- /dev/null
+++ b/heronlug/limits/load.py
@@ -0,0 +1,108 @@
+"""The ``[class]`` tables of a file: decoded, checked against a site, and explained."""
+
+from collections.abc import Iterator, Mapping
+from difflib import get_close_matches
+from typing import Any, NamedTuple
+
+import msgspec
+
+from heronlug.forms import Fault, Source
+from heronlug.forms.decode import decode
+from heronlug.interface import Settings
+from heronlug.limits.model import KEYS, Given, limit
+from heronlug.limits.rules import RULES, Case, notes
+from heronlug.limits.schema import ClassTable
+
+AT = "class"  # the key of the tables
+
+
+def read(source: Source) -> tuple[dict[str, Given], list[Fault]]:
+    """What a file gives for each class, by its form alone, and the faults of it; a class with faults gives nothing."""
+    table = source.table.get(AT, {})
+    if not isinstance(table, dict) or (table and not any(isinstance(value, dict) for value in table.values())):
+        return {}, [source.fault((AT,), "not a table of classes", "[class.NAME]")]
+    given: dict[str, Given] = {}
+    faults: list[Fault] = []
+    for name, values in table.items():
+        decoded, wrong = decode(ClassTable, values, source, (AT, name))
+        faults += wrong
+        if values == {}:
+            faults.append(source.fault((AT, name), "it sets nothing", "at least one limit, or no table"))
+        asked = msgspec.structs.asdict(decoded) if decoded is not None else {}
+        given[name] = {key: value for key, value in asked.items() if value is not msgspec.UNSET}
+    return given, faults
+
+
+class Broken(NamedTuple):
+    """A rule that a class's limits break."""
+
+    name: str
+    key: str
+    wrong: str
+    right: str
+
+
+def check(site: Settings, given: Mapping[str, Given]) -> Iterator[Broken]:
+    """All rules that these limits break at a site."""
+    lanes = {lane.name: lane for lane in site.classes}
+    for name, limits in given.items():
+        lane = lanes.get(name)
+        if lane is None:
+            near = get_close_matches(name, lanes, 1)
+            right = f"perhaps {near[0]}" if near else "one of " + ", ".join(lanes)
+            yield Broken(name, "", "the site has no such class", right)
+            continue
+        case = Case(site, lane, limits)
+        for rule in RULES:
+            broken = rule(case)
+            if broken is not None:
+                yield Broken(name, *broken)
+
+
+def faults(source: Source, broken: Iterator[Broken]) -> list[Fault]:
+    """Broken rules as faults of the file that gave the limits."""
+    return [source.fault((AT, b.name, b.key) if b.key else (AT, b.name), b.wrong, b.right) for b in broken]
+
+
+def advice(site: Settings, given: Mapping[str, Given]) -> list[str]:
+    """Notes on limits that break no rule."""
+    lanes = {lane.name: lane for lane in site.classes}
+    return [
+        f"class.{name}.{note}"
+        for name, limits in given.items()
+        if name in lanes
+        for note in notes(Case(site, lanes[name], limits))
+    ]
+
+
+class Row(NamedTuple):
+    """One limit of a class as it holds, and where it comes from."""
+
+    name: str
+    key: str
+    value: Any
+    origin: str
+
+
+def rows(site: Settings, given: Mapping[str, Given], origin: str) -> Iterator[Row]:
+    """The resolved table: every limit of every class; ``origin`` names the file."""
+    for lane in site.classes:
+        limits = given.get(lane.name, {})
+        held = limit(lane, limits)
+        absent = {
+            "attempts": (site.attempts_cap, "site: attempts_cap"),
+            "attempt_timeout_ms": ("as long as the job has", "default"),
+            "after_timeout": ("end" if lane.effect.value == "once" else "again", "default"),
+            "wait_ms": ([], "default"),
+            "second_copy": (site.second_copies and lane.effect.value != "once", "site: second_copies"),
+            "second_copy_after_ms": ("when it seems stuck", "default"),
+            "repeat_window_ms": (lane.repeat_window, "site: repeat_window"),
+            "give_up_ms": (lane.deadline, "site: deadline"),
+        }
+        for key, field in KEYS.items():
+            value, whence = absent[key]
+            if key in limits:
+                value, whence = getattr(held, field) if key != "after_timeout" else limits[key], origin
+            if key == "second_copy_after_ms" and not (held.second_copy and absent["second_copy"][0]):
+                value, whence = "never", "no second copies"
+            yield Row(lane.name, key, list(value) if isinstance(value, tuple) else value, whence)
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -93,25 +93,25 @@
     def _on_adopted(self, event: pk.JobAdopted, now: float) -> None:
         """Another process had it: what is out goes on, and nothing is sent twice."""
         job = self._admit(event.job, event.taken_at)
-        job.attempts = flights(self, job, event.attempts)
+        job.attempts, job.not_before = flights(self, job, event.attempts), event.not_before
         for number, flight in enumerate(job.attempts):
             if flight.out:
                 self.flights[job.id, number] = flight
-                self._book(flight, 1)
-                if self.can_hedge and not job.once and flight.waiting:
-                    self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
+                self.book(flight, 1)
+                self._watch(flight, now)
         if not any(f.out for f in job.attempts):
-            self._place(job, now)
+            self._place_at(job, job.not_before, now)
 
     def _on_passed_on(self, event: pk.JobPassedOn, now: float) -> None:
         if (job := self.jobs.pop(event.job, None)) is not None:
             for number, flight in enumerate(job.attempts):
                 if self.flights.pop((job.id, number), None) is not None:
-                    self._book(flight, -1)
+                    self.book(flight, -1)
                     flight.worker.mute -= flight.mute
 
     def _admit(self, event: pk.JobArrived, now: float) -> Job:
-        job = self.jobs[event.job] = Job(event, self.s.classes[event.job_class])
+        job = self.jobs[event.job] = Job(event, event.terms or self.s.classes[event.job_class])
+        job.cap = min(job.lane.attempts or self.s.attempts_cap, self.s.attempts_cap)
         self.arrivals += 1  # a tenant's part of all traffic is not seen from here: its part of ours must do
         job.over = event.tenant < len(self.tenants) and not self.tenants[event.tenant].take(self.arrivals)
         run = self._expected(job)
@@ -124,8 +124,18 @@
         self.agenda.at(job.give_up_at - self.s.tick, self._finish, job)
         return job
 
+    def _place_at(self, job: Job, when: float, now: float) -> None:
+        """The wait that its limits set before a further attempt; past its time, there is none."""
+        job.not_before = when
+        if now < when < job.give_up_at - self.s.tick and len(job.attempts) < job.cap:
+            self.agenda.at(when, self._place, job)
+        elif now < when:
+            self._finish(job)
+        else:
+            self._place(job, now)
+
     def _place(self, job: Job, now: float) -> None:
-        if job.give_up_at - self.s.tick <= now or len(job.attempts) >= self.s.attempts_cap:
+        if job.give_up_at - self.s.tick <= now or len(job.attempts) >= job.cap:
             self._finish(job)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
@@ -199,7 +209,7 @@
             return False
         risky = [f for f in job.attempts if f.may_have_run]
         second = any(f.out for f in risky)
-        if len(job.attempts) >= self.s.attempts_cap or (second and not self.s.second_copies):
+        if len(job.attempts) >= job.cap or (second and not (self.s.second_copies and job.lane.second_copy)):
             return False
         if not risky or job.lane.effect is pk.Effect.REPEATABLE:
             return True
@@ -210,29 +220,43 @@
             for f in risky
         )
 
-    def _book(self, flight: Flight, way: int) -> None:
-        """One attempt of ours more in flight, or one less (-1)."""
-        worker, slots = flight.worker, way * flight.job.need
-        if worker.moved_at != self.peers.reads:
-            worker.moved_at, worker.moved = self.peers.reads, 0.0
-        worker.moved += slots
-        worker.own = max(0.0, worker.own + slots)
-        worker.flights += way
-        worker.waiting += way * flight.waiting
-        self.peers.changed[worker.id] = worker
-
     def _send(self, job: Job, worker: Worker, now: float) -> None:
         if not all(f.waiting for f in job.attempts):  # copies of waiting work are no load
             self.retries.take(self.arrivals)
         self.flights[job.id, len(job.attempts)] = flight = Flight(job, worker, now, self.s.tells_start)
         job.attempts.append(flight)
-        self._book(flight, 1)
+        self.book(flight, 1)
         worker.recent.add(now, job.work)
-        if self.can_hedge and not job.once:
-            self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
+        self._watch(flight, now)
         self.sends += 1
         self.out.append(pk.Send(job.id, worker.id))
 
+    def _watch(self, flight: Flight, now: float) -> None:
+        """When to look at an attempt that has not ended: as its limits say, or soon."""
+        lane, copied = flight.job.lane, flight.job.lane.second_copy and not flight.job.once
+        if lane.attempt_timeout:
+            self.agenda.at(flight.sent + lane.attempt_timeout, self._on_overrun, flight)
+        if lane.second_copy_after and copied:
+            self.agenda.at(flight.sent + lane.second_copy_after, self._on_unended, flight)
+        elif self.can_hedge and copied and flight.waiting:
+            self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
+
+    def _on_overrun(self, flight: Flight, now: float) -> None:
+        """Time-out of one attempt: it is cancelled, and as it may have run, its end says what may follow."""
+        if flight.out and self.jobs.get(flight.job.id) is flight.job:
+            flight.overrun = True
+            self.out.append(pk.Cancel(flight.job.id, flight.job.attempts.index(flight)))
+
+    def _on_unended(self, flight: Flight, now: float) -> None:
+        """Hedge by time: a copy beside the only attempt that is out, as soon as a worker has room for it."""
+        job = flight.job
+        if self.jobs.get(job.id) is not job or [f for f in job.attempts if f.out] != [flight]:
+            return
+        if (worker := self._choose(job, now)) is not None:
+            self._send(job, worker, now)
+        elif len(job.attempts) < job.cap:
+            self.agenda.at(now + 2 * self.look, self._on_unended, flight)
+
     def _hold(self, job: Job, now: float) -> None:
         """No worker is at most K full: wait here, where the job can still go anywhere, not in a queue."""
         self.seq += 1  # the newest of a class first, so that in overload some are in time
@@ -291,7 +315,7 @@
         if flight is None:
             return
         worker = flight.worker
-        self._hear(flight, now)
+        flight.hear(now)
         if flight.waiting:
             flight.waiting = False
             worker.waiting -= 1
@@ -300,12 +324,6 @@
             attempts = flight.job.attempts if self.s.may_cancel else []  # its copies elsewhere have lost
             self.out += [pk.Cancel(event.job, n) for n, f in enumerate(attempts) if f.waiting and f.out]
 
-    def _hear(self, flight: Flight, now: float) -> None:
-        worker = flight.worker
-        worker.mute -= flight.mute
-        flight.mute = worker.still = False
-        flight.heard = worker.heard = now
-
     def _look_for_silence(self, now: float) -> None:
         """Outlier detection by silence: who runs a job tells so every period, unless it stands still."""
         silence = QUIET * self.s.progress_every
@@ -316,7 +334,9 @@
             flight.mute = True
             worker.still = worker.still or now - worker.heard >= silence
             alone = self.jobs.get(job.id) is job and all(f.mute or not f.out for f in job.attempts)
-            if alone and self.can_hedge and not (self.held or job.once) and (other := self._choose(job, now)):
+            early = not job.lane.second_copy or now < flight.sent + job.lane.second_copy_after
+            spare = alone and self.can_hedge and not (self.held or job.once or early)
+            if spare and (other := self._choose(job, now)):
                 self._send(job, other, now)
 
     def _on_unstarted(self, flight: Flight, now: float) -> None:
@@ -331,7 +351,7 @@
         started = any(f.out and not f.waiting for f in job.attempts)
         if not started and (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
-        elif not started and len(job.attempts) < self.s.attempts_cap:
+        elif not started and len(job.attempts) < job.cap:
             self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
 
     def _on_ended(self, event: pk.AttemptEnded, now: float) -> None:
@@ -340,8 +360,8 @@
             return
         worker, job, outcome = flight.worker, flight.job, event.outcome
         if 0 <= self.free_at < len(event.report):
-            self._learn_slots(worker.model, event.report[self.free_at])
-        self._book(flight, -1)
+            worker.model.reported(event.report[self.free_at])
+        self.book(flight, -1)
         worker.mute -= flight.mute
         if outcome == pk.Outcome.SERVED:
             worker.heard, worker.still = now, False
@@ -364,7 +384,10 @@
         elif outcome == pk.Outcome.MOOT or (flight.may_have_run and job.once) or len(job.faulted) >= FAULTS:
             self._finish(job)
         elif not any(f.out for f in job.attempts):
-            self._place(job, now)
+            if not job.lane.again and any(f.overrun for f in job.attempts):
+                self._finish(job)
+            else:
+                self._place_at(job, now + job.lane.wait_before(len(job.attempts)), now)
 
     def _finish(self, job: Job, _: float = 0.0) -> None:
         """Rule 1: the one place of final answers.  Refuse only where a retry is surely harmless."""
@@ -406,7 +429,7 @@
         worker.n += 1
         badly = outcome in BAD - {pk.Outcome.FULL}  # full is busy, and no failure
         self.peers.ended[worker.id] = Peers.ENDED_BADLY if badly else Peers.ENDED_WELL
-        self._pool(worker, badly)
+        worker.ended(badly)
         self._judge(worker, outcome, now)
         self.unranked += self.scores
         if now - self.ranked_at >= self.look and self.unranked >= len(self.order):
@@ -462,13 +485,6 @@
         worker.budget = budget / users if (self.s.position - worker.id) % self.s.instances < users else 0.0
         return bound * warmth
 
-    def _learn_slots(self, kind: Kind, free: float) -> None:
-        """The most slots seen free; never idle, a worker never shows all, but the attempt had one too."""
-        kind.top = max(kind.top, round(free))
-        if round(free) > 0:
-            kind.low = min(free + 1, kind.low + LEARN * (free + 1 - kind.low))
-        kind.slots = float(max(kind.top, round(kind.low)))
-
     def _on_list(self, event: pk.WorkerList, now: float) -> None:
         if event.kind == pk.ListKind.FAILED:
             self.subscribed, self.asks = self.s.list_pushed, min(self.asks + 1, 4)
@@ -476,17 +492,7 @@
             return self.agenda.at(now + delay, self._ask, None)  # one slow service for all
         self.subscribed, self.asks = self.s.list_pushed or event.kind != pk.ListKind.CACHED, 0
         self._ask(None, now)  # what is cached may be stale
-        listed = {worker.id for worker in self.order}
-        for entry in event.entries:
-            worker = self.workers.get(entry.worker) or Worker(entry, self.kinds[entry.kind])
-            self.workers[entry.worker] = worker
-            if entry.started_at != worker.started_at:
-                worker.fresh(entry.started_at)
-            worker.state, worker.zone, worker.kind, worker.cell = entry[1:5]
-        if event.kind != pk.ListKind.CHANGES:
-            for gone in self.workers.keys() - {entry.worker for entry in event.entries}:
-                self.workers[gone].state = pk.WorkerState.GONE
-        fresh = [w for w in self.workers.values() if w.state is pk.WorkerState.READY and w.id not in listed]
+        fresh = self.listed(event)
         self.rng.shuffle(fresh)  # an arbitrary first order, another one at each dispatcher
         self.order = [w for w in self.order if w.state is pk.WorkerState.READY] + fresh
         self._rank(now)
@@ -497,14 +503,6 @@
         recall(self, table, self.s.position, now)
         self._rank(now)
 
-    def avoided(self, now: float) -> set[int]:
-        """Workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
-        return {
-            w.id for w in self.workers.values()
-            if w.state is not pk.WorkerState.READY or now < w.ejected_until
-            or w.trials or w.still or w.suspect
-        }  # fmt: skip
-
     def _tell(self, now: float) -> None:
         """Counts go to every peer; where that is too much to read, to the relays, which sum them up."""
         to = self.peers.relays_since(now - SILENT * self.view_gap) if self.relayed else [-1]
@@ -514,10 +512,7 @@
 
     def _on_peer(self, event: pk.PeerMessage, now: float) -> None:
         for worker, badly in self.peers.hear(event, self.workers, now):
-            self._pool(worker, badly)
-
-    def _pool(self, worker: Worker, badly: bool) -> None:
-        worker.health += ((not badly) - worker.health) / TRIALS  # not each must pay for a first failure
+            worker.ended(badly)
 
     def _on_beat(self, _: None, now: float) -> None:
         """Relays: the first by position of whom something is heard; others step in when one is silent."""
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -6,14 +6,14 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf
 from typing import Any, NamedTuple, Protocol
 from zlib import crc32
 
 from heronlug import interface as pk
-from heronlug.learned import attempts
+from heronlug.learned import attempts, not_before
 from heronlug.logic import Dispatcher
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
@@ -63,6 +63,7 @@
 
     load: Any  # the front's own: what to relay, and whom to answer
     lane: int
+    terms: pk.JobClass  # its class with the limits that it was accepted under, whatever is set later
     give_up_at: float
     taken_at: float
     name: str = ""  # the client's own name for it; no two open ones may have the same
@@ -162,11 +163,18 @@
         return name in self.names or name in self.elsewhere
 
     def take(
-        self, load: Any, lane: int, remaining: float, *, name: str = "", size: int = 0, **fields: Any
-    ) -> Message:
-        """Take a message in; from here on it is owed one final answer.  ``fields`` are those of ``JobArrived``."""
+        self, load: Any, lane: int, remaining: float, *, name: str = "", size: int = 0,
+        terms: pk.JobClass | None = None, **fields: Any,
+    ) -> Message:  # fmt: skip
+        """Take a message in; from here on it is owed one final answer.  ``fields`` are those of ``JobArrived``.
+
+        ``terms`` are those it was accepted under, where that was earlier.
+        """
         now = self.deadlines.clock()
-        message = Message(load, lane, min(now + remaining, self.answer_by), now, name)
+        terms = terms or self.settings.classes[lane]
+        if terms.give_up:
+            remaining = min(remaining, terms.give_up)
+        message = Message(load, lane, terms, min(now + remaining, self.answer_by), now, name)
         message.ticket = self.messages.put(message)
         self.open += 1
         if name:
@@ -178,15 +186,16 @@
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
             self._close(message, Final.REFUSED, b"", self._max_come_back / 2)
         else:
-            self._give(pk.JobArrived(message.ticket, lane, message.give_up_at, **fields))
+            self._give(pk.JobArrived(message.ticket, lane, message.give_up_at, terms=terms, **fields))
         return message
 
     def adopt(
         self, load: Any, lane: int, give_up_at: float, taken_at: float, name: str,
-        passed: Sequence[tuple[HostEntry, pk.Attempt]], **fields: Any,
+        passed: Sequence[tuple[HostEntry, pk.Attempt]], terms: pk.JobClass, not_before: float = 0.0,
+        **fields: Any,
     ) -> Message:  # fmt: skip
         """Go on with a message that another process took; its relays that are out need their wires."""
-        message = Message(load, lane, give_up_at, taken_at, name)
+        message = Message(load, lane, terms, give_up_at, taken_at, name)
         message.ticket = self.messages.put(message)
         self.open += 1
         self.names.add(name)
@@ -201,8 +210,8 @@
             if relay.out:
                 relay.ticket = self.relays.put(relay)
             attempts.append(attempt._replace(worker=number))
-        arrived = pk.JobArrived(message.ticket, lane, give_up_at, **fields)
-        self._give(pk.JobAdopted(arrived, taken_at, tuple(attempts)))
+        arrived = pk.JobArrived(message.ticket, lane, give_up_at, terms=terms, **fields)
+        self._give(pk.JobAdopted(arrived, taken_at, tuple(attempts), not_before))
         return message
 
     def attempts(self, message: Message) -> list[tuple[HostEntry, pk.Attempt]] | None:
@@ -212,6 +221,10 @@
             return None
         return [(relay.host.entry, attempt) for relay, attempt in zip(message.relays, passed, strict=True)]
 
+    def not_before(self, message: Message) -> float:
+        """When a message that waits for its next relay may have it."""
+        return not_before(self.dispatcher, message.ticket)
+
     def pass_on(self, message: Message) -> None:
         """Another process goes on with it: nothing is owed here, and nothing has ended."""
         message.gone = True
@@ -223,6 +236,13 @@
         self._give(pk.JobPassedOn(message.ticket))
         self._forget(message)
 
+    def use(self, classes: tuple[pk.JobClass, ...]) -> None:
+        """Other limits from now on, in one step; what has been accepted keeps its own.
+
+        The classes stay the same in number, order, effect and aim: the module has learned by them.
+        """
+        self.settings = replace(self.settings, classes=classes)
+
     def leave(self, message: Message) -> None:
         """The client has gone: nothing is owed any more."""
         if not message.closed:
@@ -405,7 +425,8 @@
         relay = Relay(message, len(message.relays), host, now)
         message.relays.append(relay)
         relay.ticket = self.relays.put(relay)
-        if message.closed or now >= message.give_up_at or relay.number >= self.settings.attempts_cap:
+        cap = min(message.terms.attempts or self.settings.attempts_cap, self.settings.attempts_cap)
+        if message.closed or now >= message.give_up_at or relay.number >= cap:
             self.ended(relay, pk.Outcome.MOOT)
         else:
             self.front.send(relay)
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -21,6 +21,8 @@
         "suspect", "told", "trials", "waiting", "zone",
     )  # fmt: skip
 
+    HEALTH = 1 / 4  # of the way to how the last attempt ended
+
     def __init__(self, entry: pk.WorkerEntry, model: "Kind") -> None:
         self.id, self.state, self.zone, self.kind, self.cell = entry[:5]
         self.model = model  # what is known of its kind
@@ -47,13 +49,17 @@
         self.recent = Recent()  # work sent while cold
         self.budget = 0.0  # what that may be within the stated span; infinite once warm
 
+    def ended(self, badly: bool) -> None:
+        """How an attempt of some dispatcher ended here: not each must pay for a first failure."""
+        self.health += ((not badly) - self.health) * self.HEALTH
+
 
 class Job:
     """A job taken and not yet answered."""
 
     __slots__ = (
-        "attempts", "cls", "due", "faulted", "give_up_at", "harmless", "id", "lane", "last_start", "need", "once",
-        "over", "patient_until", "room", "size", "value", "work",
+        "attempts", "cap", "cls", "due", "faulted", "give_up_at", "harmless", "id", "lane", "last_start", "need",
+        "not_before", "once", "over", "patient_until", "room", "size", "value", "work",
     )  # fmt: skip
 
     def __init__(self, event: pk.JobArrived, lane: pk.JobClass) -> None:
@@ -61,6 +67,8 @@
         self.need = max(event.slots, event.memory, 1.0)  # a worker has one unit of memory a slot
         self.room = max(event.memory, 1.0)  # to begin with: asking for all its slots, a wide job starves
         self.size = event.hint
+        self.cap = 0  # attempts it may have
+        self.not_before = 0.0  # its limits have it wait so long for the next one
         self.once = lane.effect is pk.Effect.ONCE
         everywhere = lane.effect is pk.Effect.BY_KEY and lane.key_scope is pk.KeyScope.ALL
         self.harmless = everywhere or lane.effect is pk.Effect.REPEATABLE  # to try again, whatever ran
@@ -81,13 +89,20 @@
 class Flight:
     """One attempt."""
 
-    __slots__ = ("heard", "job", "may_have_run", "mute", "out", "sent", "waiting", "worker")
+    __slots__ = ("heard", "job", "may_have_run", "mute", "out", "overrun", "sent", "waiting", "worker")
 
     def __init__(self, job: Job, worker: Worker, sent: float, waiting: bool) -> None:
         self.job, self.worker, self.sent, self.waiting = job, worker, sent, waiting
         self.out = self.may_have_run = True  # an attempt still out may have run
         self.heard = sent  # when it last told of its start or progress
         self.mute = False  # it has started, and told nothing for some periods
+        self.overrun = False  # its limits have had it cancelled
+
+    def hear(self, now: float) -> None:
+        """Its worker tells of it."""
+        self.worker.mute -= self.mute
+        self.mute = self.worker.still = False
+        self.heard = self.worker.heard = now
 
 
 class Bucket:
@@ -184,11 +199,19 @@
     __slots__ = ("low", "slots", "top")
 
     STEP = 1 / 8  # of the way to what a start or a wait shows: counts from peers are a little old
+    LEARN = 1 / 16  # of the way to what a report shows
 
     def __init__(self, slots: float = 1.0) -> None:
         self.top = self.low = 1.0  # the most that were free at once; what report after report bears out
         self.slots = slots  # what is taken for it, while nothing is known
 
+    def reported(self, free: float) -> None:
+        """The most slots seen free; never idle, a worker never shows all, but the attempt had one too."""
+        self.top = max(self.top, round(free))
+        if round(free) > 0:
+            self.low = min(free + 1, self.low + self.LEARN * (free + 1 - self.low))
+        self.slots = float(max(self.top, round(self.low)))
+
     def started(self, busy: float) -> None:
         """A job has started, and with it so many slots are in use."""
         self.slots += self.STEP * max(0.0, busy - self.slots)
@@ -427,3 +450,36 @@
         self.seen = 0  # sums read when the held jobs were last looked at
         self.free: set[int] = set()  # ids of workers that the sums do not tell to be full
         self.seq = self.arrivals = self.asks = 0
+
+    def listed(self, event: pk.WorkerList) -> list[Worker]:
+        """Take a list in; returns the workers that are ready and were not before."""
+        before = {worker.id for worker in self.order}
+        for entry in event.entries:
+            worker = self.workers.get(entry.worker) or Worker(entry, self.kinds[entry.kind])
+            self.workers[entry.worker] = worker
+            if entry.started_at != worker.started_at:
+                worker.fresh(entry.started_at)
+            worker.state, worker.zone, worker.kind, worker.cell = entry[1:5]
+        if event.kind != pk.ListKind.CHANGES:
+            for gone in self.workers.keys() - {entry.worker for entry in event.entries}:
+                self.workers[gone].state = pk.WorkerState.GONE
+        return [w for w in self.workers.values() if w.state is pk.WorkerState.READY and w.id not in before]
+
+    def book(self, flight: Flight, way: int) -> None:
+        """One attempt of ours more in flight, or one less (-1)."""
+        worker, slots = flight.worker, way * flight.job.need
+        if worker.moved_at != self.peers.reads:
+            worker.moved_at, worker.moved = self.peers.reads, 0.0
+        worker.moved += slots
+        worker.own = max(0.0, worker.own + slots)
+        worker.flights += way
+        worker.waiting += way * flight.waiting
+        self.peers.changed[worker.id] = worker
+
+    def avoided(self, now: float) -> set[int]:
+        """Workers that get no ordinary jobs now: told off, ejected or on trial, standing still, or marked."""
+        return {
+            w.id for w in self.workers.values()
+            if w.state is not pk.WorkerState.READY or now < w.ejected_until
+            or w.trials or w.still or w.suspect
+        }  # fmt: skip
--- /dev/null
+++ b/heronlug/standin/host.py
@@ -0,0 +1,135 @@
+"""A stand-in host of the platform's protocol: it runs what it is sent for a while, and keeps a ledger of that.
+
+PROTOCOL, *Dispatchers to runners*: a request begins when its last byte has come; the answer is 200 in chunks with one
+JSON object a line, or a 503 with ``X-Turned-Away``.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple, cast
+
+import httptools
+import orjson
+
+NAME = "stand-in"
+
+
+class Behaviour(NamedTuple):
+    """What becomes of one request."""
+
+    run: float = 0.02  # seconds
+    end: str = "done"  # or failed, returned, lost (by the protocol), turned_away, reset, silent
+
+
+class Begun(NamedTuple):
+    """A request whose last byte has come."""
+
+    txn: str
+    lane: str
+    number: int  # of those of the same X-Txn here, from 1
+
+
+class Host:
+    """A listening stand-in; ``behave`` is asked for each request."""
+
+    def __init__(self, behave: Callable[[Begun], Behaviour] = lambda begun: Behaviour()) -> None:
+        self.behave = behave
+        self.begun: Counter[str] = Counter()  # by X-Txn
+        self.running = self.most = 0
+        self.connections: set[Connection] = set()
+        self._server: asyncio.AbstractServer | None = None
+
+    async def open(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Listen; returns the port.  Raises ``OSError``."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=512)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Listen no more, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a dispatcher: one request at a time."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A dispatcher has dialled."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.host.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of a request; what is no HTTP ends the connection."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport is not None:
+                self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Gone: what ran here is cancelled."""
+        self.host.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self.host.running -= 1
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._headers = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        self._headers[name.lower()] = value
+
+    def on_message_complete(self) -> None:
+        """The last byte: the job begins."""
+        txn = self._headers.get(b"x-txn", b"").decode()
+        lane = self._headers.get(b"x-lane", b"").decode()
+        self.host.begun[txn] += 1
+        how = self.host.behave(Begun(txn, lane, self.host.begun[txn]))
+        if how.end == "turned_away":
+            self.host.begun[txn] -= 1  # it never ran
+            self._write(b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+            return
+        self.host.running += 1
+        self.host.most = max(self.host.most, self.host.running)
+        self._write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._line({"id": txn, "from": NAME, "state": "started"})
+        if how.end == "silent":
+            self._timer = asyncio.get_running_loop().call_later(3600, self._end, txn, how)
+        else:
+            self._timer = asyncio.get_running_loop().call_later(how.run, self._end, txn, how)
+
+    def _end(self, txn: str, how: Behaviour) -> None:
+        self._timer = None
+        self.host.running -= 1
+        if how.end == "reset":
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        if how.end == "returned":
+            self.host.begun[txn] -= 1
+        result = {"result": f"run {self.host.begun[txn]} of {txn}"} if how.end == "done" else {}
+        self._line({"id": txn, "from": NAME, "state": how.end, **result})
+        self._write(b"0\r\n\r\n")
+
+    def _line(self, table: dict[str, Any]) -> None:
+        line = orjson.dumps(table, option=orjson.OPT_APPEND_NEWLINE)
+        self._write(b"%x\r\n%s\r\n" % (len(line), line))
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from heronlug.interface import ListKind, NoteKind, Outcome, WorkerState
+from heronlug.interface import JobClass, ListKind, NoteKind, Outcome, WorkerState
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
@@ -62,6 +62,7 @@
     table: dict[str, Any]
     size: int
     reserve_for: float
+    terms: JobClass  # as it was accepted under, also for a time that is to come
     final: Final | None = None
 
 
@@ -363,7 +364,8 @@
             raise Refusal("stopping, try another dispatcher")
         if len(self.jobs) >= self.terms.max_known:
             raise Refusal("too many jobs are known, come back later")
-        job = Job(jid, lane, queue, table, size, reserve * 1000 if reserve else self.terms.reserve_for)
+        reserve = reserve * 1000 if reserve else self.terms.reserve_for
+        job = Job(jid, lane, queue, table, size, reserve, self.core.settings.classes[lane])
         self.jobs[jid] = job
         due = self._due(table)
         if due > self.deadlines.clock():
@@ -402,7 +404,7 @@
 
     def _take(self, job: Job, remaining: float) -> Message:
         self._scheduled.pop(job.jid, None)
-        return self.core.take(job, job.lane, remaining, size=job.size)
+        return self.core.take(job, job.lane, remaining, size=job.size, terms=job.terms)
 
     # -- workers
 
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -178,8 +178,8 @@
         self._dial: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
-        """Begin a watch, unless one is on."""
-        if not self._watching:
+        """Begin a watch, unless one is on, or there is nowhere to ask."""
+        if not self._watching and self.address:
             self._watching = self._fresh = True
             self._ask()
 
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -163,6 +163,8 @@
         assert self.transport is not None
         request = relay.message.load
         remaining = relay.message.give_up_at - self.south.deadlines.clock()
+        if relay.message.terms.attempt_timeout:
+            remaining = min(remaining, relay.message.terms.attempt_timeout)
         data = http.request(
             request.method, request.target, self.address, relay_head(request, remaining), request.body
         )
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -340,15 +340,14 @@
 
 def test_slots_of_a_worker_that_is_never_idle() -> None:
     """Risk: two slots, one always taken, are reported as one free for ever; half the fleet stands idle."""
-    dispatcher = Dispatcher(with_settings(), 1)
     tight, loose = Kind(), Kind()
     for _ in range(12):
-        dispatcher._learn_slots(tight, 1.0)
+        tight.reported(1.0)
     assert tight.slots == 2 and loose.slots == 1
     for _ in range(20):
-        dispatcher._learn_slots(loose, 2.1)
+        loose.reported(2.1)
     assert loose.slots == 3
-    dispatcher._learn_slots(loose, 0.9)  # takes the guess back, not what was seen free
+    loose.reported(0.9)  # takes the guess back, not what was seen free
     assert loose.slots == 2
 
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -118,17 +118,19 @@
         self.assertIn("plugin p: the plan is stale", self.call("apply", plan)[2])
 
     def test_bad_file_names_file_and_key(self) -> None:
-        for rest, key in (
-            ("fuel = 'x'", "plugin[0].fuel: 'x' is no number"),
-            ("fule = 1", "plugin[0].fule: unknown key"),
-            ("[[plugin]]\nname = 'q'\nfile = 'none'", "plugin[1].file: No such file or directory"),
-            ("[other]", "other: unknown key"),
-            ("= 1", "Invalid statement"),
+        for rest, line, key in (
+            ("fuel = 'x'", 7, "plugin.0.fuel: 'x' is no number"),
+            ("fule = 1", 7, "plugin.0.fule: unknown key"),
+            ("[[plugin]]\nname = 'q'\nfile = 'none'", 9, "plugin.1.file: No such file or directory"),
+            ("[other]", 7, "other: unknown key"),
+            ("= 1", 7, "Invalid statement"),
+            ("[class.once]\nattempts = 4", 8, "class.once.attempts: 4 attempts, and the site allows 3"),
+            ("[class.none]\nattempts = 2", 7, "class.none: the site has no such class"),
         ):
             path = self.write("bad.toml", self.port, rest)
             status, _, error = self.call("plan", path)
             self.assertEqual((status, error.count("\n")), (1, 1))
-            self.assertIn(f"{path}: {key}", error)
+            self.assertIn(f"{path}:{line}: {key}", error)
         plan = self.folder / "plan.json"
         plan.write_text(json.dumps({"base": 1}))
         self.assertEqual(self.call("apply", plan)[0], 1)
