Cluster of dispatchers: SWIM membership, leases with fences and handover, in virtual time

Need: each dispatcher does all periodic work itself; duties are to be split and taken over within seconds, over datagrams that may be lost, and never done by two at once.

Change: heronlug/cluster, without I/O, clock or randomness of its own: membership (SWIM with Lifeguard's local health, suspicion time and buddy), rendezvous ownership (xxhash), leases granted by every member that is not held dead, fences, handover, sealed datagrams of 256 bytes. A virtual network with loss, delay, duplicates, cuts, pauses and clocks 1% apart checks after every event that no duty has two owners and no fence is had twice. Faults that it found and that are mended: a restarted voter forgot what it had granted (it grants nothing new before that has run out); a fence seen and a fence granted were one thing; two that asked raised each other's fences for ever; a member that hears and is not heard took itself for the only one (who was heard just now has a vote).

--- /dev/null
+++ b/heronlug/cluster/codec.py
@@ -0,0 +1,240 @@
+"""Datagrams of the cluster: at most 256 bytes, of a fixed form, under a keyed BLAKE2 tag.
+
+    byte 0      "H"
+         1      version, 1
+         2      which key
+         3..6   tag of the sender's name
+         7..14  stamp of the sender, above all of its stamps before
+         15..   parts: a byte for the kind, then the part's own form
+    last 12     BLAKE2b over all before, with the key
+
+A datagram of an unknown version is counted and left.  One with a stamp that has been seen, or too far below the newest
+of its sender, is a replay.  Weighed against msgpack: see docs/design/cluster.md.
+"""
+
+import hmac
+import struct
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+from typing import NamedTuple
+
+from heronlug.cluster.model import Fence, Health, News
+
+VERSION, MOST, TAG = 1, 256, 12
+HEAD = struct.Struct(">cBBIQ")
+ROOM = MOST - HEAD.size - TAG
+WINDOW = 64  # stamps below a sender's newest that may still come, each once
+MARK = b"H"
+
+
+class Ping(NamedTuple):
+    """Answer with an :class:`Ack` of this number."""
+
+    number: int
+
+
+class Ack(NamedTuple):
+    """The answer; also passed on by whoever was asked to probe."""
+
+    number: int
+
+
+class PingFor(NamedTuple):
+    """Ping somebody for the sender, and pass the answer on."""
+
+    number: int
+    whom: int  # tag
+
+
+class Nack(NamedTuple):
+    """Whoever was asked to probe has no answer: it is there, so the sender itself is not to blame (Lifeguard)."""
+
+    number: int
+
+
+class Sync(NamedTuple):
+    """The sender has just come: tell it of everybody."""
+
+
+class Ask(NamedTuple):
+    """The sender wants a lease, or goes on with one.  ``freed`` is the fence of a predecessor that has let go."""
+
+    duty: int
+    fence: Fence
+    number: int
+    freed: Fence
+
+
+class Grant(NamedTuple):
+    """It has it, for the lease's time from when this was sent by the clock of who grants."""
+
+    duty: int
+    fence: Fence
+    number: int
+
+
+class Deny(NamedTuple):
+    """Another has it, or has had it with a higher fence."""
+
+    duty: int
+    held: Fence
+    number: int
+
+
+class Offer(NamedTuple):
+    """Handover: take this duty after ``fence``."""
+
+    duty: int
+    fence: Fence
+
+
+class Accept(NamedTuple):
+    """Handover: yes."""
+
+    duty: int
+    fence: Fence
+
+
+class Done(NamedTuple):
+    """Handover: the sender acts no more under ``fence``."""
+
+    duty: int
+    fence: Fence
+
+
+class Free(NamedTuple):
+    """The sender has let go of this fence: votes for it are free."""
+
+    duty: int
+    fence: Fence
+
+
+Part = Ping | Ack | PingFor | Nack | Sync | Ask | Grant | Deny | Offer | Accept | Done | Free | News
+
+_FORMS: dict[type, tuple[int, struct.Struct]] = {
+    Ping: (1, struct.Struct(">I")), Ack: (2, struct.Struct(">I")), PingFor: (3, struct.Struct(">II")),
+    Nack: (4, struct.Struct(">I")), Sync: (5, struct.Struct(">")), Ask: (6, struct.Struct(">IQIIQI")),
+    Grant: (7, struct.Struct(">IQII")), Deny: (8, struct.Struct(">IQII")), Offer: (9, struct.Struct(">IQI")),
+    Accept: (10, struct.Struct(">IQI")), Done: (11, struct.Struct(">IQI")),
+    Free: (13, struct.Struct(">IQI")),
+}  # fmt: skip
+_KINDS = {kind: (part, form) for part, (kind, form) in _FORMS.items()}
+_NEWS, _NEWS_FORM = 12, struct.Struct(">QBBB")  # incarnation, health, lengths of name and address
+
+
+def encode_part(part: Part) -> bytes:
+    """One part."""
+    if isinstance(part, News):
+        name, address = part.name.encode(), part.address.encode()
+        head = _NEWS_FORM.pack(part.incarnation, part.health, len(name), len(address))
+        return bytes([_NEWS]) + head + name + address
+    kind, form = _FORMS[type(part)]
+    flat: list[int] = []
+    for value in part:
+        flat += value if isinstance(value, Fence) else [value]
+    return bytes([kind]) + form.pack(*flat)
+
+
+def decode_parts(body: bytes) -> list[Part]:
+    """All parts; raises ``ValueError`` where the bytes make no sense."""
+    parts: list[Part] = []
+    at = 0
+    try:
+        while at < len(body):
+            kind, at = body[at], at + 1
+            if kind == _NEWS:
+                incarnation, health, name, address = _NEWS_FORM.unpack_from(body, at)
+                at += _NEWS_FORM.size
+                if at + name + address > len(body) or not name:
+                    raise ValueError("news is cut off")
+                words = body[at : at + name].decode(), body[at + name : at + name + address].decode()
+                parts.append(News(*words, incarnation, Health(health)))
+                at += name + address
+            else:
+                part, form = _KINDS[kind]
+                parts.append(_part(part, form.unpack_from(body, at)))
+                at += form.size
+    except (struct.error, KeyError) as error:
+        raise ValueError(f"no part: {error!r}") from None
+    return parts
+
+
+def _part(kind: type, flat: tuple[int, ...]) -> Part:
+    if kind in (Grant, Deny):
+        return kind(flat[0], Fence(*flat[1:3]), flat[3])  # type: ignore[no-any-return]
+    if kind in (Offer, Accept, Done, Free):
+        return kind(flat[0], Fence(*flat[1:3]))  # type: ignore[no-any-return]
+    if kind is Ask:
+        return Ask(flat[0], Fence(*flat[1:3]), flat[3], Fence(*flat[4:6]))
+    return kind(*flat)  # type: ignore[no-any-return]
+
+
+class Seal:
+    """Puts parts into datagrams and takes them out: keys, stamps and counts of what was dropped.
+
+    ``keys`` are one or two by their number; the first one signs, all are accepted.  So a key is replaced in service by
+    adding the new one everywhere, then putting it first everywhere, then taking the old one out.
+    """
+
+    def __init__(self, tag: int, keys: Mapping[int, bytes], stamp: int) -> None:
+        self.tag, self.keys = tag, dict(keys)
+        self.dropped: Counter[str] = Counter()
+        self._stamp = stamp
+        self._seen: dict[int, tuple[int, int]] = {}  # newest stamp of a sender, and which below it have come
+
+    def pack(self, parts: Iterable[Part]) -> list[bytes]:
+        """Datagrams with all these parts, as few as will do."""
+        bodies: list[bytes] = [b""]
+        for part in parts:
+            data = encode_part(part)
+            if len(bodies[-1]) + len(data) > ROOM:
+                bodies.append(b"")
+            bodies[-1] += data
+        return [self._sealed(body) for body in bodies if body]
+
+    def unpack(self, data: bytes) -> tuple[int, list[Part]] | None:
+        """The sender's tag and the parts; None for what is dropped, which is counted by its reason."""
+        reason = self._reason(data)
+        if reason:
+            self.dropped[reason] += 1
+            return None
+        _, _, _, sender, stamp = HEAD.unpack_from(data)
+        try:
+            parts = decode_parts(data[HEAD.size : -TAG])
+        except ValueError:
+            self.dropped["malformed"] += 1
+            return None
+        if not self._fresh(sender, stamp):
+            self.dropped["replayed"] += 1
+            return None
+        return sender, parts
+
+    def _sealed(self, body: bytes) -> bytes:
+        self._stamp += 1
+        key = next(iter(self.keys))
+        data = HEAD.pack(MARK, VERSION, key, self.tag, self._stamp) + body
+        return data + blake2b(data, digest_size=TAG, key=self.keys[key]).digest()
+
+    def _reason(self, data: bytes) -> str:
+        if len(data) < HEAD.size + TAG or len(data) > MOST or data[:1] != MARK:
+            return "truncated" if data[:1] == MARK else "malformed"
+        if data[1] != VERSION:
+            return "version"
+        key = self.keys.get(data[2])
+        if key is None:
+            return "unknown_key"
+        tag = blake2b(data[:-TAG], digest_size=TAG, key=key).digest()
+        return "" if hmac.compare_digest(tag, data[-TAG:]) else "forged"
+
+    def _fresh(self, sender: int, stamp: int) -> bool:
+        newest, below = self._seen.get(sender, (0, 0))
+        if stamp > newest:
+            below = (below << (stamp - newest) | 1 << (stamp - newest - 1)) if stamp - newest < WINDOW else 0
+            self._seen[sender] = stamp, below & ((1 << WINDOW) - 1)
+            return True
+        bit = 1 << (newest - stamp - 1) if stamp < newest else 0
+        if not bit or newest - stamp > WINDOW or below & bit:
+            return False
+        self._seen[sender] = newest, below | bit
+        return True
--- /dev/null
+++ b/heronlug/cluster/leases.py
@@ -0,0 +1,276 @@
+"""Leases of duties: who may act, under which fencing number, and how a duty is handed over.
+
+A lease is granted by every member that the owner does not hold dead (its voters), itself included. A voter has
+granted a duty to one owner at a time, until its own clock has run ``lease`` past the grant; the owner counts from
+when it asked and stops ``2 * drift`` earlier, so it never acts when a voter's grant has run out. Hence two may act at
+once only where neither has a voter in common with the other: each holds the other dead, and everybody who voted for
+it. That is a partition, or a member that all others hold dead and that holds all others dead; both act under
+different fences, and after the first datagram between them the one with the lower fence stops.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from math import inf
+
+from xxhash import xxh32_intdigest
+
+from heronlug.cluster.codec import Accept, Ask, Deny, Done, Free, Grant, Offer, Part
+from heronlug.cluster.model import NO_FENCE, Fence, Gained, Lost, Terms
+from heronlug.cluster.ownership import ranked, tag
+
+OFFERS = 12  # offers, and farewells, before one lets go without an answer
+NUMBERS = 32  # requests remembered
+
+
+class Stage(Enum):
+    """Where one member stands with a duty."""
+
+    IDLE = "idle"
+    ASKING = "asking"
+    HOLDING = "holding"
+    OFFERING = "offering"  # holding, and somebody else should
+    PASSED = "passed"  # stopped for somebody who has accepted
+
+
+class Vote:
+    """What this member has granted of a duty."""
+
+    __slots__ = ("fence", "highest", "until")
+
+    def __init__(self) -> None:
+        self.fence, self.highest, self.until = NO_FENCE, NO_FENCE, -inf
+
+
+class Duty:
+    """One duty as one member sees it."""
+
+    __slots__ = ("asked", "fence", "freed", "granted", "heir", "key", "name", "next", "promised", "seen", "stage",
+                 "takeovers", "tries", "until", "vote")  # fmt: skip
+
+    def __init__(self, name: str) -> None:
+        self.name, self.key = name, tag(name)
+        self.stage = Stage.IDLE
+        self.vote = Vote()
+        self.fence = NO_FENCE  # ours
+        self.seen = NO_FENCE  # the highest that others have told; what our own vote has granted is another matter
+        self.until = -inf  # so long we may act
+        self.granted: dict[int, float] = {}  # by voter: until when, by our clock
+        self.asked: dict[int, float] = {}  # when we sent which request
+        self.freed = NO_FENCE  # whose owner has let go of it for us
+        self.promised = -inf  # so long we ask for it, for somebody hands it to us
+        self.heir = 0  # whom we hand it to
+        self.next = -inf  # when to send something again
+        self.tries = 0
+        self.takeovers = 0
+
+
+class Leases:
+    """All duties of one member."""
+
+    def __init__(
+        self, name: str, incarnation: int, duties: list[str], terms: Terms,
+        send: Callable[[int, Part], None], told: Callable[[Gained | Lost], None],
+        voters: Callable[[float], dict[int, str]], candidates: Callable[[float], list[str]],
+    ) -> None:  # fmt: skip
+        """``voters`` are the others by tag, ``candidates`` the names of those that may own, perhaps us too."""
+        self.name, self.tag, self.terms = name, tag(name), terms
+        self.life = tag(f"{name}\0{incarnation}")  # of this process: a restart never repeats a fence
+        self.duties = {duty.key: duty for duty in map(Duty, duties)}
+        self.leaving = False
+        self.votes_from = inf  # set once it is known when we began
+        self.conflicts = 0  # times that we stopped for a higher fence
+        self._floor = incarnation
+        self._number = 0
+        self._send, self._told, self._voters, self._candidates = send, told, voters, candidates
+        self._span = terms.lease * (1 - 2 * terms.drift)
+
+    # -- what is known
+
+    def may_act(self, key: int, now: float) -> Fence | None:
+        """Our fence while the lease holds; to be asked again before each step that matters."""
+        duty = self.duties[key]
+        return duty.fence if duty.stage in (Stage.HOLDING, Stage.OFFERING) and now < duty.until else None
+
+    def next(self) -> float:
+        """When there is something to do."""
+        return min((d.next for d in self.duties.values()), default=inf)
+
+    def idle(self) -> bool:
+        """Whether we own nothing and owe nobody an answer."""
+        return all(duty.stage in (Stage.IDLE, Stage.ASKING) for duty in self.duties.values())
+
+    # -- time
+
+    def wake(self, now: float) -> None:
+        """Do what is due."""
+        voters = self._voters(now)
+        candidates = self._candidates(now)
+        for duty in self.duties.values():
+            self._lapse(duty, now)
+            if duty.next <= now:
+                self._step(duty, voters, candidates, now)
+
+    def _lapse(self, duty: Duty, now: float) -> None:
+        if duty.stage in (Stage.HOLDING, Stage.OFFERING) and now >= duty.until:
+            self._stop(duty, Stage.IDLE, "lease over")
+
+    def _step(self, duty: Duty, voters: dict[int, str], candidates: list[str], now: float) -> None:
+        """What one member does about a duty, by its stage."""
+        first = next(iter(ranked(duty.name, candidates)), "")
+        ours = not self.leaving and (first == self.name or now < duty.promised)
+        duty.next = now + self.terms.ask_every
+        if duty.stage is Stage.IDLE and ours:
+            duty.stage, duty.tries = Stage.ASKING, 0
+            self._new_fence(duty)
+        elif duty.stage is Stage.ASKING and not ours:
+            self._let_go(duty, now)
+            duty.stage = Stage.IDLE
+        elif duty.stage is Stage.HOLDING and not ours and first:
+            duty.stage, duty.heir, duty.tries = Stage.OFFERING, tag(first), 0
+        elif duty.stage is Stage.OFFERING and (ours or tag(first) != duty.heir):
+            duty.stage = Stage.HOLDING
+        if duty.stage is Stage.ASKING:
+            self._ask(duty, voters, now)
+        elif duty.stage is Stage.HOLDING or duty.stage is Stage.OFFERING:
+            if min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag]) - now < self._renewal():
+                self._ask(duty, voters, now)
+            if duty.stage is Stage.OFFERING:
+                duty.tries += 1
+                self._send(duty.heir, Offer(duty.key, duty.fence))
+                if self.leaving and duty.tries > OFFERS:
+                    self._stop(duty, Stage.IDLE, "left without an heir")
+        elif duty.stage is Stage.PASSED:
+            duty.tries += 1
+            if duty.tries > OFFERS or now >= duty.until:
+                duty.stage = Stage.IDLE
+            else:
+                self._send(duty.heir, Done(duty.key, duty.fence))
+
+    def _renewal(self) -> float:
+        """With less left than this, a lease is renewed."""
+        return self.terms.lease * (1 - self.terms.renew_at)
+
+    def _new_fence(self, duty: Duty) -> None:
+        number = max(duty.vote.highest.number, duty.seen.number, duty.fence.number, self._floor) + 1
+        duty.fence = Fence(number, self.life)
+        duty.granted.clear()
+        duty.asked.clear()
+
+    def _ask(self, duty: Duty, voters: dict[int, str], now: float) -> None:
+        """Ask those whose grant runs out first; our own vote is given like any other."""
+        self._number = (self._number + 1) & 0xFFFFFFFF
+        duty.asked[self._number] = now
+        for number in list(duty.asked)[:-NUMBERS]:
+            del duty.asked[number]
+        holding = duty.stage is not Stage.ASKING and now < duty.until
+        ask = Ask(duty.key, duty.fence, self._number, duty.fence if holding else duty.freed)
+        answer = self._vote(duty, ask, now)
+        if isinstance(answer, Deny):
+            self._denied(duty, answer, now)
+            return
+        duty.granted[self.tag] = now + self._span
+        for voter in voters:
+            if duty.granted.get(voter, -inf) - now < self._renewal():
+                self._send(voter, ask)
+        self._reckon(duty, voters, now)
+
+    def _reckon(self, duty: Duty, voters: dict[int, str], now: float) -> None:
+        """A lease holds as long as every voter's grant; what was secured once stays so."""
+        until = min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag])
+        if until <= now:
+            return
+        duty.until = max(duty.until, until)
+        if duty.stage is Stage.ASKING:
+            cause = "handed over" if duty.freed != NO_FENCE else "taken over"
+            duty.stage, duty.freed, duty.promised = Stage.HOLDING, NO_FENCE, -inf
+            duty.takeovers += 1
+            self._told(Gained(duty.name, duty.fence, cause))
+
+    def _stop(self, duty: Duty, stage: Stage, cause: str) -> None:
+        duty.stage = stage
+        if stage is Stage.IDLE:
+            duty.until = -inf
+            duty.granted.clear()
+        self._told(Lost(duty.name, duty.fence, cause))
+
+    # -- datagrams
+
+    def heard(self, sender: int, part: Part, now: float) -> None:
+        """A part that has to do with a duty."""
+        if not isinstance(part, Ask | Grant | Deny | Offer | Accept | Done | Free):
+            return
+        duty = self.duties.get(part.duty)
+        if duty is None:
+            return
+        self._lapse(duty, now)
+        if isinstance(part, Ask):
+            if duty.stage is Stage.PASSED and part.fence > duty.fence and sender == duty.heir:
+                duty.stage, duty.next = Stage.IDLE, now + self.terms.lease  # our farewell has come through
+            self._send(sender, self._vote(duty, part, now))
+        elif isinstance(part, Grant) and part.fence == duty.fence and part.number in duty.asked:
+            until = duty.asked[part.number] + self._span
+            duty.granted[sender] = max(until, duty.granted.get(sender, -inf))
+            if duty.stage in (Stage.ASKING, Stage.HOLDING, Stage.OFFERING):
+                self._reckon(duty, self._voters(now), now)
+        elif isinstance(part, Deny) and part.number in duty.asked:
+            self._denied(duty, part, now)
+        elif isinstance(part, Offer) and not self.leaving:
+            self._send(sender, Accept(duty.key, part.fence))
+        elif isinstance(part, Accept) and duty.stage is Stage.OFFERING:
+            if part.fence == duty.fence and sender == duty.heir:
+                duty.tries, duty.next = 0, now
+                self._let_go(duty, now)
+                duty.next = now
+                self._stop(duty, Stage.PASSED, "handed over")
+                self._send(duty.heir, Done(duty.key, duty.fence))
+        elif isinstance(part, Free):
+            if part.fence == duty.vote.fence:
+                duty.vote.until = -inf
+        elif isinstance(part, Done) and not self.leaving and duty.stage in (Stage.IDLE, Stage.ASKING):
+            if part.fence >= duty.vote.highest or part.fence == duty.vote.fence:
+                duty.freed, duty.promised, duty.next = part.fence, now + self.terms.lease, now
+
+    def _vote(self, duty: Duty, ask: Ask, now: float) -> Grant | Deny:
+        """Grant one owner at a time, and never a fence below what has been granted."""
+        vote = duty.vote
+        if now < self.votes_from and ask.freed != ask.fence:
+            # what the process before us has granted is not known here: until that has run out, only those that
+            # hold a lease already, and say so by their own fence, may go on
+            return Deny(duty.key, vote.highest, ask.number)
+        if ask.fence != vote.fence:
+            free = now >= vote.until or (ask.freed == vote.fence != NO_FENCE)
+            free = free or ask.fence.owner == vote.fence.owner  # it asks anew, and acts no more under the one before
+            if not free or ask.fence <= vote.highest:
+                return Deny(duty.key, vote.highest, ask.number)
+        vote.fence, vote.until = ask.fence, now + self.terms.lease
+        vote.highest = max(vote.highest, ask.fence)
+        return Grant(duty.key, ask.fence, ask.number)
+
+    def _denied(self, duty: Duty, deny: Deny, now: float) -> None:
+        """Somebody else has it, or asks for it too; with a higher fence than ours we give way.
+
+        The first time that may only mean that our number was too low: ask with one above.  After that two would go on
+        raising each other's, each with a part of the votes: free ours, and ask again a little later.
+        """
+        duty.seen = max(duty.seen, deny.held)
+        if deny.held <= duty.fence:
+            return
+        if duty.stage in (Stage.HOLDING, Stage.OFFERING):
+            self.conflicts += 1
+            self._let_go(duty, now)
+            self._stop(duty, Stage.IDLE, "higher fence seen")
+        elif duty.stage is Stage.ASKING and not duty.tries:
+            duty.tries = 1
+            self._new_fence(duty)
+        elif duty.stage is Stage.ASKING:
+            self._let_go(duty, now)
+            duty.stage = Stage.IDLE
+
+    def _let_go(self, duty: Duty, now: float) -> None:
+        for voter in self._voters(now):
+            self._send(voter, Free(duty.key, duty.fence))
+        if duty.vote.fence == duty.fence:
+            duty.vote.until = -inf
+        # not all at the same time, and without randomness of our own
+        share = xxh32_intdigest(f"{self.name}{duty.fence.number}".encode()) / 2**32
+        duty.next = now + self.terms.lease * (0.4 + 0.4 * share)
--- /dev/null
+++ b/heronlug/cluster/membership.py
@@ -0,0 +1,312 @@
+"""Who is there: SWIM with Lifeguard's refinements, without I/O, clock or randomness of its own.
+
+SWIM (Das, Gupta, Motivala 2002): a probe of one member each period, in a shuffled round; direct, then by others; news
+ride on the datagrams that go out anyway; a suspect has time to refute by a higher incarnation. Lifeguard (Dadgar,
+Phillips, Currey 2017): a member that seems slow itself probes more slowly (local health), suspicions get shorter as
+others confirm them, and a suspect that is probed is told so in the same datagram (buddy). Between dispatchers only:
+no host is probed.
+"""
+
+from collections.abc import Callable, Iterable
+from math import ceil, inf, log
+from random import Random
+
+from heronlug.cluster.codec import ROOM, Ack, Nack, Part, Ping, PingFor, Sync, encode_part
+from heronlug.cluster.model import Changed, Health, News, Terms
+from heronlug.cluster.ownership import tag
+
+PINGS = 4  # direct ones within a period: a lost datagram is no reason to suspect anybody
+PRESSING = 5000.0  # so long the dead are called more often, in ms
+PART = 64  # bytes left for what a datagram is sent for, the rest is for news
+
+
+class Member:
+    """Another member as it is known here."""
+
+    __slots__ = ("address", "came", "confirmed", "health", "heard", "incarnation", "name", "since", "tag")
+
+    RESTART = 1000  # refutations add one to an incarnation, a new process starts with the time
+
+    def __init__(self, name: str, address: str, incarnation: int, now: float) -> None:
+        self.name, self.address, self.incarnation, self.tag = name, address, incarnation, tag(name)
+        self.health, self.since = Health.ALIVE, now
+        self.heard = -inf  # when a datagram of it came last
+        self.came = now  # when it was last found to be there after it was not, or as a new process
+        self.confirmed: set[int] = set()  # tags of those that suspect it
+
+    @property
+    def counts(self) -> bool:
+        """Whether it is held to be there."""
+        return self.health <= Health.SUSPECT
+
+
+class Probe:
+    """The probe of this period."""
+
+    __slots__ = ("answered", "asked", "began", "ends", "member", "nacks", "number", "pings")
+
+    def __init__(self, member: Member, number: int, began: float, ends: float) -> None:
+        self.member, self.number, self.began, self.ends = member, number, began, ends
+        self.pings = 1
+        self.asked = self.nacks = 0  # others asked to probe too, and how many of them have no answer either
+        self.answered = False
+
+
+class Membership:
+    """The members as one of them sees them.  ``send`` takes an address and parts; ``told`` each change."""
+
+    def __init__(
+        self, name: str, address: str, incarnation: int, seeds: Iterable[str], terms: Terms, rng: Random,
+        send: Callable[[str, list[Part]], None], told: Callable[[Changed], None],
+    ) -> None:  # fmt: skip
+        self.name, self.address, self.incarnation, self.terms = name, address, incarnation, terms
+        self.members: dict[str, Member] = {}
+        self.by_tag: dict[int, Member] = {}
+        self.seeds = [seed for seed in seeds if seed != address]
+        self.leaving = False
+        self.slowness = 0  # Lifeguard's local health multiplier, 0 is well
+        self.suspicions = self.false_suspicions = self.refutations = self.clashes = 0
+        self._rng, self._send, self._told = rng, send, told
+        self._round: list[Member] = []
+        self._probe: Probe | None = None
+        self._number = rng.getrandbits(31)
+        self._next_probe = self._next_join = -inf
+        self._began = inf
+        self._for: dict[int, tuple[float, str, int, bool]] = {}  # probes for others: until, whom to tell, its number
+        self._news: dict[str, tuple[int, News]] = {}  # by name: how often it has been told, and what
+
+    # -- what is known
+
+    def others(self) -> list[Member]:
+        """Those that are held to be there."""
+        return [member for member in self.members.values() if member.counts]
+
+    def voters(self, now: float) -> list[Member]:
+        """Those that have a say: also who is held dead but was heard just now, for then it is we who are not heard."""
+        since = now - self.terms.lease
+        return [m for m in self.members.values() if m.counts or (m.health is Health.DEAD and m.heard > since)]
+
+    def next(self) -> float:
+        """When there is something to do."""
+        times = [self._next_probe, self._next_join, *(until for until, *_ in self._for.values())]
+        if self._probe is not None:
+            times.append(self._probe.began + self._probe.pings * self._pause())
+        times += [self._over(member) for member in self.members.values() if member.health is Health.SUSPECT]
+        return min(times)
+
+    def news(self, room: int = ROOM - PART) -> list[News]:
+        """What to tell next, within so many bytes: what has been told least first."""
+        limit = self.terms.spread * ceil(log(len(self.members) + 2, 2))
+        chosen: list[News] = []
+        for name in sorted(self._news, key=lambda name: self._news[name][0]):
+            told, item = self._news[name]
+            size = len(encode_part(item))
+            if size > room:
+                continue
+            room -= size
+            chosen.append(item)
+            if told + 1 >= limit:
+                del self._news[name]
+            else:
+                self._news[name] = told + 1, item
+        return chosen
+
+    # -- time
+
+    def wake(self, now: float) -> None:
+        """Do what is due."""
+        for number, (until, address, theirs, _) in list(self._for.items()):
+            if until <= now:
+                del self._for[number]
+                self._send(address, [Nack(theirs)])
+        for member in list(self.members.values()):
+            if member.health is Health.SUSPECT and self._over(member) <= now:
+                self._turn(member, Health.DEAD, now, "suspicion over")
+            elif not member.counts and now - member.since > self.terms.forget:
+                del self.members[member.name], self.by_tag[member.tag]
+        if now >= self._next_join:
+            self._began = min(self._began, now)
+            young = now - self._began < self.terms.settle  # the list has to be whole by the time that we own anything
+            # and whoever is cut off one way has to hear soon that the others are there
+            young = young or any(m.health is Health.DEAD and now - m.since < PRESSING for m in self.members.values())
+            self._next_join = now + self.terms.rejoin * self._rng.uniform(0.75, 1.25) / (8 if young else 1)
+            known = {member.address for member in self.others()}
+            missing = [seed for seed in self.seeds if seed not in known]
+            dead = [member.address for member in self.members.values() if member.health is Health.DEAD]
+            missing += [address for address in dead if address not in missing]
+            for seed in missing[:8]:
+                self._send(seed, [Sync(), self._self()])
+        self._drive(now)
+        if now >= self._next_probe:
+            self._begin(now)
+
+    def _pause(self) -> float:
+        return self.terms.probe_timeout * (self.slowness + 1)
+
+    def _over(self, member: Member) -> float:
+        """When a suspicion is over (LHA-Suspicion): the later, the fewer others confirm it."""
+        terms = self.terms
+        share = log(len(member.confirmed) or 1) / log(terms.confirmations + 1)
+        span = terms.suspicion_most - (terms.suspicion_most - terms.suspicion) * min(1.0, share)
+        return member.since + max(terms.suspicion, span)
+
+    def _begin(self, now: float) -> None:
+        if self._probe is not None and not self._probe.answered:
+            self._fail(self._probe, now)
+        self._probe = None
+        period = self.terms.period * (self.slowness + 1)
+        self._next_probe = now + period
+        if self.leaving:
+            return
+        while self._round and not self._round[-1].counts:
+            self._round.pop()
+        if not self._round:
+            self._round = self.others()
+            self._rng.shuffle(self._round)
+        if self._round:
+            self._number = (self._number + 1) & 0xFFFFFFFF
+            probe = self._probe = Probe(self._round.pop(), self._number, now, now + period)
+            self._ping(probe.member, probe.number)
+
+    def _drive(self, now: float) -> None:
+        """Within a period: ping again, and after the first time-out have others ping too."""
+        probe = self._probe
+        while probe is not None and not probe.answered and now >= probe.began + probe.pings * self._pause():
+            if probe.pings >= PINGS:
+                probe.pings += 1000  # nothing more until the period is over
+                return
+            probe.pings += 1
+            self._ping(probe.member, probe.number)
+            if not probe.asked:
+                helpers = [m for m in self.others() if m is not probe.member and m.health is Health.ALIVE]
+                for helper in self._rng.sample(helpers, min(self.terms.indirect, len(helpers))):
+                    probe.asked += 1
+                    self._send(helper.address, [PingFor(probe.number, probe.member.tag)])
+
+    def _ping(self, member: Member, number: int) -> None:
+        buddy = [self._about(member)] if member.health is Health.SUSPECT else []
+        self._send(member.address, [Ping(number), *buddy])
+
+    def _fail(self, probe: Probe, now: float) -> None:
+        # Lifeguard: helpers that did not even say that they have no answer speak for a fault of our own
+        self._slow(1 if probe.asked and not probe.nacks else 0)
+        if probe.member.counts:
+            self._suspect(probe.member, tag(self.name), now, "no answer")
+
+    def _slow(self, change: int) -> None:
+        self.slowness = max(0, min(self.terms.health_most, self.slowness + change))
+
+    # -- datagrams
+
+    def heard(self, sender: int, address: str, parts: Iterable[Part], now: float) -> None:
+        """What of a datagram has to do with members."""
+        known = self.by_tag.get(sender)
+        if known is not None:
+            known.heard = now
+        for part in parts:
+            if isinstance(part, Ping):
+                self._send(address, [Ack(part.number)])
+            elif isinstance(part, Ack):
+                self._answered(part.number, now)
+            elif isinstance(part, Nack):
+                if self._probe is not None and self._probe.number == part.number:
+                    self._probe.nacks += 1
+            elif isinstance(part, PingFor):
+                whom = self.by_tag.get(part.whom)
+                if whom is not None:
+                    self._number = (self._number + 1) & 0xFFFFFFFF
+                    self._for[self._number] = now + 2 * self.terms.probe_timeout, address, part.number, True
+                    self._ping(whom, self._number)
+            elif isinstance(part, Sync):
+                for member in [*self.members.values()]:
+                    self._send(address, [self._about(member)])
+                self._send(address, [self._self()])
+            elif isinstance(part, News):
+                self.learn(part, sender, now)
+
+    def _answered(self, number: int, now: float) -> None:
+        probe = self._probe
+        if number in self._for:
+            _, address, theirs, _ = self._for.pop(number)
+            self._send(address, [Ack(theirs)])
+        elif probe is not None and probe.number == number and not probe.answered:
+            probe.answered = True
+            self._slow(-1)
+
+    def learn(self, item: News, sender: int, now: float) -> None:
+        """Take news in, by SWIM's order: the higher incarnation, and at the same one the worse health."""
+        if item.name == self.name:
+            self._about_us(item)
+            return
+        member = self.members.get(item.name)
+        if member is None:
+            if tag(item.name) in self.by_tag or tag(item.name) == tag(self.name):
+                self.clashes += 1  # two names of one tag: the second is not let in
+                return
+            if item.health > Health.SUSPECT:
+                return
+            member = self.members[item.name] = Member(item.name, item.address, item.incarnation, now)
+            self.by_tag[member.tag] = member
+            self._round.insert(self._rng.randrange(len(self._round) + 1), member)
+            self._spread(member)
+            self._told(Changed(member.name, Health.ALIVE, "joined"))
+            if item.health is Health.SUSPECT:
+                self._suspect(member, sender, now, "told")
+            return
+        if item.incarnation > member.incarnation:
+            if not member.counts or item.incarnation - member.incarnation >= Member.RESTART:
+                member.came = now
+            member.incarnation, member.address = item.incarnation, item.address
+            if item.health is Health.ALIVE:
+                was, member.confirmed = member.health, set()
+                if was is Health.SUSPECT:
+                    self.false_suspicions += 1
+                self._turn(member, Health.ALIVE, now, "refuted" if was is not Health.ALIVE else "told")
+                return
+        elif item.incarnation < member.incarnation:
+            return
+        if item.health is Health.SUSPECT and member.counts:
+            self._suspect(member, sender, now, "told")
+        elif item.health > member.health:
+            self._turn(member, item.health, now, "told")
+
+    def _about_us(self, item: News) -> None:
+        """We are suspected, or held dead: refute with a higher incarnation, unless we leave."""
+        if item.incarnation >= self.incarnation and item.health is not Health.ALIVE and not self.leaving:
+            self.incarnation = item.incarnation + 1
+            self.refutations += 1
+            self._slow(1)
+            self._news[self.name] = 0, self._self()
+
+    def _suspect(self, member: Member, by: int, now: float, cause: str) -> None:
+        if member.health is Health.ALIVE:
+            self.suspicions += 1
+            member.confirmed = {by}
+            self._turn(member, Health.SUSPECT, now, cause)
+        elif member.health is Health.SUSPECT and by not in member.confirmed:
+            member.confirmed.add(by)
+            if len(member.confirmed) <= self.terms.confirmations + 1:
+                self._spread(member)  # those that suspect it independently are worth telling again
+
+    def _turn(self, member: Member, health: Health, now: float, cause: str) -> None:
+        changed = member.health is not health
+        member.health = health
+        if changed:
+            member.since = now
+            self._told(Changed(member.name, health, cause))
+        self._spread(member)
+
+    def leave(self) -> list[News]:
+        """We go on purpose: nobody has to suspect us."""
+        self.leaving = True
+        return [News(self.name, self.address, self.incarnation, Health.LEFT)]
+
+    def _spread(self, member: Member) -> None:
+        self._news[member.name] = 0, self._about(member)
+
+    def _self(self) -> News:
+        return News(self.name, self.address, self.incarnation, Health.LEFT if self.leaving else Health.ALIVE)
+
+    @staticmethod
+    def _about(member: Member) -> News:
+        return News(member.name, member.address, member.incarnation, member.health)
--- /dev/null
+++ b/heronlug/cluster/node.py
@@ -0,0 +1,124 @@
+"""One member: datagrams and time in, actions out.  Nothing here knows a socket or a clock."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+
+from heronlug.cluster.codec import Ack, Nack, Part, Ping, PingFor, Seal, Sync
+from heronlug.cluster.leases import Leases
+from heronlug.cluster.membership import Membership
+from heronlug.cluster.model import Action, Changed, Fence, Gained, Lost, News, SendTo, Terms, WakeAt
+from heronlug.cluster.ownership import tag
+
+FAREWELLS = 3  # times that a leave is told to everybody
+RIDERS = (Ping, Ack, PingFor, Nack, Sync)  # what news ride on
+
+
+class Node:
+    """A member of a cluster."""
+
+    def __init__(
+        self, name: str, address: str, seeds: Iterable[str], duties: Iterable[str], keys: Mapping[int, bytes],
+        incarnation: int, rng: Random, terms: Terms | None = None,
+    ) -> None:  # fmt: skip
+        """``incarnation`` is Unix milliseconds at the start: above that of every process of this name before."""
+        self.name, self.address, self.terms = name, address, terms or Terms()
+        self.seal = Seal(tag(name), keys, incarnation << 20)
+        self._out: list[Action] = []
+        self._queued: dict[str, list[Part]] = {}
+        self.members = Membership(
+            name, address, incarnation, seeds, self.terms, rng, self._send, self._changed
+        )
+        self.leases = Leases(
+            name, incarnation, list(duties), self.terms, self._send_to, self._out.append, self._voters, self._candidates
+        )
+        self._addresses: dict[int, str] = {}
+        self._born: float | None = None
+        self._farewell = 0
+        self.left = False
+
+    # -- in
+
+    def receive(self, data: bytes, address: str, now: float) -> list[Action]:
+        """A datagram has come."""
+        opened = self.seal.unpack(data)
+        if opened is not None and not self.left and opened[0] != tag(self.name):
+            sender, parts = opened
+            self._addresses[sender] = address
+            self.members.heard(sender, address, parts, now)
+            for part in parts:
+                self.leases.heard(sender, part, now)
+        return self._actions(now)
+
+    def wake(self, now: float) -> list[Action]:
+        """Time has passed."""
+        if self._born is None:
+            self._born = now
+            self.leases.votes_from = now + self.terms.settle
+        if not self.left:
+            self.members.wake(now)
+            self.leases.wake(now)
+            if self.leases.leaving and self.leases.idle():
+                self._say_farewell()
+        return self._actions(now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Go on purpose: duties are handed over first; it is over once ``left`` says so."""
+        self.leases.leaving = True
+        for duty in self.leases.duties.values():
+            duty.next = now
+        return self.wake(now)
+
+    # -- what is known
+
+    def may_act(self, duty: str, now: float) -> Fence | None:
+        """The fence to act under, or None: to be asked again before each step that matters."""
+        return None if self.left else self.leases.may_act(tag(duty), now)
+
+    # -- inside
+
+    def _voters(self, now: float) -> dict[int, str]:
+        return {member.tag: member.name for member in self.members.voters(now)}
+
+    def _candidates(self, now: float) -> list[str]:
+        """Those that have been there long enough; nobody owns anything before the list of members can be whole."""
+        settled = now - self.terms.settle
+        names = [member.name for member in self.members.others() if member.came <= settled]
+        if not self.leases.leaving and self._born is not None and self._born <= settled:
+            names.append(self.name)
+        return names
+
+    def _say_farewell(self) -> None:
+        news: list[Part] = list(self.members.leave())
+        for member in self.members.others():
+            self._send(member.address, news)
+        self._farewell += 1
+        if self._farewell >= FAREWELLS:
+            self.left = True
+
+    def _changed(self, change: Changed) -> None:
+        self._out.append(change)
+
+    def _send(self, address: str, parts: list[Part]) -> None:
+        self._queued.setdefault(address, []).extend(parts)
+
+    def _send_to(self, whom: int, part: Part) -> None:
+        member = self.members.by_tag.get(whom)
+        address = member.address if member is not None else self._addresses.get(whom)
+        if address is not None:
+            self._send(address, [part])
+
+    def _actions(self, now: float) -> list[Action]:
+        queued, self._queued = self._queued, {}
+        for address, parts in queued.items():
+            if any(isinstance(part, RIDERS) for part in parts):
+                told = {part.name for part in parts if isinstance(part, News)}
+                parts += [item for item in self.members.news() if item.name not in told]
+            self._out += [SendTo(address, data) for data in self.seal.pack(parts)]
+        out = list(self._out)
+        self._out.clear()
+        if not self.left:
+            out.append(WakeAt(max(now + 1.0, min(self.members.next(), self.leases.next()))))
+        return out
+
+
+__all__ = ["Gained", "Lost", "Node"]
--- /dev/null
+++ b/tests/cluster/virtual.py
@@ -0,0 +1,185 @@
+"""A virtual network: no sockets and no sleep.  Seeded, so that a run can be played again to the letter.
+
+Loss, delay, duplicates, reordering, one-way cuts, partitions, clocks that run apart, pauses of whole processes, kills
+and restarts.  After every event the invariants are checked: never two owners under one fence, and never two at once,
+but where the test says that the network is cut.
+"""
+
+import heapq
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from heronlug.cluster.model import Changed, Fence, Gained, Lost, SendTo, Terms, WakeAt
+from heronlug.cluster.node import Node
+
+KEYS = {1: b"k" * 32}
+BORN = 1_800_000_000_000  # Unix milliseconds at virtual time 0
+
+
+class Process:
+    """A running member with its own clock."""
+
+    def __init__(self, net: "Net", name: str, drift: float) -> None:
+        self.net, self.name, self.drift = net, name, drift
+        self.offset = net.rng.uniform(0, 1e6)
+        incarnation = BORN + int(net.now) + net.skew.setdefault(name, net.rng.randrange(-2000, 2000))
+        seeds = [other for other in net.names if other != name]
+        self.node = Node(name, name, seeds, net.duties, net.keys, incarnation, Random(net.rng.random()), net.terms)
+        self.paused = self.dead = False
+        self.missed: list[tuple[bytes, str]] = []
+        self.next = 0.0
+
+    def clock(self) -> float:
+        """Its own time."""
+        return self.offset + self.net.now * (1 + self.drift)
+
+
+class Net:
+    """All members, and what is on its way between them."""
+
+    def __init__(
+        self, names: Iterable[str], seed: int, duties: Iterable[str] = ("register", "sweep", "probe", "audit"),
+        loss: float = 0.0, terms: Terms | None = None, drift: float = 0.01,
+    ) -> None:  # fmt: skip
+        self.rng, self.seed = Random(seed), seed
+        self.names, self.duties, self.keys = list(names), list(duties), KEYS
+        self.loss, self.delay, self.twice, self.terms = loss, (0.5, 40.0), 0.02, terms or Terms()
+        self.now = 0.0
+        self.skew: dict[str, int] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.processes: dict[str, Process] = {}
+        self.gone: list[Process] = []
+        self.drifts = {name: self.rng.uniform(-drift, drift) for name in self.names}
+        self._queue: list[tuple[float, int, str, Any]] = []
+        self._seq = 0
+        self.log: list[tuple[float, str, Any]] = []
+        self.fences: dict[tuple[str, Fence], str] = {}  # who has had it
+        self.acting: dict[str, set[str]] = {duty: set() for duty in self.duties}
+        self.since: dict[str, float] = {}  # how long a duty has had more than one owner
+        self.overlap = 0.0  # the longest that it has
+        self.idle_since: dict[str, float] = dict.fromkeys(self.duties, 0.0)
+        self.longest_idle = 0.0
+        self.may_overlap = False
+        self.sent = self.bytes = 0
+
+    # -- what a test does
+
+    def start(self, name: str) -> None:
+        """A process of that name starts."""
+        process = self.processes[name] = Process(self, name, self.drifts[name])
+        self._do(process, process.node.wake(process.clock()))
+
+    def kill(self, name: str) -> None:
+        """It is gone at once."""
+        process = self.processes.pop(name)
+        process.dead = True
+        self.gone.append(process)
+        self.check()
+
+    def leave(self, name: str) -> None:
+        """It goes on purpose."""
+        process = self.processes[name]
+        self._do(process, process.node.leave(process.clock()))
+
+    def pause(self, name: str, span: float) -> None:
+        """The whole process stands still; datagrams wait in its socket."""
+        process = self.processes.get(name)
+        if process is not None and not process.paused:
+            process.paused = True
+            self._at(self.now + span, name, (process, "resume"))
+
+    def split(self, *sides: Iterable[str]) -> None:
+        """Nothing passes between these sides."""
+        parts = [set(side) for side in sides]
+        self.cut |= {(a, b) for x in parts for y in parts if x is not y for a in x for b in y}
+
+    def run(self, span: float) -> None:
+        """Let time pass."""
+        end = self.now + span
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, name, (process, what) = heapq.heappop(self._queue)
+            if process.dead:
+                continue
+            if what == "resume":
+                process.paused = False
+                missed, process.missed = process.missed, []
+                for data, sender in missed:
+                    self._do(process, process.node.receive(data, sender, process.clock()))
+                self._do(process, process.node.wake(process.clock()))
+            elif process.paused:
+                if isinstance(what, tuple):
+                    process.missed = [*process.missed[-63:], what]
+                else:
+                    process.next = 0.0
+            elif isinstance(what, tuple):
+                self._do(process, process.node.receive(*what, process.clock()))
+            elif what == process.next:
+                process.next = 0.0
+                self._do(process, process.node.wake(process.clock()))
+        self.now = end
+        self.check()
+
+    # -- what it sees
+
+    def owner(self, duty: str) -> str | None:
+        """Who acts on a duty now."""
+        return next(iter(self.owners(duty)), None)
+
+    def owners(self, duty: str) -> list[str]:
+        """All that act on it now: more than one is a fault, but in a partition."""
+        running = [p for p in self.processes.values() if not p.paused]
+        return [p.name for p in running if p.node.may_act(duty, p.clock()) is not None]
+
+    def check(self) -> None:
+        """The invariants; raises ``AssertionError`` with the seed."""
+        for duty in self.duties:
+            owners = self.owners(duty)
+            for name in owners:
+                process = self.processes[name]
+                fence = process.node.may_act(duty, process.clock())
+                assert fence is not None
+                first = self.fences.setdefault((duty, fence), f"{name}/{process.node.members.name}/{id(process)}")
+                assert first.endswith(f"/{id(process)}"), f"seed {self.seed}: {duty} {fence} twice: {first} and {name}"
+            if len(owners) > 1:
+                self.overlap = max(self.overlap, self.now - self.since.setdefault(duty, self.now))
+                assert self.may_overlap, f"seed {self.seed}: at {self.now:.0f} {duty} is owned by {owners}"
+            else:
+                self.since.pop(duty, None)
+            if owners:
+                self.idle_since.pop(duty, None)
+            else:
+                self.longest_idle = max(self.longest_idle, self.now - self.idle_since.setdefault(duty, self.now))
+
+    # -- inside
+
+    def _at(self, when: float, name: str, what: Any) -> None:
+        self._seq += 1
+        heapq.heappush(self._queue, (when, self._seq, name, what))
+
+    def _do(self, process: Process, actions: list[Any]) -> None:
+        changed = False
+        for action in actions:
+            if isinstance(action, SendTo):
+                self._send(process.name, action)
+            elif isinstance(action, WakeAt):
+                when = self.now + max(0.1, (action.when - process.clock()) / (1 + process.drift))
+                if not process.next or when < process.next:
+                    process.next = when
+                    self._at(when, process.name, (process, when))
+            else:
+                assert isinstance(action, Changed | Gained | Lost)
+                self.log.append((self.now, process.name, action))
+                changed = True
+        if changed:
+            self.check()
+
+    def _send(self, sender: str, action: SendTo) -> None:
+        self.sent += 1
+        self.bytes += len(action.data)
+        target = self.processes.get(action.address)
+        if target is None or (sender, action.address) in self.cut or self.rng.random() < self.loss:
+            return
+        for _ in range(2 if self.rng.random() < self.twice else 1):
+            arrives = self.now + self.rng.uniform(*self.delay)
+            self._at(arrives, action.address, (target, (action.data, sender)))
