Cluster on sockets: [cluster] in the file, periodic duties with fences, members and duties to look at

Need: membership and leases ran in virtual time only; nothing started them.

Off unless the file has the table; its code is loaded only then.

--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -6,6 +6,7 @@
 
 from heronlug import __version__
 from heronlug.cli.change import apply, plan
+from heronlug.cli.cluster import cluster
 from heronlug.cli.inspect import check, limits
 from heronlug.cli.serve import serve, try_
 from heronlug.life.config import ConfigError
@@ -21,7 +22,7 @@
     """
 
 
-for command in (serve, check, plan, apply, limits, try_):
+for command in (serve, check, plan, apply, limits, cluster, try_):
     group.add_command(command)
 
 
--- a/heronlug/cluster/model.py
+++ b/heronlug/cluster/model.py
@@ -53,8 +53,8 @@
     drift: float = 0.02  # two clocks run apart by this share at most: the owner's lease is shorter by twice that
     ask_every: float = 100.0  # an unanswered request for a lease, and an offer, is sent again after this
     renew_at: float = 0.25  # of the lease, when it is renewed
-    settle: float = 3000.0  # a new member owns and grants nothing before: its list of members is whole by then, and
-    # what a process of its name before it has granted has run out (so it is longer than the lease)
+    settle: float = 3000.0  # a new member owns nothing before, so that its list of members is whole by then; it grants
+    # nothing new before what a process of its name before it has granted has run out, which is a lease
     rejoin: float = 2000.0  # seeds are asked again so often while somebody is missing
 
 
--- a/heronlug/cluster/node.py
+++ b/heronlug/cluster/node.py
@@ -53,7 +53,7 @@
         """Time has passed."""
         if self._born is None:
             self._born = now
-            self.leases.votes_from = now + self.terms.settle
+            self.leases.votes_from = now + self.terms.lease * (1 + 2 * self.terms.drift)
         if not self.left:
             self.members.wake(now)
             self.leases.wake(now)
--- /dev/null
+++ b/heronlug/cluster/schema.py
@@ -0,0 +1,86 @@
+"""The form of ``[cluster]`` in an operators' file, and the files with its keys."""
+
+from hashlib import blake2b
+from pathlib import Path
+from typing import Annotated, Any
+
+from msgspec import Meta, Struct, field, structs
+
+from heronlug.forms import Fault, Source
+from heronlug.forms.decode import decode
+from heronlug.wire.http import split_address
+
+AT = "cluster"
+LEAST_KEY = 16  # bytes
+Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
+Address = Annotated[str, Meta(min_length=1, description="an address such as 10.0.0.1:7946")]
+Seconds = Annotated[float, Meta(gt=0, le=86_400, description="seconds, more than 0 and at most a day")]
+
+
+class DutyTable(Struct, forbid_unknown_fields=True):
+    """A periodic duty: one of the members runs its command at each interval."""
+
+    name: Text
+    every_s: Seconds
+    command: Annotated[list[str], Meta(min_length=1, description="a list of words, the program first")]
+    longest_s: Seconds = 60.0
+    jitter_s: Annotated[float, Meta(ge=0, le=86_400, description="seconds, 0 to a day")] = 0.0
+
+
+class ClusterTable(Struct, forbid_unknown_fields=True):
+    """The members and what they share."""
+
+    listen: Address
+    name: Text
+    key_files: Annotated[list[str], Meta(min_length=1, max_length=2, description="one or two files, the first signs")]
+    advertise: Address | None = None  # where others reach us, if that is not where we listen
+    seeds: list[Address] = field(default_factory=list)
+    duty: list[Any] = field(default_factory=list)
+
+
+def read(source: Source) -> tuple[dict[str, Any], list[Fault]]:
+    """The table as plain values, paths made whole; and the faults of it."""
+    table, faults = decode(ClusterTable, source.table.get(AT, {}), source, (AT,))
+    if table is None:
+        return {}, faults
+    duties: list[dict[str, Any]] = []
+    for number, each in enumerate(table.duty):
+        duty, wrong = decode(DutyTable, each, source, (AT, "duty", number))
+        faults += wrong
+        if duty is None:
+            continue
+        if duty.name in [known["name"] for known in duties]:
+            faults.append(source.fault((AT, "duty", number, "name"), f"{duty.name!r} is there twice", "its own name"))
+        if duty.longest_s + duty.jitter_s > duty.every_s:
+            wrong_text = f"a run of {duty.longest_s:g} s, {duty.jitter_s:g} s late, is not over when the next begins"
+            faults.append(source.fault((AT, "duty", number, "every_s"), wrong_text, "more than both together"))
+        duties.append(structs.asdict(duty))
+    advertised = [table.advertise] if table.advertise else []
+    for key, addresses in (("listen", [table.listen]), ("advertise", advertised), ("seeds", table.seeds)):
+        for number, address in enumerate(addresses):
+            try:
+                split_address(address)
+            except ValueError as error:
+                at = (AT, key) if key != "seeds" else (AT, key, number)
+                faults.append(source.fault(at, str(error), "such as 10.0.0.1:7946"))
+    files = [str((Path(source.path).parent / name).resolve()) for name in table.key_files]
+    try:
+        keys(files)
+    except (OSError, ValueError) as error:
+        faults.append(source.fault((AT, "key_files"), str(error), f"files of {LEAST_KEY} bytes or more"))
+    return {**structs.asdict(table), "key_files": files, "duty": duties}, faults
+
+
+def keys(files: list[str]) -> dict[int, bytes]:
+    """The keys by their numbers, the one that signs first; raises ``OSError`` or ``ValueError``."""
+    found: dict[int, bytes] = {}
+    for name in files:
+        data = Path(name).read_bytes().strip()
+        if len(data) < LEAST_KEY:
+            raise ValueError(f"{name}: a key of {len(data)} bytes")
+        key = blake2b(data, digest_size=32).digest()
+        number = blake2b(key, digest_size=1).digest()[0]
+        if number in found:
+            raise ValueError(f"{name}: the same key, or one of the same number, as the other")
+        found[number] = key
+    return found
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -29,6 +29,12 @@
     def use_faktory(self, listener: Any) -> None:
         """Serve on a listener, or with None on none."""
 
+    async def join_cluster(self, terms: State) -> None:
+        """Be a member; raises ``OSError`` or ``ValueError``."""
+
+    def cluster_view(self, what: str) -> list[dict[str, Any]]:
+        """The members, or the duties; raises :class:`StateError` where there is no cluster."""
+
     def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
         """Load plug-ins; raises ``ValueError``."""
 
@@ -65,6 +71,9 @@
                 raise StateError("the plan is stale: the running state has changed since it was made")
             classes = await self._resolve(desired["classes"])
             changes = await beside(difference, self.state, desired)
+            cluster_changes = self.state["cluster"] != desired["cluster"]
+            if cluster_changes and self.state["cluster"]:
+                raise StateError("cluster: it changes with a restart alone; keys are read again by SIGHUP")
             plugins_change = self.state["plugins"] != desired["plugins"]
             faktory_changes = self.state["faktory"] != desired["faktory"]
             # all that can fail comes first and changes nothing that runs
@@ -75,6 +84,8 @@
                     loaded = self._parts.load_plugins(modules)
                 if faktory_changes and desired["faktory"]:
                     listener = await self._parts.open_faktory(desired["faktory"])
+                if cluster_changes:
+                    await self._parts.join_cluster(desired["cluster"])
             except (ValueError, OSError) as error:
                 raise StateError(" ".join(str(error).split())) from None
             if plugins_change:
@@ -104,6 +115,10 @@
             raise StateError("\n".join(f"class.{n}.{key}: {wrong}, {right}" for n, key, wrong, right in broken))
         return await beside(self._parts.resolved_limits, classes)
 
+    def view(self, what: str) -> list[dict[str, Any]]:
+        """The members or the duties of the cluster."""
+        return self._parts.cluster_view(what)
+
     async def broken(self, classes: State) -> list[tuple[str, str, str, str]]:
         """The rules that limits would break."""
         return await beside(self._parts.broken_limits, classes) if classes else []
@@ -149,6 +164,8 @@
             asked = orjson.loads(line)
             if asked["ask"] == "state":
                 answer = {"state": self._running.state}
+            elif asked["ask"] in ("members", "duties"):
+                answer = {asked["ask"]: self._running.view(asked["ask"])}
             elif asked["ask"] == "check":
                 answer = {"broken": await self._running.broken(asked["classes"])}
             elif asked["ask"] == "apply":
--- a/heronlug/life/operate.py
+++ b/heronlug/life/operate.py
@@ -46,15 +46,16 @@
 
 
 def calls(
-    parting: Parting, takes_clients: Callable[[], bool], cores: Callable[[], list[Core]], log: Callable[..., None]
-) -> Calls:
-    """The table of the admin front.  Each call may come again and again."""
+    parting: Parting, takes_clients: Callable[[], bool], cores: Callable[[], list[Core]], log: Callable[..., None],
+    more: Callable[[], str] = str,
+) -> Calls:  # fmt: skip
+    """The table of the admin front.  Each call may come again and again; ``more`` are further figures."""
 
     def health() -> Answer:
         return (200, b"yes\n") if takes_clients() else (503, b"no\n")
 
     def stats() -> Answer:
-        return 200, figures(cores()).encode()
+        return 200, (figures(cores()) + more()).encode()
 
     def drain() -> Answer:
         if parting.drain():
--- a/heronlug/life/reload.py
+++ b/heronlug/life/reload.py
@@ -22,9 +22,10 @@
         move: Callable[[Config], None],
         limit: Callable[[State], Awaitable[list[str]]],
         log: Callable[..., None],
+        rekey: Callable[[], None],
     ) -> None:
         self.config = config
-        self._read, self._move, self._limit, self._log = read, move, limit, log
+        self._read, self._move, self._limit, self._log, self._rekey = read, move, limit, log, rekey
         self._task: asyncio.Task[None] | None = None
         self._again = False
 
@@ -60,6 +61,7 @@
         except StateError as error:  # good for the site that the files describe, and not for the one that runs
             self._log("reload_failed", error=str(error))
             return
+        self._rekey()
         self._log("reloaded", discovery=config.discovery, needs_restart=kept, limits=limits)
         self.config = config
         self._move(config)
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -108,8 +108,12 @@
         self.listener = Listener(self.north.protocol)
         self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
         self.core.named = self.takeover.named
-        self.admin = Admin(calls(self.leaving, self._takes_clients, self._cores, log), deadlines, log, self.turn)
-        self.reload = Reload(config, partial(files.load, again=True), self._moved, self.running.limit, log)
+        self.cluster: Any = None  # our membership, where there is a cluster
+        table = calls(self.leaving, self._takes_clients, self._cores, log, self._cluster_figures)
+        self.admin = Admin(table, deadlines, log, self.turn)
+        self.reload = Reload(
+            config, partial(files.load, again=True), self._moved, self.running.limit, log, self._use_keys
+        )
 
     # -- the front of the platform's protocol
 
@@ -158,6 +162,8 @@
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
         self.turn()
         await self.left.wait()
+        if self.cluster is not None:
+            await self.cluster.leave()
         await self.takeover.handover.part()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.takeover.handover.close()
@@ -209,6 +215,28 @@
         if server is not None:
             asyncio.get_running_loop().create_task(server.start_serving())
 
+    async def join_cluster(self, terms: dict[str, Any]) -> None:
+        """Be a member; its code is loaded only here."""
+        from heronlug.wire.cluster import Cluster
+
+        cluster = Cluster(terms, self.loop.deadlines, self.log, self.turn)
+        await cluster.open()
+        self.cluster = cluster
+
+    def cluster_view(self, what: str) -> list[dict[str, Any]]:
+        """The members, or the duties."""
+        if self.cluster is None:
+            raise StateError("there is no [cluster] in the file that runs")
+        view: list[dict[str, Any]] = self.cluster.members() if what == "members" else self.cluster.duties()
+        return view
+
+    def _cluster_figures(self) -> str:
+        return str(self.cluster.figures()) if self.cluster is not None else ""
+
+    def _use_keys(self) -> None:
+        if self.cluster is not None:
+            self.cluster.use_keys()
+
     def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
         """Compile plug-ins.  wasmtime is imported only here: where none is configured it takes no memory."""
         from heronlug.hooks.host import HookHost
--- a/heronlug/life/state.py
+++ b/heronlug/life/state.py
@@ -33,13 +33,13 @@
 from heronlug.wire.http import split_address
 
 State = dict[str, Any]
-EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}}
+EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}, "cluster": {}}
 FAKTORY: dict[str, Any] = {
     "listen": "", "password": "", "beat_timeout_s": 60.0, "reserve_for_s": 1800.0, "remember_s": 86400.0,
     "max_known": 100_000, "max_connections": 200,
 }  # fmt: skip
 PLUGIN: dict[str, Any] = {"name": "", "file": "", "fuel": 100_000, "memory_kb": 1024}
-KEYS = ("log_level", "faktory", "plugin", "class")
+KEYS = ("log_level", "faktory", "plugin", "class", "cluster")
 WHOLE = ("serve", "site", "host")  # what stands beside them in a file that is the whole configuration
 MAX_MODULE = 1024 * 1024
 
@@ -100,10 +100,17 @@
 
         classes, wrong = load.read(source)
         faults += [*wrong, *(load.faults(source, load.check(site, classes)) if site is not None else ())]
+    cluster: State = {}
+    if "cluster" in table:
+        from heronlug.cluster import schema
+
+        cluster, wrong = schema.read(source)
+        faults += wrong
     if faults:
         raise Faults(faults)
     return {
         "log_level": level, "faktory": faktory if faktory["listen"] else {}, "plugins": plugins, "classes": classes,
+        "cluster": cluster,
     }  # fmt: skip
 
 
@@ -145,6 +152,7 @@
     for what, old, new in (
         ("faktory", {"listener": running["faktory"]}, {"listener": desired["faktory"]}),
         ("plugin", running["plugins"], desired["plugins"]),
+        ("cluster", {"member": running["cluster"]}, {"member": desired["cluster"]}),
     ):
         for name in sorted({**old, **new}):
             before, after = old.get(name) or {}, new.get(name) or {}
--- /dev/null
+++ b/tests/cluster/test_sockets.py
@@ -0,0 +1,178 @@
+"""Four real dispatchers on loopback with a lossy relay between them: 30% of datagrams are lost, owners are killed."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import pytest
+from exchange import free_port
+
+from heronlug.life.control import ask
+from heronlug.life.state import StateError
+
+NAMES = "abcd"
+DUTIES = ("sweep", "rotate", "report")
+FILE = """
+log_level = "info"
+[serve]
+name = "{name}"
+listen = "127.0.0.1:{http}"
+[site]
+[[site.class]]
+name = "job"
+effect = "repeatable"
+aim_ms = 500
+deadline_ms = 5000
+[cluster]
+name = "{name}"
+listen = "{own}"
+advertise = "{relay}"
+seeds = {seeds}
+key_files = ["key"]
+"""
+DUTY = """
+[[cluster.duty]]
+name = "{name}"
+every_s = 0.5
+longest_s = 0.4
+command = ["{python}", "-c", "{code}"]
+"""
+
+
+class Relay(asyncio.DatagramProtocol):
+    """Stands between one member and the others: what they send to it goes through here, and some of it is lost."""
+
+    def __init__(self, paths: "Paths", target: str) -> None:
+        self.paths, self.target = paths, target
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = self.paths.name_of(addr[1])
+        if sender is not None and self.paths.rng.random() >= self.paths.loss:
+            self.paths.deliver(sender, self.target, data)
+
+
+class Paths:
+    """A relay for each ordered pair, so that every member sees every other at an address of its own.
+
+    Members bind 127.0.0.1 and tell the address of their relay; what comes in at the relay of X is sent on to X from the
+    relay of the sender, so answers take the same way.
+    """
+
+    def __init__(self, loss: float) -> None:
+        self.rng, self.loss = Random(7), loss
+        self.real = {name: free_port() for name in NAMES}
+        self.relays: dict[str, asyncio.DatagramTransport] = {}
+        self.port: dict[str, int] = {}
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        for name in NAMES:
+            transport, _ = await loop.create_datagram_endpoint(partial(Relay, self, name), ("127.0.0.1", 0))
+            self.relays[name] = transport
+            self.port[name] = transport.get_extra_info("sockname")[1]
+
+    def name_of(self, port: int) -> str | None:
+        return next((name for name, real in self.real.items() if real == port), None)
+
+    def deliver(self, sender: str, target: str, data: bytes) -> None:
+        self.relays[sender].sendto(data, ("127.0.0.1", self.real[target]))
+
+
+class Fleet:
+    """Four daemons."""
+
+    def __init__(self, folder: Path, loss: float) -> None:
+        self.folder, self.paths = folder, Paths(loss)
+        self.http = {name: free_port() for name in NAMES}
+        self.programs: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str) -> None:
+        (self.folder / "key").write_text("a key that is long enough")
+        seeds = json.dumps([f"127.0.0.1:{self.paths.port[other]}" for other in NAMES if other != name])
+        text = FILE.format(name=name, http=self.http[name], own=f"127.0.0.1:{self.paths.real[name]}",
+                           relay=f"127.0.0.1:{self.paths.port[name]}", seeds=seeds)  # fmt: skip
+        for duty in DUTIES:
+            path = self.folder / f"{duty}.runs"
+            fence = "os.environ['HERONLUG_FENCE'].encode()"
+            code = f"import os; os.write(os.open('{path}', 1089, 420), {fence} + b'\\\\n')"
+            text += DUTY.format(name=duty, python=sys.executable, code=code)
+        file = self.folder / f"{name}.toml"
+        file.write_text(text)
+        environ = {**os.environ, "HERONLUG_CONTROL": str(self.folder / f"{name}.sock")}
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.programs[name] = subprocess.Popen(
+                [sys.executable, "-m", "heronlug", "serve", str(file)], stdout=log, stderr=log, env=environ
+            )
+
+    def owner(self, duty: str) -> list[str]:
+        owners = []
+        for name, program in self.programs.items():
+            if program.poll() is None:
+                try:
+                    rows = ask(str(self.folder / f"{name}.sock"), {"ask": "duties"})["duties"]
+                except StateError:
+                    continue
+                owners += [name for row in rows if row["name"] == duty and row["owner"]]
+        return owners
+
+    async def until_owned(self, duty: str, but: str = "") -> tuple[str, float]:
+        start = time.monotonic()
+        while time.monotonic() - start < 40:
+            owners = [name for name in await asyncio.to_thread(self.owner, duty) if name != but]
+            if owners:
+                return owners[0], time.monotonic() - start
+            await asyncio.sleep(0.05)
+        raise AssertionError("\n".join(path.read_text()[-800:] for path in self.folder.glob("*.log")))
+
+    def close(self) -> None:
+        for program in self.programs.values():
+            program.kill()
+            program.wait()
+
+
+async def _play(folder: Path, kills: int) -> tuple[list[float], dict[str, list[str]], list[int], str]:
+    fleet = Fleet(folder, 0.3)
+    await fleet.paths.open()
+    took = []
+    try:
+        for name in NAMES:
+            fleet.start(name)
+        for duty in DUTIES:
+            await fleet.until_owned(duty)
+        for turn in range(kills):
+            duty = DUTIES[turn % len(DUTIES)]
+            victim, _ = await fleet.until_owned(duty)
+            fleet.programs[victim].kill()
+            fleet.programs[victim].wait()
+            took.append((await fleet.until_owned(duty, victim))[1])
+            fleet.start(victim)
+            await asyncio.sleep(4.0)
+        members = ask(str(folder / "a.sock"), {"ask": "members"})["members"]
+        for program in fleet.programs.values():
+            program.terminate()
+        codes = [await asyncio.to_thread(program.wait, 20) for program in fleet.programs.values()]
+    finally:
+        fleet.close()
+    runs = {duty: (folder / f"{duty}.runs").read_text().split() for duty in DUTIES}
+    logs = "".join(path.read_text() for path in folder.glob("*.log"))
+    assert len(members) == 4
+    return took, runs, codes, logs
+
+
+@pytest.mark.parametrize("kills", [2])
+def test_four_dispatchers_and_a_lossy_network(tmp_path: Path, kills: int) -> None:
+    """Risk: what holds in virtual time does not on sockets: addresses, timers, real clocks, kill -9."""
+    took, runs, codes, logs = asyncio.run(_play(tmp_path, kills))
+    assert len(took) == kills and codes == [0] * 4
+    assert '"exception"' not in logs and "Traceback" not in logs
+    for duty, fences in runs.items():
+        assert len(fences) > 10, duty
+        numbers = [int(fence.split(".")[0]) for fence in fences]
+        assert numbers == sorted(numbers), f"{duty}: a run under a fence lower than one before"
+    print("takeovers", [round(each, 2) for each in took])
