--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -1,8 +1,8 @@
 """The cluster in virtual time: ``python benchmarks/cluster.py [--kills N]``.
 
-Takeover times of owners killed at several rates of loss; false suspicions an hour; datagrams and bytes a second, and
-CPU for each member at 4 to 200 members.  The virtual network of the tests is used, so no socket bounds the size; its cost
-is in the CPU figures, which are an upper bound.
+Takeover times of owners killed at several rates of loss; false suspicions an hour; datagrams and bytes a second,
+and CPU for each member at 4 to 200 members. The virtual network of the tests is used, so no socket bounds the size;
+its cost is in the CPU figures, which are an upper bound.
 """
 
 import sys
