Cluster: no wake each millisecond behind an answered probe, dead state out, one end of a run

Need, from reading the change once more: a probe that had been answered, or had had all its pings, still named a time in the past for the next one, so a member was woken every millisecond until its period was over. A number that was raised by 1,000 stood for 'no more pings'. A run that was ended before its first step never told so, and one begun at another's end could be taken for that.

Change: one function says when the next ping is due, and never when none is; Leases._secured; the end of a run is told by the task's own callback.

--- a/heronlug/cluster/leases.py
+++ b/heronlug/cluster/leases.py
@@ -45,7 +45,7 @@
     """One duty as one member sees it."""
 
     __slots__ = ("asked", "fence", "freed", "granted", "heir", "key", "name", "next", "promised", "seen", "stage",
-                 "takeovers", "tries", "until", "vote")  # fmt: skip
+                 "tries", "until", "vote")  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name, self.key = name, tag(name)
@@ -61,7 +61,6 @@
         self.heir = 0  # whom we hand it to
         self.next = -inf  # when to send something again
         self.tries = 0
-        self.takeovers = 0
 
 
 class Leases:
@@ -132,7 +131,7 @@
         if duty.stage is Stage.ASKING:
             self._ask(duty, voters, now)
         elif duty.stage is Stage.HOLDING or duty.stage is Stage.OFFERING:
-            if min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag]) - now < self._renewal():
+            if self._secured(duty, voters) - now < self._renewal():
                 self._ask(duty, voters, now)
             if duty.stage is Stage.OFFERING:
                 duty.tries += 1
@@ -146,6 +145,10 @@
             else:
                 self._send(duty.heir, Done(duty.key, duty.fence))
 
+    def _secured(self, duty: Duty, voters: dict[int, str]) -> float:
+        """How long every voter's grant holds, our own with them."""
+        return min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag])
+
     def _renewal(self) -> float:
         """With less left than this, a lease is renewed."""
         return self.terms.lease * (1 - self.terms.renew_at)
@@ -176,14 +179,13 @@
 
     def _reckon(self, duty: Duty, voters: dict[int, str], now: float) -> None:
         """A lease holds as long as every voter's grant; what was secured once stays so."""
-        until = min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag])
+        until = self._secured(duty, voters)
         if until <= now:
             return
         duty.until = max(duty.until, until)
         if duty.stage is Stage.ASKING:
             cause = "handed over" if duty.freed != NO_FENCE else "taken over"
             duty.stage, duty.freed, duty.promised = Stage.HOLDING, NO_FENCE, -inf
-            duty.takeovers += 1
             self._told(Gained(duty.name, duty.fence, cause))
 
     def _stop(self, duty: Duty, stage: Stage, cause: str) -> None:
@@ -218,9 +220,8 @@
             self._send(sender, Accept(duty.key, part.fence))
         elif isinstance(part, Accept) and duty.stage is Stage.OFFERING:
             if part.fence == duty.fence and sender == duty.heir:
-                duty.tries, duty.next = 0, now
                 self._let_go(duty, now)
-                duty.next = now
+                duty.tries, duty.next = 0, now
                 self._stop(duty, Stage.PASSED, "handed over")
                 self._send(duty.heir, Done(duty.key, duty.fence))
         elif isinstance(part, Free):
--- a/heronlug/cluster/membership.py
+++ b/heronlug/cluster/membership.py
@@ -43,10 +43,10 @@
 class Probe:
     """The probe of this period."""
 
-    __slots__ = ("answered", "asked", "began", "ends", "member", "nacks", "number", "pings")
+    __slots__ = ("answered", "asked", "began", "member", "nacks", "number", "pings")
 
-    def __init__(self, member: Member, number: int, began: float, ends: float) -> None:
-        self.member, self.number, self.began, self.ends = member, number, began, ends
+    def __init__(self, member: Member, number: int, began: float) -> None:
+        self.member, self.number, self.began = member, number, began
         self.pings = 1
         self.asked = self.nacks = 0  # others asked to probe too, and how many of them have no answer either
         self.answered = False
@@ -72,7 +72,7 @@
         self._number = rng.getrandbits(31)
         self._next_probe = self._next_join = -inf
         self._began = inf
-        self._for: dict[int, tuple[float, str, int, bool]] = {}  # probes for others: until, whom to tell, its number
+        self._for: dict[int, tuple[float, str, int]] = {}  # probes for others: until, whom to tell, its number
         self._news: dict[str, tuple[int, News]] = {}  # by name: how often it has been told, and what
 
     # -- what is known
@@ -88,9 +88,7 @@
 
     def next(self) -> float:
         """When there is something to do."""
-        times = [self._next_probe, self._next_join, *(until for until, *_ in self._for.values())]
-        if self._probe is not None:
-            times.append(self._probe.began + self._probe.pings * self._pause())
+        times = [self._next_probe, self._next_join, self._next_ping(), *(until for until, *_ in self._for.values())]
         times += [self._over(member) for member in self.members.values() if member.health is Health.SUSPECT]
         return min(times)
 
@@ -115,7 +113,7 @@
 
     def wake(self, now: float) -> None:
         """Do what is due."""
-        for number, (until, address, theirs, _) in list(self._for.items()):
+        for number, (until, address, theirs) in list(self._for.items()):
             if until <= now:
                 del self._for[number]
                 self._send(address, [Nack(theirs)])
@@ -140,8 +138,12 @@
         if now >= self._next_probe:
             self._begin(now)
 
-    def _pause(self) -> float:
-        return self.terms.probe_timeout * (self.slowness + 1)
+    def _next_ping(self) -> float:
+        """When the probe's member is pinged again: not once it has answered, or has had all pings of the period."""
+        probe = self._probe
+        if probe is None or probe.answered or probe.pings >= PINGS:
+            return inf
+        return probe.began + probe.pings * self.terms.probe_timeout * (self.slowness + 1)
 
     def _over(self, member: Member) -> float:
         """When a suspicion is over (LHA-Suspicion): the later, the fewer others confirm it."""
@@ -154,8 +156,7 @@
         if self._probe is not None and not self._probe.answered:
             self._fail(self._probe, now)
         self._probe = None
-        period = self.terms.period * (self.slowness + 1)
-        self._next_probe = now + period
+        self._next_probe = now + self.terms.period * (self.slowness + 1)
         if self.leaving:
             return
         while self._round and not self._round[-1].counts:
@@ -165,16 +166,13 @@
             self._rng.shuffle(self._round)
         if self._round:
             self._number = (self._number + 1) & 0xFFFFFFFF
-            probe = self._probe = Probe(self._round.pop(), self._number, now, now + period)
+            probe = self._probe = Probe(self._round.pop(), self._number, now)
             self._ping(probe.member, probe.number)
 
     def _drive(self, now: float) -> None:
         """Within a period: ping again, and after the first time-out have others ping too."""
         probe = self._probe
-        while probe is not None and not probe.answered and now >= probe.began + probe.pings * self._pause():
-            if probe.pings >= PINGS:
-                probe.pings += 1000  # nothing more until the period is over
-                return
+        while probe is not None and now >= self._next_ping():
             probe.pings += 1
             self._ping(probe.member, probe.number)
             if not probe.asked:
@@ -215,19 +213,17 @@
                 whom = self.by_tag.get(part.whom)
                 if whom is not None:
                     self._number = (self._number + 1) & 0xFFFFFFFF
-                    self._for[self._number] = now + 2 * self.terms.probe_timeout, address, part.number, True
+                    self._for[self._number] = now + 2 * self.terms.probe_timeout, address, part.number
                     self._ping(whom, self._number)
             elif isinstance(part, Sync):
-                for member in [*self.members.values()]:
-                    self._send(address, [self._about(member)])
-                self._send(address, [self._self()])
+                self._send(address, [*map(self._about, self.members.values()), self._self()])
             elif isinstance(part, News):
                 self.learn(part, sender, now)
 
     def _answered(self, number: int, now: float) -> None:
         probe = self._probe
         if number in self._for:
-            _, address, theirs, _ = self._for.pop(number)
+            _, address, theirs = self._for.pop(number)
             self._send(address, [Ack(theirs)])
         elif probe is not None and probe.number == number and not probe.answered:
             probe.answered = True
@@ -296,10 +292,10 @@
             self._told(Changed(member.name, health, cause))
         self._spread(member)
 
-    def leave(self) -> list[News]:
+    def leave(self) -> News:
         """We go on purpose: nobody has to suspect us."""
         self.leaving = True
-        return [News(self.name, self.address, self.incarnation, Health.LEFT)]
+        return self._self()
 
     def _spread(self, member: Member) -> None:
         self._news[member.name] = 0, self._about(member)
--- a/heronlug/cluster/node.py
+++ b/heronlug/cluster/node.py
@@ -6,7 +6,7 @@
 from heronlug.cluster.codec import Ack, Nack, Part, Ping, PingFor, Seal, Sync
 from heronlug.cluster.leases import Leases
 from heronlug.cluster.membership import Membership
-from heronlug.cluster.model import Action, Changed, Fence, Gained, Lost, News, SendTo, Terms, WakeAt
+from heronlug.cluster.model import Action, Fence, News, SendTo, Terms, WakeAt
 from heronlug.cluster.ownership import tag
 
 FAREWELLS = 3  # times that a leave is told to everybody
@@ -25,9 +25,7 @@
         self.seal = Seal(tag(name), keys, incarnation << 20)
         self._out: list[Action] = []
         self._queued: dict[str, list[Part]] = {}
-        self.members = Membership(
-            name, address, incarnation, seeds, self.terms, rng, self._send, self._changed
-        )
+        self.members = Membership(name, address, incarnation, seeds, self.terms, rng, self._send, self._out.append)
         self.leases = Leases(
             name, incarnation, list(duties), self.terms, self._send_to, self._out.append, self._voters, self._candidates
         )
@@ -88,16 +86,13 @@
         return names
 
     def _say_farewell(self) -> None:
-        news: list[Part] = list(self.members.leave())
+        news = self.members.leave()
         for member in self.members.others():
-            self._send(member.address, news)
+            self._send(member.address, [news])
         self._farewell += 1
         if self._farewell >= FAREWELLS:
             self.left = True
 
-    def _changed(self, change: Changed) -> None:
-        self._out.append(change)
-
     def _send(self, address: str, parts: list[Part]) -> None:
         self._queued.setdefault(address, []).extend(parts)
 
@@ -114,11 +109,8 @@
                 told = {part.name for part in parts if isinstance(part, News)}
                 parts += [item for item in self.members.news() if item.name not in told]
             self._out += [SendTo(address, data) for data in self.seal.pack(parts)]
-        out = list(self._out)
+        out = [*self._out]
         self._out.clear()
         if not self.left:
             out.append(WakeAt(max(now + 1.0, min(self.members.next(), self.leases.next()))))
         return out
-
-
-__all__ = ["Gained", "Lost", "Node"]
--- a/heronlug/wire/cluster.py
+++ b/heronlug/wire/cluster.py
@@ -4,6 +4,7 @@
 import os
 from asyncio.subprocess import DEVNULL, Process
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any, cast
 
@@ -42,7 +43,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._wake: Key | None = None
         self._due: Key | None = None
-        self._runs: dict[str, asyncio.Task[None]] = {}
+        self._runs: dict[str, asyncio.Task[int | None]] = {}
         self._left: asyncio.Future[None] | None = None
 
     async def open(self) -> None:
@@ -66,9 +67,12 @@
             self._transport.close()
         for key in (self._wake, self._due):
             self._deadlines.drop(key)
-        for task in [*self._runs.values()]:
+        for name in self.schedule.duties:
+            self.schedule.lost(name)  # nothing begins any more
+        runs = [*self._runs.values()]
+        for task in runs:
             task.cancel()
-        await asyncio.gather(*self._runs.values(), return_exceptions=True)
+        await asyncio.gather(*runs, return_exceptions=True)
 
     # -- asyncio
 
@@ -176,31 +180,37 @@
                 self._runs[name].cancel()
         for name, fence in self.schedule.begin(now):
             task = self._runs[name] = asyncio.get_running_loop().create_task(self._run(name, fence))
-            task.add_done_callback(lambda _, name=name: self._runs.pop(name, None))  # type: ignore[misc]
+            task.add_done_callback(partial(self._ended, name))
         self._deadlines.drop(self._due)
         when = self.schedule.next()
         self._due = self._deadlines.at(max(when, now + 10.0), self._plan) if when < float("inf") else None
 
-    async def _run(self, name: str, fence: Fence) -> None:
+    async def _run(self, name: str, fence: Fence) -> int | None:
         """One run of a duty's command, under our fence; it is killed when it is late or the lease is lost."""
         program: Process | None = None
-        status: int | None = None
         try:
             if self.node.may_act(name, self._deadlines.clock()) != fence:
-                return
+                return None
             words = self._commands[name]
             environ = {**os.environ, "HERONLUG_DUTY": name, "HERONLUG_FENCE": f"{fence.number}.{fence.owner}"}
             program = await asyncio.create_subprocess_exec(*words, env=environ, stdin=DEVNULL, stdout=DEVNULL,
                                                            stderr=DEVNULL)  # fmt: skip
-            status = await program.wait()
+            return await program.wait()
         except OSError as error:
             self._log("duty_failed", duty=name, error=str(error))
+            return None
         finally:
             if program is not None and program.returncode is None:
                 program.kill()
                 await program.wait()
-            if status != 0:
-                self._log("duty_failed", duty=name, status=status)
-            self.schedule.over(name, self._deadlines.clock(), status == 0)
-            self._plan()
-            self._turn()
+
+    def _ended(self, name: str, task: "asyncio.Task[int | None]") -> None:
+        """A run is over, also one that was ended before it had begun: the next may begin."""
+        if self._runs.get(name) is task:
+            del self._runs[name]
+        status = None if task.cancelled() or task.exception() is not None else task.result()
+        if status != 0:
+            self._log("duty_failed", duty=name, status=status)
+        self.schedule.over(name, self._deadlines.clock(), status == 0)
+        self._plan()
+        self._turn()
