One reading of an operators' file for start, reload and check; commands share how they print

Change: files.gather; cli/words.py; Settings.cap; forms' near; control.ask says that no socket is named; beside puts back the interval that was there. Messages and exit statuses stay as they were.

--- a/heronlug/__main__.py
+++ b/heronlug/__main__.py
@@ -2,10 +2,11 @@
 
 import os
 import sys
+from collections.abc import Callable
 
-from heronlug.life.config import ConfigError
+from heronlug.life.config import Config, ConfigError
 from heronlug.life.files import Files
-from heronlug.life.state import StateError
+from heronlug.life.state import State, StateError
 
 
 def main() -> int:
@@ -17,13 +18,14 @@
     return start(Files.told())
 
 
-def start(files: Files) -> int:
-    """Serve as these files say."""
+def start(files: Files, tell: Callable[[Config, State], None] = lambda config, desired: None) -> int:
+    """Serve as these files say; ``tell`` what they say before."""
     try:
         config, desired = files.load()
     except (ConfigError, StateError) as error:
         print("\n".join(f"heronlug: {line}" for line in str(error).splitlines()), file=sys.stderr)
         return 2
+    tell(config, desired)
     from heronlug.life.start import main as serve
 
     return serve(config, desired, files, os.environ.get("HERONLUG_CONTROL", ""))
--- a/heronlug/cli/change.py
+++ b/heronlug/cli/change.py
@@ -6,20 +6,14 @@
 import click
 import orjson
 
+from heronlug.cli.words import FILE, SOCKET
 from heronlug.forms import Faults, Source
 from heronlug.life.control import ask
 from heronlug.life.state import State, StateError, difference, digest, parse
 from heronlug.limits import load
 
-SOCKET = click.option(
-    "--control", envvar="HERONLUG_CONTROL", default="", metavar="SOCKET", help="the running daemon's control socket"
-)
-FILE = click.Path(dir_okay=False, path_type=Path)
-
 
 def _running(control: str) -> State:
-    if not control:
-        raise StateError("environment: HERONLUG_CONTROL: not set, and no --control")
     state: State = ask(control, {"ask": "state"})["state"]
     return state
 
@@ -81,8 +75,6 @@
         raise StateError(f"{file}: {error.strerror}") from None
     if data.lstrip().startswith(b"{"):
         base, desired = _saved(file, data)
-        if not control:
-            raise StateError("environment: HERONLUG_CONTROL: not set, and no --control")
     else:
         base = digest(_running(control))
         desired = _desired(control, file)
--- a/heronlug/cli/inspect.py
+++ b/heronlug/cli/inspect.py
@@ -1,18 +1,18 @@
 """``check`` and ``limits show``: files looked at without a daemon."""
 
-import sys
 from pathlib import Path
 
 import click
 import orjson
 
-from heronlug.forms import Fault, Faults, Source
+from heronlug.cli.words import FILE, print_columns, print_json
+from heronlug.forms import Fault
 from heronlug.interface import Settings
 from heronlug.life.config import ConfigError, load
-from heronlug.life.state import State, StateError, parse
+from heronlug.life.files import gather
+from heronlug.life.state import State, StateError
 from heronlug.limits.load import advice, rows
 
-FILE = click.Path(dir_okay=False, path_type=Path)
 CONFIG = click.option(
     "--config", type=FILE, envvar="RELAY_CONFIG", help="the platform's JSON, where FILE holds no [site]"
 )
@@ -20,20 +20,9 @@
 
 def look(file: Path, config: Path | None) -> tuple[State | None, Settings | None, list[Fault]]:
     """A file's state, the site that it was checked against, and all its faults."""
-    site = load({"RELAY_CONFIG": str(config)}).settings if config is not None else None
-    faults: list[Fault] = []
-    state: State | None = None
-    try:
-        source = Source.read(file)
-        if source.table.keys() & {"serve", "site"}:
-            from heronlug.life.site import read_site
-
-            conf, faults = read_site(source)
-            site = conf.settings if conf is not None else None
-        state = parse(source, site)
-    except Faults as error:
-        faults = [*faults, *error.faults]
-    return state, site, Faults(faults).faults
+    platform = load({"RELAY_CONFIG": str(config)}) if config is not None else None
+    conf, state, faults = gather(file, lambda: platform)
+    return state, conf.settings if conf is not None else None, faults
 
 
 @click.command()
@@ -48,7 +37,7 @@
         notes.append("checked by its form alone: --config names the platform's settings")
     if as_json:
         table = {"ok": not faults, "faults": [fault._asdict() for fault in faults], "notes": notes}
-        sys.stdout.write(orjson.dumps(table, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE).decode())
+        print_json(table)
     else:
         for fault in faults:
             print(fault)
@@ -76,13 +65,10 @@
         raise ConfigError(f"{file}: no [site] in it, and no --config")
     table = list(rows(site, state["classes"], str(file)))
     if as_json:
-        text = orjson.dumps([row._asdict() for row in table], option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE)
-        sys.stdout.write(text.decode())
-        return 0
-    lines = [("class", "limit", "value", "from"), *((r.name, r.key, _text(r.value), r.origin) for r in table)]
-    widths = [max(len(line[column]) for line in lines) for column in range(3)]
-    for line in lines:
-        print("  ".join([*(word.ljust(width) for word, width in zip(line, widths, strict=False)), line[3]]))
+        print_json([row._asdict() for row in table])
+    else:
+        lines = [(row.name, row.key, _text(row.value), row.origin) for row in table]
+        print_columns([("class", "limit", "value", "from"), *lines])
     return 0
 
 
--- a/heronlug/cli/serve.py
+++ b/heronlug/cli/serve.py
@@ -2,13 +2,15 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 import click
 
+from heronlug.cli.words import FILE
+from heronlug.life.config import Config
 from heronlug.life.files import Files
-
-FILE = click.Path(dir_okay=False, path_type=Path)
+from heronlug.life.state import State
 
 
 @click.command()
@@ -21,26 +23,19 @@
     """
     from heronlug.__main__ import start
 
-    files = Files(file, os.environ) if file is not None else Files.told()
-    if file is not None:
-        _announce(files)
-    return start(files)
+    return start(Files(file, os.environ), partial(_announce, file)) if file is not None else start(Files.told())
 
 
-def _announce(files: Files) -> None:
-    """Where it will listen and one command to try, for people; faults are told by the start itself."""
-    try:
-        config, state = files.load()
-    except ValueError:
-        return
+def _announce(file: Path, config: Config, state: State) -> None:
+    """Where it will listen and one command to try, for people."""
     where = [("clients (HTTP)", config.listen), ("operators (HTTP)", config.admin)]
     lines = [f"{what:18}{address[0]}:{address[1]}" for what, address in where if address is not None]
     if state["faktory"]:
         lines.append(f"{'workers (Faktory)':18}{state['faktory']['listen']}")
     hosts = len((config.known or {}).get("instances", ()))
-    lines.append(f"{'hosts':18}{hosts} listed in {files.state}")
+    lines.append(f"{'hosts':18}{hosts} listed in {file}")
     if not config.discovery:
-        lines.append(f"to try it:        {Path(sys.executable)} -m heronlug try {files.state}")
+        lines.append(f"to try it:        {Path(sys.executable)} -m heronlug try {file}")
     print("\n".join(lines), file=sys.stderr, flush=True)
 
 
--- a/heronlug/cluster/codec.py
+++ b/heronlug/cluster/codec.py
@@ -9,7 +9,7 @@
     last 12     BLAKE2b over all before, with the key
 
 A datagram of an unknown version is counted and left.  One with a stamp that has been seen, or too far below the newest
-of its sender, is a replay.  Weighed against msgpack: see docs/design/cluster.md.
+of its sender, is a replay.
 """
 
 import hmac
--- a/heronlug/forms/decode.py
+++ b/heronlug/forms/decode.py
@@ -2,12 +2,11 @@
 
 import math
 import re
-from difflib import get_close_matches
 from typing import Annotated, Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
 
-from heronlug.forms.faults import Fault
+from heronlug.forms.faults import Fault, near
 from heronlug.forms.source import Keys, Source
 
 Form = TypeVar("Form", bound=msgspec.Struct)
@@ -29,9 +28,7 @@
     for key, value in table.items():
         field = fields.get(key)
         if field is None:
-            near = get_close_matches(key, fields, 1)
-            right = f"perhaps {near[0]}" if near else "one of " + ", ".join(fields)
-            faults.append(source.fault((*at, key), "unknown key", right))
+            faults.append(source.fault((*at, key), "unknown key", near(key, fields)))
             continue
         kind, right = hints[field.name], _right(hints[field.name])
         try:
--- a/heronlug/forms/faults.py
+++ b/heronlug/forms/faults.py
@@ -19,6 +19,15 @@
         return " ".join(f"{place}{key}{self.wrong}{', ' if self.right else ''}{self.right}".split())
 
 
+def near(word: str, known: Iterable[str]) -> str:
+    """What would be right in place of an unknown word."""
+    from difflib import get_close_matches
+
+    words = list(known)
+    close = get_close_matches(word, words, 1)
+    return f"perhaps {close[0]}" if close else "one of " + ", ".join(words)
+
+
 class Faults(ValueError):
     """All faults of a file, one line each, in the order of their lines."""
 
--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -159,6 +159,10 @@
         _require(0 <= self.worst_class <= 1, "worst_class", self.worst_class)
         _require(0 < self.cold_from <= 1, "cold_from", self.cold_from)
 
+    def cap(self, lane: JobClass) -> int:
+        """The most attempts that a job of a class may have."""
+        return min(lane.attempts or self.attempts_cap, self.attempts_cap)
+
 
 # -- events -----------------------------------------------------------------------------------------
 
--- a/heronlug/life/beside.py
+++ b/heronlug/life/beside.py
@@ -9,6 +9,7 @@
 Result = TypeVar("Result")
 SLICE = 0.0003  # s; by itself a thread keeps the interpreter for 5 ms whenever the loop wants it
 _working = 0  # calls under way
+_whole = sys.getswitchinterval()
 
 
 async def beside(work: Callable[..., Result], *args: object) -> Result:
@@ -26,5 +27,5 @@
     finally:
         _working -= 1
         if not _working:
-            sys.setswitchinterval(0.005)
+            sys.setswitchinterval(_whole)
             gc.enable()
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -193,6 +193,8 @@
 
 def ask(path: str, request: dict[str, Any]) -> dict[str, Any]:
     """One request of the command line to a running daemon; raises :class:`StateError`."""
+    if not path:
+        raise StateError("environment: HERONLUG_CONTROL: not set, and no --control")
     try:
         with socket.socket(socket.AF_UNIX) as sock:
             sock.settimeout(30)
--- a/heronlug/life/files.py
+++ b/heronlug/life/files.py
@@ -1,7 +1,7 @@
 """The files that a dispatcher's settings come from, read together: all of them hold, or none does."""
 
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -27,25 +27,30 @@
 
     def load(self, again: bool = False) -> tuple[Config, State]:
         """Read and check everything, at a start or ``again``; raises :class:`ConfigError` or :class:`StateError`."""
-        try:
-            source = Source.read(self.state)
-            if source.table.keys() & {"serve", "site"}:
-                from heronlug.life.site import read_site
-
-                conf, wrong = read_site(source)
-                if conf is None:
-                    raise Faults([*wrong, *_faults(source)])
-            else:
-                conf = config.reload(self.environ) if again else config.load(self.environ)
-            return conf, parse(source, conf.settings)
-        except Faults as faults:
-            raise StateError(str(faults)) from None
-
-
-def _faults(source: Source) -> list[Fault]:
-    """What else is wrong, so that all is told at once."""
+        read = config.reload if again else config.load
+        conf, state, faults = gather(self.state, lambda: read(self.environ))
+        if conf is None or state is None or faults:
+            raise StateError(str(Faults(faults)))
+        return conf, state
+
+
+def gather(path: Path, platform: Callable[[], Config | None]) -> tuple[Config | None, State | None, list[Fault]]:
+    """The configuration and the state that a file holds, or all that is wrong with it, in the order of its lines.
+
+    Where it is not the whole configuration, ``platform`` gives that; None checks the file by its form alone.
+    """
+    faults: list[Fault] = []
+    conf: Config | None = None
+    state: State | None = None
     try:
-        parse(source)
-    except Faults as faults:
-        return faults.faults
-    return []
+        source = Source.read(path)
+        if source.table.keys() & {"serve", "site"}:
+            from heronlug.life.site import read_site
+
+            conf, faults = read_site(source)
+        else:
+            conf = platform()
+        state = parse(source, conf.settings if conf is not None else None)
+    except Faults as error:
+        faults = [*faults, *error.faults]
+    return conf, state, Faults(faults).faults
--- a/heronlug/life/state.py
+++ b/heronlug/life/state.py
@@ -68,14 +68,6 @@
     return {**form, **table}
 
 
-def read(path: Path) -> State:
-    """The state that a file describes, by itself; raises :class:`StateError`."""
-    try:
-        return parse(Source.read(path))
-    except Faults as faults:
-        raise StateError(str(faults)) from None
-
-
 def parse(source: Source, site: Settings | None = None) -> State:
     """The state that a file describes; raises :class:`Faults` with all that is wrong.
 
--- a/heronlug/limits/load.py
+++ b/heronlug/limits/load.py
@@ -1,13 +1,13 @@
 """The ``[class]`` tables of a file: decoded, checked against a site, and explained."""
 
 from collections.abc import Iterator, Mapping
-from difflib import get_close_matches
 from typing import Any, NamedTuple
 
 import msgspec
 
 from heronlug.forms import Fault, Source
 from heronlug.forms.decode import decode
+from heronlug.forms.faults import near
 from heronlug.interface import Settings
 from heronlug.limits.model import KEYS, Given, limit
 from heronlug.limits.rules import RULES, Case, notes
@@ -48,9 +48,7 @@
     for name, limits in given.items():
         lane = lanes.get(name)
         if lane is None:
-            near = get_close_matches(name, lanes, 1)
-            right = f"perhaps {near[0]}" if near else "one of " + ", ".join(lanes)
-            yield Broken(name, "", "the site has no such class", right)
+            yield Broken(name, "", "the site has no such class", near(name, lanes))
             continue
         case = Case(site, lane, limits)
         for rule in RULES:
--- a/heronlug/limits/rules.py
+++ b/heronlug/limits/rules.py
@@ -35,7 +35,7 @@
     @property
     def attempts(self) -> int:
         """The most attempts that it can have."""
-        return min(self.set.attempts or self.site.attempts_cap, self.site.attempts_cap)
+        return self.site.cap(self.set)
 
     @property
     def give_up(self) -> float:
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -111,7 +111,7 @@
 
     def _admit(self, event: pk.JobArrived, now: float) -> Job:
         job = self.jobs[event.job] = Job(event, event.terms or self.s.classes[event.job_class])
-        job.cap = min(job.lane.attempts or self.s.attempts_cap, self.s.attempts_cap)
+        job.cap = self.s.cap(job.lane)
         self.arrivals += 1  # a tenant's part of all traffic is not seen from here: its part of ours must do
         job.over = event.tenant < len(self.tenants) and not self.tenants[event.tenant].take(self.arrivals)
         run = self._expected(job)
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -425,8 +425,7 @@
         relay = Relay(message, len(message.relays), host, now)
         message.relays.append(relay)
         relay.ticket = self.relays.put(relay)
-        cap = min(message.terms.attempts or self.settings.attempts_cap, self.settings.attempts_cap)
-        if message.closed or now >= message.give_up_at or relay.number >= cap:
+        if message.closed or now >= message.give_up_at or relay.number >= self.settings.cap(message.terms):
             self.ended(relay, pk.Outcome.MOOT)
         else:
             self.front.send(relay)
