Tests take ports below those of outgoing connections, and say why a program is not ready

Ruled out: a slow start (the error came at once, with the process gone, not after the 30 s of patience).

Change: ports come from 12000 to 31999, below the system's range of outgoing ports, each once a process and tried for TCP and UDP. A program that has ended before it is ready fails the test with its status and its log.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -26,6 +26,7 @@
 import tempfile
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -37,6 +38,8 @@
     "lying": b'.{"kind":"state","names":5,"sockets":["peers"],"known":[],"learned":{"all":1}}',
     "half right": b'.{"kind":"state","names":["t9"],"sockets":[],"known":7,"learned":{"all":[]}}',
 }
+FIRST_PORT, MANY_PORTS = 12_000, 20_000  # below the ports of outgoing connections
+PORTS = iter(range(os.getpid() * 97, os.getpid() * 97 + MANY_PORTS))
 PATIENCE = 10.0  # for something that must come; no speed is asserted
 SETTINGS: dict[str, Any] = {
     "instances": 2,
@@ -86,9 +89,18 @@
 
 
 def free_port() -> int:
-    """A port that nothing listens on."""
-    with listener() as sock:
-        return int(sock.getsockname()[1])
+    """A port that nothing listens on, each once.
+
+    It is none of those that the system gives to outgoing connections: one of these, also of the program itself, may
+    have taken it before the program listens there.
+    """
+    for number in PORTS:
+        port = FIRST_PORT + number % MANY_PORTS
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams, suppress(OSError):
+            stream.bind(("127.0.0.1", port))
+            datagrams.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("no port is free")
 
 
 class Player:
@@ -165,9 +177,9 @@
             try:
                 if self._ask(admin, "/healthcheck").startswith("HTTP"):
                     return
-            except OSError:
+            except OSError as error:
                 if time.monotonic() > end or self.program.poll() is not None:
-                    raise
+                    raise AssertionError(f"not ready, status {self.program.poll()}: {error}\n{self.logged()}") from None
             time.sleep(0.02)
 
     @staticmethod
