--- a/heronlug/cluster/codec.py
+++ b/heronlug/cluster/codec.py
@@ -110,16 +110,42 @@
     fence: Fence
 
 
-Part = Ping | Ack | PingFor | Nack | Sync | Ask | Grant | Deny | Offer | Accept | Done | Free | News
+class Announce(NamedTuple):
+    """A sheet is at this version: the owner's fence, the number of its publication or beat, the root of the table."""
+
+    topic: int
+    fence: Fence
+    number: int
+    root: int
+
+
+class Pull(NamedTuple):
+    """The sender wants the nodes of these names, at most ``PULL_MOST``."""
+
+    names: tuple[int, ...]
+
+
+class Piece(NamedTuple):
+    """A node of a sheet; its name is what it holds."""
+
+    data: bytes
+
+
+Part = (
+    Ping | Ack | PingFor | Nack | Sync | Ask | Grant | Deny | Offer | Accept | Done | Free | News
+    | Announce | Pull | Piece
+)  # fmt: skip
 
 _FORMS: dict[type, tuple[int, struct.Struct]] = {
     Ping: (1, struct.Struct(">I")), Ack: (2, struct.Struct(">I")), PingFor: (3, struct.Struct(">II")),
     Nack: (4, struct.Struct(">I")), Sync: (5, struct.Struct(">")), Ask: (6, struct.Struct(">IQIIQI")),
     Grant: (7, struct.Struct(">IQII")), Deny: (8, struct.Struct(">IQII")), Offer: (9, struct.Struct(">IQI")),
     Accept: (10, struct.Struct(">IQI")), Done: (11, struct.Struct(">IQI")),
-    Free: (13, struct.Struct(">IQI")),
+    Free: (13, struct.Struct(">IQI")), Announce: (14, struct.Struct(">IQIQQ")),
 }  # fmt: skip
 _KINDS = {kind: (part, form) for part, (kind, form) in _FORMS.items()}
+_PULL, _PIECE = 15, 16  # then how many names, or bytes
+PULL_MOST = 24  # names in one part
 _NEWS, _NEWS_FORM = 12, struct.Struct(">QBBB")  # incarnation, health, lengths of name and address
 
 
@@ -129,6 +155,10 @@
         name, address = part.name.encode(), part.address.encode()
         head = _NEWS_FORM.pack(part.incarnation, part.health, len(name), len(address))
         return bytes([_NEWS]) + head + name + address
+    if isinstance(part, Pull):
+        return struct.pack(f">BB{len(part.names)}Q", _PULL, len(part.names), *part.names)
+    if isinstance(part, Piece):
+        return bytes((_PIECE, len(part.data))) + part.data
     kind, form = _FORMS[type(part)]
     flat: list[int] = []
     for value in part:
@@ -151,11 +181,20 @@
                 words = body[at : at + name].decode(), body[at + name : at + name + address].decode()
                 parts.append(News(*words, incarnation, Health(health)))
                 at += name + address
+            elif kind == _PULL:
+                parts.append(Pull(struct.unpack_from(f">{body[at]}Q", body, at + 1)))
+                at += 1 + 8 * body[at]
+            elif kind == _PIECE:
+                end = at + 1 + body[at]
+                if end > len(body):
+                    raise ValueError("a piece is cut off")
+                parts.append(Piece(body[at + 1 : end]))
+                at = end
             else:
                 part, form = _KINDS[kind]
                 parts.append(_part(part, form.unpack_from(body, at)))
                 at += form.size
-    except (struct.error, KeyError) as error:
+    except (struct.error, KeyError, IndexError) as error:
         raise ValueError(f"no part: {error!r}") from None
     return parts
 
@@ -165,6 +204,8 @@
         return kind(flat[0], Fence(*flat[1:3]), flat[3])  # type: ignore[no-any-return]
     if kind in (Offer, Accept, Done, Free):
         return kind(flat[0], Fence(*flat[1:3]))  # type: ignore[no-any-return]
+    if kind is Announce:
+        return Announce(flat[0], Fence(*flat[1:3]), flat[3], flat[4])
     if kind is Ask:
         return Ask(flat[0], Fence(*flat[1:3]), flat[3], Fence(*flat[4:6]))
     return kind(*flat)  # type: ignore[no-any-return]
--- /dev/null
+++ b/heronlug/cluster/hosts.py
@@ -0,0 +1,169 @@
+"""Which hosts this dispatcher holds to be there, out of its own reading, the shared list and the verdicts of probes.
+
+Decides and does nothing: whether our own watch of the register has to be on, and what the core is to be told.
+
+``share = "list"``: the owner of the duty reads the register for all. Another reads it itself as long as the shared list
+is stale, or is of an older version than what it has seen: so an owner that dies costs readings and no drain.
+``share = "news"``: all read; of the shared list counts only that a host which our own list names drains or has gone.
+``share = "none"``: all read; only the verdicts of probes are shared.
+
+A host that the probes find down is told as draining: nothing new goes there, and what runs there goes on. If more than
+a stated share of the list is down, the probes are not believed (Envoy calls that panic): then it is more likely that
+they fail.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from heronlug.interface import ListKind, WorkerState
+from heronlug.memory.core import HostEntry
+
+
+class Source(Enum):
+    """Which list holds."""
+
+    NONE = "none"
+    OWN = "own"
+    SHARED = "shared"
+
+
+@dataclass(slots=True)
+class Listed:
+    """One list, whole."""
+
+    hosts: dict[str, HostEntry] = field(default_factory=dict)
+    version: int = -1  # the register's; -1 for none
+    known: bool = False
+
+
+class HostView:
+    """The hosts as the core is told of them."""
+
+    def __init__(self, share: str = "none", stale_after: float = 1500.0, panic_share: float = 0.5) -> None:
+        """``stale_after`` in milliseconds without a word of the owner of the shared list."""
+        self.share, self.stale_after, self.panic_share = share, stale_after, panic_share
+        self.own, self.shared = Listed(), Listed()
+        self.source = Source.NONE
+        self.watching = False  # our own watch is on, and what it says is as it was last told
+        self.down: dict[str, str] = {}  # hosts that probes have found down, and which shard says so
+        self.panic = False
+        self.ahead = False  # the others' list is newer than ours, and counts for what it takes away
+        self.told: dict[str, HostEntry] = {}
+        self.switches = 0
+
+    # -- our own watch
+
+    def wants_own(self, owner: bool, age: float) -> bool:
+        """Whether our own watch has to be on; ``age`` of the shared list in milliseconds."""
+        if owner or self.share != "list" or not self.shared.known or age > self.stale_after:
+            return True
+        return self.own.known and self.shared.version < self.own.version
+
+    def use(self, own: bool) -> tuple[ListKind, list[HostEntry]] | None:
+        """Go by our own list, or by the shared one; what the core is to be told, if anything changes."""
+        self.watching = own
+        ours = own and self.own.known
+        wanted = Source.OWN if ours else self.source
+        if self.share == "list" and self.shared.known and not ours:
+            wanted = Source.SHARED
+        if wanted is self.source:
+            return None
+        self.switches += self.source is not Source.NONE
+        self.source = wanted
+        return self._news(None)
+
+    def own_news(
+        self, kind: ListKind, version: int | None, entries: Iterable[HostEntry]
+    ) -> tuple[ListKind, list[HostEntry]] | None:
+        """Our own watch has brought this; what the core is to be told, if anything."""
+        entries = list(entries)
+        if kind is ListKind.FAILED:
+            self.watching = False
+            return kind, []  # the core decides when to ask again
+        if kind is not ListKind.CHANGES:
+            self.own.hosts = {entry.name: entry for entry in entries}
+        for entry in entries:
+            if entry.state is WorkerState.GONE:
+                self.own.hosts.pop(entry.name, None)
+            else:
+                self.own.hosts[entry.name] = entry
+        before = self.source
+        if kind is not ListKind.CACHED:
+            self.own.known, self.watching = True, True
+            self.own.version = version if version is not None else -1
+            self.source = Source.OWN
+        elif self.source is Source.NONE:
+            self.source = Source.OWN
+        elif self.source is Source.SHARED:
+            return None
+        whole = kind is not ListKind.CHANGES or self.source is not before
+        changed = None if whole else {entry.name for entry in entries}
+        _, told = self._news(changed)
+        return (kind, list(self.told.values())) if kind is not ListKind.CHANGES else (kind, told)
+
+    # -- what others say
+
+    def shared_news(self, version: int, entries: Iterable[HostEntry], gone: Iterable[str]) -> list[HostEntry]:
+        """The shared list has changed; what the core is to be told as changes."""
+        entries, gone = list(entries), list(gone)
+        self.shared.known, self.shared.version = True, version
+        for entry in entries:
+            self.shared.hosts[entry.name] = entry
+        for name in gone:
+            self.shared.hosts.pop(name, None)
+        if self.source is not Source.SHARED and self.share != "news":
+            return []
+        return self._news({entry.name for entry in entries} | set(gone))[1]
+
+    def verdicts(self, shard: str, down: Iterable[str], up: Iterable[str]) -> list[HostEntry]:
+        """A shard's owner holds these hosts down, and these up again; what the core is to be told as changes."""
+        touched = set()
+        for name in up:
+            if self.down.get(name) == shard:
+                del self.down[name]
+                touched.add(name)
+        for name in down:
+            self.down[name] = shard
+            touched.add(name)
+        return self._news(touched)[1]
+
+    def withdraw(self, shard: str) -> list[HostEntry]:
+        """Nobody probes this shard any more: what was said of its hosts counts no more."""
+        return self.verdicts(shard, (), [name for name, by in self.down.items() if by == shard])
+
+    # -- inside
+
+    def _news(self, names: set[str] | None) -> tuple[ListKind, list[HostEntry]]:
+        """What has changed for the core among these hosts, or among all."""
+        base = self.shared.hosts if self.source is Source.SHARED else self.own.hosts
+        held_down = sum(name in base for name in self.down)
+        panic = held_down > self.panic_share * len(base)
+        ahead = self.share == "news" and self.shared.known and self.shared.version > self.own.version
+        if panic is not self.panic or ahead is not self.ahead or names is None:
+            self.panic, self.ahead, names = panic, ahead, base.keys() | self.told.keys()
+        told = []
+        for name in sorted(names):
+            entry = self._entry(base.get(name))
+            before = self.told.get(name)
+            if entry is None and before is not None:
+                del self.told[name]
+                told.append(before._replace(state=WorkerState.GONE))
+            elif entry is not None and entry != before:
+                self.told[name] = entry
+                told.append(entry)
+        return ListKind.CHANGES, told
+
+    def _entry(self, entry: HostEntry | None) -> HostEntry | None:
+        """A host as it counts here."""
+        if entry is None:
+            return None
+        if self.ahead:
+            other = self.shared.hosts.get(entry.name)
+            if other is None:
+                return None
+            if other.state is not WorkerState.READY:
+                entry = entry._replace(state=other.state)
+        if entry.name in self.down and not self.panic and entry.state is WorkerState.READY:
+            entry = entry._replace(state=WorkerState.DRAINING)
+        return entry
--- a/heronlug/cluster/leases.py
+++ b/heronlug/cluster/leases.py
@@ -1,6 +1,7 @@
 """Leases of duties: who may act, under which fencing number, and how a duty is handed over.
 
-A lease is granted by every member that the owner does not hold dead (its voters), itself included. A voter has
+A lease is granted by the owner itself and by its voters: the first in the duty's rank, some number of them, of all
+members that it does not hold dead. A voter has
 granted a duty to one owner at a time, until its own clock has run ``lease`` past the grant; the owner counts from
 when it asked and stops ``2 * drift`` earlier, so it never acts when a voter's grant has run out. Hence two may act at
 once only where neither has a voter in common with the other: each holds the other dead, and everybody who voted for
@@ -44,8 +45,8 @@
 class Duty:
     """One duty as one member sees it."""
 
-    __slots__ = ("asked", "fence", "freed", "granted", "heir", "key", "name", "next", "promised", "seen", "stage",
-                 "tries", "until", "vote")  # fmt: skip
+    __slots__ = ("asked", "fence", "freed", "gained", "granted", "heir", "key", "name", "next", "promised", "seen",
+                 "stage", "tries", "until", "vote")  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name, self.key = name, tag(name)
@@ -61,6 +62,7 @@
         self.heir = 0  # whom we hand it to
         self.next = -inf  # when to send something again
         self.tries = 0
+        self.gained = 0  # times that it has come to us
 
 
 class Leases:
@@ -69,9 +71,9 @@
     def __init__(
         self, name: str, incarnation: int, duties: list[str], terms: Terms,
         send: Callable[[int, Part], None], told: Callable[[Gained | Lost], None],
-        voters: Callable[[float], dict[int, str]], candidates: Callable[[float], list[str]],
+        voters: Callable[[str, float], dict[int, str]], candidates: Callable[[float], list[str]],
     ) -> None:  # fmt: skip
-        """``voters`` are the others by tag, ``candidates`` the names of those that may own, perhaps us too."""
+        """``voters`` of a duty are others by tag, ``candidates`` the names of those that may own, perhaps us too."""
         self.name, self.tag, self.terms = name, tag(name), terms
         self.life = tag(f"{name}\0{incarnation}")  # of this process: a restart never repeats a fence
         self.duties = {duty.key: duty for duty in map(Duty, duties)}
@@ -102,12 +104,12 @@
 
     def wake(self, now: float) -> None:
         """Do what is due."""
-        voters = self._voters(now)
-        candidates = self._candidates(now)
+        candidates: list[str] | None = None
         for duty in self.duties.values():
             self._lapse(duty, now)
             if duty.next <= now:
-                self._step(duty, voters, candidates, now)
+                candidates = self._candidates(now) if candidates is None else candidates
+                self._step(duty, self._voters(duty.name, now), candidates, now)
 
     def _lapse(self, duty: Duty, now: float) -> None:
         if duty.stage in (Stage.HOLDING, Stage.OFFERING) and now >= duty.until:
@@ -186,6 +188,7 @@
         if duty.stage is Stage.ASKING:
             cause = "handed over" if duty.freed != NO_FENCE else "taken over"
             duty.stage, duty.freed, duty.promised = Stage.HOLDING, NO_FENCE, -inf
+            duty.gained += 1
             self._told(Gained(duty.name, duty.fence, cause))
 
     def _stop(self, duty: Duty, stage: Stage, cause: str) -> None:
@@ -213,7 +216,7 @@
             until = duty.asked[part.number] + self._span
             duty.granted[sender] = max(until, duty.granted.get(sender, -inf))
             if duty.stage in (Stage.ASKING, Stage.HOLDING, Stage.OFFERING):
-                self._reckon(duty, self._voters(now), now)
+                self._reckon(duty, self._voters(duty.name, now), now)
         elif isinstance(part, Deny) and part.number in duty.asked:
             self._denied(duty, part, now)
         elif isinstance(part, Offer) and not self.leaving:
@@ -268,7 +271,7 @@
             duty.stage = Stage.IDLE
 
     def _let_go(self, duty: Duty, now: float) -> None:
-        for voter in self._voters(now):
+        for voter in self._voters(duty.name, now):
             self._send(voter, Free(duty.key, duty.fence))
         if duty.vote.fence == duty.fence:
             duty.vote.until = -inf
--- a/heronlug/cluster/model.py
+++ b/heronlug/cluster/model.py
@@ -55,6 +55,10 @@
     renew_at: float = 0.25  # of the lease, when it is renewed
     settle: float = 3000.0  # a new member owns nothing before, so that its list of members is whole by then; it grants
     # nothing new before what a process of its name before it has granted has run out, which is a lease
+    voters: int = 9  # at most so many members are asked for a lease, those that come first in the duty's rank
+    beat: float = 400.0  # who publishes a sheet tells of it so often, also when nothing has changed
+    fanout: int = 5  # and each that hears of something new tells so many others
+    pull_wait: float = 120.0  # a node that was asked for and has not come is asked for again after this
     rejoin: float = 2000.0  # seeds are asked again so often while somebody is missing
 
 
@@ -98,4 +102,11 @@
     cause: str
 
 
-Action = SendTo | WakeAt | Changed | Gained | Lost
+class Sheet(NamedTuple):
+    """A sheet has changed: rows by their keys, None for those that are gone."""
+
+    topic: str
+    changes: dict[bytes, bytes | None]
+
+
+Action = SendTo | WakeAt | Changed | Gained | Lost | Sheet
--- a/heronlug/cluster/node.py
+++ b/heronlug/cluster/node.py
@@ -7,7 +7,8 @@
 from heronlug.cluster.leases import Leases
 from heronlug.cluster.membership import Membership
 from heronlug.cluster.model import Action, Fence, News, SendTo, Terms, WakeAt
-from heronlug.cluster.ownership import tag
+from heronlug.cluster.ownership import foremost, tag
+from heronlug.cluster.sheets import Sheets
 
 FAREWELLS = 3  # times that a leave is told to everybody
 RIDERS = (Ping, Ack, PingFor, Nack, Sync)  # what news ride on
@@ -29,6 +30,10 @@
         self.leases = Leases(
             name, incarnation, list(duties), self.terms, self._send_to, self._out.append, self._voters, self._candidates
         )
+        self.sheets = Sheets(
+            self.terms, rng, self._send_to, self._out.append,
+            lambda: [member.tag for member in self.members.others()], self.may_act,
+        )  # fmt: skip
         self._addresses: dict[int, str] = {}
         self._born: float | None = None
         self._farewell = 0
@@ -45,6 +50,7 @@
             self.members.heard(sender, address, parts, now)
             for part in parts:
                 self.leases.heard(sender, part, now)
+                self.sheets.heard(sender, part, now)
         return self._actions(now)
 
     def wake(self, now: float) -> list[Action]:
@@ -55,6 +61,7 @@
         if not self.left:
             self.members.wake(now)
             self.leases.wake(now)
+            self.sheets.wake(now)
             if self.leases.leaving and self.leases.idle():
                 self._say_farewell()
         return self._actions(now)
@@ -66,16 +73,27 @@
             duty.next = now
         return self.wake(now)
 
+    def flush(self, now: float) -> list[Action]:
+        """What has come of a call to :attr:`sheets` from outside; to be asked for after it while ``pending``."""
+        return self._actions(now)
+
     # -- what is known
 
+    @property
+    def pending(self) -> bool:
+        """Whether there is something to carry out that no call has returned."""
+        return bool(self._queued or self._out)
+
     def may_act(self, duty: str, now: float) -> Fence | None:
         """The fence to act under, or None: to be asked again before each step that matters."""
         return None if self.left else self.leases.may_act(tag(duty), now)
 
     # -- inside
 
-    def _voters(self, now: float) -> dict[int, str]:
-        return {member.tag: member.name for member in self.members.voters(now)}
+    def _voters(self, duty: str, now: float) -> dict[int, str]:
+        """All where there are few, so that a vote is missed only in a partition; of many the foremost of the duty."""
+        voters = {member.tag: member.name for member in self.members.voters(now)}
+        return foremost(duty, voters, self.terms.voters)
 
     def _candidates(self, now: float) -> list[str]:
         """Those that have been there long enough; nobody owns anything before the list of members can be whole."""
@@ -112,5 +130,6 @@
         out = [*self._out]
         self._out.clear()
         if not self.left:
-            out.append(WakeAt(max(now + 1.0, min(self.members.next(), self.leases.next()))))
+            due = min(self.members.next(), self.leases.next(), self.sheets.next())
+            out.append(WakeAt(max(now + 1.0, due)))
         return out
--- a/heronlug/cluster/ownership.py
+++ b/heronlug/cluster/ownership.py
@@ -13,3 +13,11 @@
 def ranked(duty: str, members: Iterable[str]) -> list[str]:
     """The members in the order in which they should own a duty, the first first."""
     return sorted(members, key=lambda member: (xxh64_intdigest(f"{duty}\0{member}".encode()), member), reverse=True)
+
+
+def foremost(duty: str, members: dict[int, str], most: int) -> dict[int, str]:
+    """So many of the members as come first in a duty's rank, by tag; all of them where there are no more."""
+    if len(members) <= most:
+        return members
+    by_name = {name: number for number, name in members.items()}
+    return {by_name[name]: name for name in ranked(duty, by_name)[:most]}
--- a/heronlug/cluster/schema.py
+++ b/heronlug/cluster/schema.py
@@ -2,7 +2,7 @@
 
 from hashlib import blake2b
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from msgspec import Meta, Struct, field, structs
 
@@ -22,11 +22,43 @@
 
     name: Text
     every_s: Seconds
-    command: Annotated[list[str], Meta(min_length=1, description="a list of words, the program first")]
+    command: Annotated[list[str], Meta(min_length=1, description="a list of words, the program first")] | None = None
+    sweep: dict[str, Any] | None = None
     longest_s: Seconds = 60.0
     jitter_s: Annotated[float, Meta(ge=0, le=86_400, description="seconds, 0 to a day")] = 0.0
 
 
+class SweepTable(Struct, forbid_unknown_fields=True):
+    """Files of a folder that all members see are deleted when they are old."""
+
+    folder: Text
+    keep_s: Annotated[float, Meta(ge=1, le=1e9, description="seconds, 1 or more")]
+    pattern: Annotated[str, Meta(pattern=r"^[^/]+$", description="file names such as *.plan, without folders")] = "*"
+
+
+class RegisterTable(Struct, forbid_unknown_fields=True):
+    """How the reading of the node register is shared."""
+
+    share: Annotated[Literal["list", "news"], Meta(description='"list" or "news"')]
+    stale_after_ms: Annotated[
+        float, Meta(ge=600, le=60_000, description="milliseconds, 600 (more than a beat) to 60000")
+    ] = 1500.0
+
+
+class ProbeTable(Struct, forbid_unknown_fields=True):
+    """How hosts are probed."""
+
+    every_s: Annotated[float, Meta(ge=0.1, le=3600, description="seconds, 0.1 to 3600")] = 2.0
+    timeout_ms: Annotated[float, Meta(ge=10, le=60_000, description="milliseconds, 10 to 60000")] = 500.0
+    fall: Annotated[int, Meta(ge=1, le=100, description="failures in a row, 1 to 100")] = 3
+    rise: Annotated[int, Meta(ge=1, le=100, description="successes in a row, 1 to 100")] = 2
+    shards: Annotated[int, Meta(ge=1, le=64, description="a whole number, 1 to 64")] = 8
+    path: Annotated[
+        str, Meta(pattern=r"^(/[!-~]*)?$", description="a path such as /health, or nothing for a connection alone")
+    ] = ""
+    panic_share: Annotated[float, Meta(gt=0, le=1, description="a share, more than 0 and at most 1")] = 0.5
+
+
 class ClusterTable(Struct, forbid_unknown_fields=True):
     """The members and what they share."""
 
@@ -36,6 +68,8 @@
     advertise: Address | None = None  # where others reach us, if that is not where we listen
     seeds: list[Address] = field(default_factory=list)
     duty: list[Any] = field(default_factory=list)
+    register: Any = None
+    probe: Any = None
 
 
 def read(source: Source) -> tuple[dict[str, Any], list[Fault]]:
@@ -49,12 +83,37 @@
         faults += wrong
         if duty is None:
             continue
+        if duty.name == "register" or duty.name.startswith("probe-"):
+            wrong_text = f"{duty.name!r} is a duty of the program's own"
+            faults.append(source.fault((AT, "duty", number, "name"), wrong_text, "another name"))
+        if (duty.command is None) is (duty.sweep is None):
+            faults.append(source.fault((AT, "duty", number), "there is nothing, or more than one thing, to do",
+                                       "either command or sweep"))  # fmt: skip
+        elif duty.sweep is not None:
+            sweep, wrong = decode(SweepTable, duty.sweep, source, (AT, "duty", number, "sweep"))
+            faults += wrong
+            if sweep is not None:
+                folder = str((Path(source.path).parent / sweep.folder).resolve())
+                duty = structs.replace(duty, sweep={**structs.asdict(sweep), "folder": folder})
         if duty.name in [known["name"] for known in duties]:
             faults.append(source.fault((AT, "duty", number, "name"), f"{duty.name!r} is there twice", "its own name"))
         if duty.longest_s + duty.jitter_s > duty.every_s:
             wrong_text = f"a run of {duty.longest_s:g} s, {duty.jitter_s:g} s late, is not over when the next begins"
             faults.append(source.fault((AT, "duty", number, "every_s"), wrong_text, "more than both together"))
         duties.append(structs.asdict(duty))
+    shared: dict[str, dict[str, Any]] = {"register": {}, "probe": {}}
+    forms: tuple[tuple[str, type[Struct], Any], ...] = (
+        ("register", RegisterTable, table.register), ("probe", ProbeTable, table.probe),
+    )  # fmt: skip
+    for key, form, given in forms:
+        if given is not None:
+            made, wrong = decode(form, given, source, (AT, key))
+            faults += wrong
+            shared[key] = structs.asdict(made) if made is not None else {}
+    if shared["probe"] and shared["probe"]["timeout_ms"] > shared["probe"]["every_s"] * 1000:
+        wrong_text = f"{shared['probe']['timeout_ms']:g} ms is more than the interval"
+        right = f"{shared['probe']['every_s'] * 1000:g} at most"
+        faults.append(source.fault((AT, "probe", "timeout_ms"), wrong_text, right))
     advertised = [table.advertise] if table.advertise else []
     for key, addresses in (("listen", [table.listen]), ("advertise", advertised), ("seeds", table.seeds)):
         for number, address in enumerate(addresses):
@@ -68,7 +127,7 @@
         keys(files)
     except (OSError, ValueError) as error:
         faults.append(source.fault((AT, "key_files"), str(error), f"files of {LEAST_KEY} bytes or more"))
-    return {**structs.asdict(table), "key_files": files, "duty": duties}, faults
+    return {**structs.asdict(table), **shared, "key_files": files, "duty": duties}, faults
 
 
 def keys(files: list[str]) -> dict[int, bytes]:
--- /dev/null
+++ b/heronlug/cluster/sheets.py
@@ -0,0 +1,304 @@
+"""Tables that one member writes and all others read: by gossip, in pieces that fit into a datagram.
+
+The owner of a duty publishes a sheet under its fence; each publication and each beat has a number.  An announcement
+that is newer than what is known is passed on at once to a few others (eager push; Birman and others 1999), together
+with the few nodes that it changes; what is still missing is pulled from whoever announced it, by the names of the
+nodes, so a lost or repeated datagram costs time and nothing else, and unchanged parts never travel twice.  A sheet is
+taken whole or not at all.  No I/O, no clock and no randomness of its own.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Mapping
+from math import inf
+from random import Random
+from typing import NamedTuple
+
+from heronlug.cluster import trie
+from heronlug.cluster.codec import PULL_MOST, Announce, Part, Piece, Pull
+from heronlug.cluster.model import NO_FENCE, Fence, Sheet, Terms
+from heronlug.cluster.ownership import tag
+
+WINDOW = 192  # nodes asked for at once
+LOOSE = 256  # pieces kept that nobody asked for yet: they may have overtaken their announcement
+PUSHED = 12  # nodes sent along with an announcement; what changes more is pulled
+
+
+class Version(NamedTuple):
+    """The order of publications: a later owner's are all above those before."""
+
+    fence: Fence
+    number: int
+
+
+NEVER = Version(NO_FENCE, 0)
+
+
+class Topic:
+    """One sheet as it is known here."""
+
+    __slots__ = ("asked", "before", "brought", "fresh_at", "key", "missing", "name", "ours", "pushed", "root", "source",
+                 "version", "wanted")  # fmt: skip
+
+    def __init__(self, name: str) -> None:
+        self.name, self.key = name, tag(name)
+        self.version, self.root, self.before = NEVER, trie.EMPTY, trie.EMPTY  # what is there whole
+        self.fresh_at = -inf  # when something new was last heard of its owner
+        self.pushed: tuple[int, ...] = ()  # nodes that the present root has brought
+        self.ours: Fence | None = None  # while we publish it
+        self.wanted: Announce | None = None  # what is being pulled
+        self.source = 0  # from whom
+        self.missing: dict[int, int | None] = {}  # nodes of it that are not there, with their counterparts
+        self.asked: dict[int, float] = {}  # until when an answer may come
+        self.brought: list[int] = []  # nodes that have come for it
+
+
+class Sheets:
+    """All sheets of a member.  ``send`` takes a member's tag, ``told`` what has changed, ``others`` who is there."""
+
+    def __init__(
+        self, terms: Terms, rng: Random, send: Callable[[int, Part], None], told: Callable[[Sheet], None],
+        others: Callable[[], list[int]], may_act: Callable[[str, float], Fence | None],
+    ) -> None:  # fmt: skip
+        self.terms = terms
+        self.topics: dict[int, Topic] = {}
+        self.nodes: dict[int, bytes] = {trie.EMPTY: b"L"}
+        self.counts: Counter[str] = Counter()
+        self._rng, self._send, self._told, self._others, self._may_act = rng, send, told, others, may_act
+        self._loose: OrderedDict[int, bytes] = OrderedDict()
+        self._sweep_at = 1024
+        self._beat_at = -inf
+
+    # -- what is known
+
+    def follow(self, name: str) -> None:
+        """Read this sheet; others than those followed are not taken in."""
+        topic = Topic(name)
+        self.topics.setdefault(topic.key, topic)
+
+    def rows(self, name: str) -> trie.Rows:
+        """All rows of a sheet."""
+        return dict(trie.walk(self.nodes, self.topics[tag(name)].root))
+
+    def age(self, name: str, now: float) -> float:
+        """How long ago its owner was last heard of it; 0 for one of ours."""
+        topic = self.topics[tag(name)]
+        return 0.0 if topic.ours is not None else now - topic.fresh_at
+
+    def next(self) -> float:
+        """When there is something to do."""
+        times = [until for topic in self.topics.values() for until in topic.asked.values()]
+        if any(topic.ours is not None for topic in self.topics.values()):
+            times.append(self._beat_at)
+        return min(times, default=inf)
+
+    # -- what we write
+
+    def publish(self, name: str, fence: Fence, changes: Mapping[bytes, bytes | None], now: float) -> None:
+        """Put rows in, and take those out that are None; raises ``ValueError`` for one that is too long.
+
+        The first publication under a fence goes on from what is known of the owner before.
+        """
+        topic = self.topics[tag(name)]
+        fresh: dict[int, bytes] = {}
+        nodes = _Over(self.nodes, fresh)
+        root = topic.root
+        for key, value in changes.items():
+            root = trie.change(nodes, root, key, value)
+        self._publish(topic, fence, root, fresh, now)
+
+    def publish_whole(self, name: str, fence: Fence, root: int, nodes: Mapping[int, bytes], now: float) -> None:
+        """Put a table, built beside, in the place of what was there."""
+        self._publish(self.topics[tag(name)], fence, root, nodes, now)
+
+    def withdraw(self, name: str) -> None:
+        """Announce it no more: what we know may be out of date.  It goes stale everywhere, and stays readable."""
+        topic = self.topics[tag(name)]
+        topic.ours = None
+        topic.fresh_at = -inf
+
+    def _publish(self, topic: Topic, fence: Fence, root: int, fresh: Mapping[int, bytes], now: float) -> None:
+        self.nodes.update(fresh)
+        topic.wanted, topic.ours = None, fence
+        topic.missing.clear()
+        topic.asked.clear()
+        topic.version = Version(fence, topic.version.number + 1 if topic.version.fence == fence else 1)
+        if root != topic.root:
+            topic.before, topic.root = topic.root, root
+            topic.pushed = tuple(fresh) if len(fresh) <= PUSHED else ()
+            self._sweep()
+        topic.fresh_at = now
+        self._announce(topic, 0)
+        self._beat_at = min(self._beat_at, now + self.terms.beat) if self._beat_at > now else now + self.terms.beat
+
+    def _announce(self, topic: Topic, heard_of: int) -> None:
+        """Tell a few; the fewer nodes it has brought, the more of it goes along."""
+        others = [whom for whom in self._others() if whom != heard_of]
+        part = Announce(topic.key, topic.version.fence, topic.version.number, topic.root)
+        for whom in self._rng.sample(others, min(self.terms.fanout, len(others))):
+            for name in topic.pushed:
+                if name in self.nodes:
+                    self._send(whom, Piece(self.nodes[name]))
+            self._send(whom, part)
+        topic.pushed = ()
+
+    # -- time
+
+    def wake(self, now: float) -> None:
+        """Beat for what is ours, and ask again for what has not come."""
+        beat = now >= self._beat_at
+        for topic in self.topics.values():
+            if topic.ours is not None and self._may_act(topic.name, now) != topic.ours:
+                topic.ours, topic.fresh_at = None, -inf
+            if topic.ours is not None and beat:
+                topic.version = Version(topic.version.fence, topic.version.number + 1)
+                topic.fresh_at = now
+                self._announce(topic, 0)
+            if any(until <= now for until in topic.asked.values()):
+                topic.asked = {name: until for name, until in topic.asked.items() if until > now}
+                others = self._others()
+                if others:  # it may be the one who told of it that cannot be reached
+                    topic.source = self._rng.choice([*others, *([topic.source] * 3)])
+                self.counts["pulled_again"] += 1
+                self._pull(topic, now)
+        if beat:
+            self._beat_at = now + self.terms.beat
+
+    # -- datagrams
+
+    def heard(self, sender: int, part: Part, now: float) -> None:
+        """A part that has to do with sheets."""
+        if isinstance(part, Announce):
+            topic = self.topics.get(part.topic)
+            if topic is not None:
+                self._heard_of(topic, sender, part, now)
+        elif isinstance(part, Pull):
+            for name in part.names:
+                if name in self.nodes:
+                    self._send(sender, Piece(self.nodes[name]))
+                    self.counts["pieces_sent"] += 1
+        elif isinstance(part, Piece):
+            self._piece(part.data, now)
+
+    def _heard_of(self, topic: Topic, sender: int, part: Announce, now: float) -> None:
+        version = Version(part.fence, part.number)
+        if version <= topic.version or (topic.wanted is not None and version <= _version(topic.wanted)):
+            return
+        if topic.ours is not None and part.fence > topic.ours:
+            topic.ours = None  # somebody has taken over, and we have not noticed yet
+        elif topic.ours is not None:
+            return
+        if part.root == topic.root:
+            topic.wanted = None
+            topic.missing.clear()
+            topic.asked.clear()
+            topic.version, topic.fresh_at = version, now
+            self._announce(topic, sender)
+            return
+        known = topic.wanted is not None and topic.wanted.root == part.root
+        topic.wanted, topic.source = part, sender
+        if not known:
+            topic.asked.clear()
+            topic.brought.clear()
+            topic.missing = self._still_absent(topic, topic.root, part.root)
+        if topic.missing:
+            self._pull(topic, now)
+        else:
+            self._adopt(topic, now)
+
+    def _still_absent(self, topic: Topic, old: int | None, new: int) -> dict[int, int | None]:
+        """What is missing below a node, after what has come by itself is put in."""
+        missing = trie.absent(self.nodes, old, new)
+        while found := [name for name in missing if name in self._loose]:
+            for name in found:
+                self.nodes[name] = self._loose.pop(name)
+                topic.brought.append(name)
+                missing.update(trie.absent(self.nodes, missing.pop(name), name))
+        return missing
+
+    def _piece(self, data: bytes, now: float) -> None:
+        try:
+            trie.rows_of(data)
+            trie.children_of(data)
+        except trie.BadNode:
+            self.counts["bad_nodes"] += 1
+            return
+        name = trie.name_of(data)
+        if name in self.nodes:
+            return
+        wanting = [topic for topic in self.topics.values() if name in topic.missing]
+        if not wanting:
+            self._loose[name] = data
+            while len(self._loose) > LOOSE:
+                self._loose.popitem(last=False)
+            return
+        self.nodes[name] = data
+        self.counts["pieces_taken"] += 1
+        for topic in wanting:
+            counterpart = topic.missing.pop(name)
+            topic.asked.pop(name, None)
+            topic.brought.append(name)
+            topic.missing.update(self._still_absent(topic, counterpart, name))
+            if topic.missing:
+                self._pull(topic, now)
+            else:
+                self._adopt(topic, now)
+
+    def _pull(self, topic: Topic, now: float) -> None:
+        """Ask for what is missing, as much at once as the window has room for and in whole datagrams where it can."""
+        room = WINDOW - len(topic.asked)
+        free = [name for name in topic.missing if name not in topic.asked][:room]
+        if len(free) < PULL_MOST and topic.asked and len(free) + len(topic.asked) < len(topic.missing):
+            return  # more will come to be asked for together
+        for at in range(0, len(free), PULL_MOST):
+            chosen = free[at : at + PULL_MOST]
+            topic.asked.update(dict.fromkeys(chosen, now + self.terms.pull_wait))
+            self._send(topic.source, Pull(tuple(chosen)))
+
+    def _adopt(self, topic: Topic, now: float) -> None:
+        """It is there whole: read it, and tell others."""
+        part, topic.wanted = topic.wanted, None
+        assert part is not None
+        topic.asked.clear()
+        changes = trie.difference(self.nodes, topic.root, part.root)
+        topic.before, topic.root = topic.root, part.root
+        topic.version, topic.fresh_at = _version(part), now
+        topic.pushed = tuple(topic.brought) if len(topic.brought) <= PUSHED else ()
+        topic.brought.clear()
+        self._announce(topic, topic.source)
+        self._sweep()
+        self._told(Sheet(topic.name, changes))
+
+    def _sweep(self) -> None:
+        """Forget nodes that are in no sheet of now, of before, or being pulled."""
+        if len(self.nodes) <= self._sweep_at:
+            return
+        live: set[int] = {trie.EMPTY}
+        for topic in self.topics.values():
+            roots = [topic.root, topic.before, *([topic.wanted.root] if topic.wanted is not None else [])]
+            for root in roots:
+                live.update(trie.names(self.nodes, root))
+            # below a node that is missing nothing can be told apart yet
+            for counterpart in topic.missing.values():
+                if counterpart is not None:
+                    live.update(trie.names(self.nodes, counterpart))
+        self.nodes = {name: node for name, node in self.nodes.items() if name in live}
+        self._sweep_at = 2 * len(self.nodes) + 1024
+
+
+def _version(part: Announce) -> Version:
+    return Version(part.fence, part.number)
+
+
+class _Over(dict[int, bytes]):
+    """A store over another: reads from both, writes into the second."""
+
+    def __init__(self, below: Mapping[int, bytes], above: dict[int, bytes]) -> None:
+        super().__init__()
+        self._below, self._above = below, above
+
+    def __getitem__(self, name: int) -> bytes:
+        return self._above[name] if name in self._above else self._below[name]
+
+    def __setitem__(self, name: int, node: bytes) -> None:
+        if name not in self._below:
+            self._above[name] = node
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -29,6 +29,9 @@
     def use_faktory(self, listener: Any) -> None:
         """Serve on a listener, or with None on none."""
 
+    def drop_faktory(self, listener: Any) -> None:
+        """Close what was bound and is not used."""
+
     async def join_cluster(self, terms: State) -> None:
         """Be a member; raises ``OSError`` or ``ValueError``."""
 
@@ -87,6 +90,8 @@
                 if cluster_changes:
                     await self._parts.join_cluster(desired["cluster"])
             except (ValueError, OSError) as error:
+                if listener is not None:
+                    self._parts.drop_faktory(listener)
                 raise StateError(" ".join(str(error).split())) from None
             if plugins_change:
                 self._parts.use_plugins(loaded)
--- /dev/null
+++ b/heronlug/life/member.py
@@ -0,0 +1,64 @@
+"""Being a member of a cluster: puts the node, the shared register and the probes beside a running daemon.
+
+Imported only where there is ``[cluster]``.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from heronlug.cluster import schema
+from heronlug.cluster.hosts import HostView
+from heronlug.interface import ListKind, WorkerState
+from heronlug.memory.core import Core, HostEntry
+from heronlug.memory.deadlines import Deadlines
+from heronlug.wire.cluster import Cluster
+from heronlug.wire.inventory import Inventory
+from heronlug.wire.probes import Probes
+from heronlug.wire.register import Register
+
+
+class Member:
+    """This daemon's membership."""
+
+    def __init__(
+        self, table: dict[str, Any], inventory: Inventory, core: Core,
+        tell: Callable[[ListKind, list[HostEntry]], None], deadlines: Deadlines, log: Callable[..., None],
+        turn: Callable[[], None], zones: list[str], kinds: list[str],
+    ) -> None:  # fmt: skip
+        """``table`` is as the schema reads ``[cluster]``; raises ``OSError`` or ``ValueError``."""
+        self.table, self._inventory, self._tell = table, inventory, tell
+        sharing, probing = table["register"], table["probe"]
+        self.view = HostView(
+            sharing.get("share", "none"), sharing.get("stale_after_ms", 0.0), probing.get("panic_share", 1.0)
+        )
+        self.register = Register(self.view, inventory, self._news, deadlines, log, zones, kinds)
+        self.probes = Probes(probing, self.view, self._news, deadlines, log, turn) if probing else None
+        self.cluster = Cluster(table, deadlines, log, turn, self.register, self.probes)
+        self._shares = bool(sharing or probing)
+        entries = [host.entry for host in core.hosts.values() if host.entry.state is not WorkerState.GONE]
+        self._held = (ListKind.FULL if inventory.watching else ListKind.CACHED), entries
+
+    async def open(self) -> None:
+        """Join; raises ``OSError``, and then nothing has changed."""
+        await self.cluster.open()
+        if self._shares:
+            kind, entries = self._held
+            if entries or kind is ListKind.FULL:  # it joins while it runs
+                self.register.own_news(kind, entries)
+            self._inventory.news = self.register.own_news
+
+    def subscribe(self) -> None:
+        """The core wants a watch."""
+        if self._shares:
+            self.register.subscribe()
+        else:
+            self._inventory.subscribe()
+
+    def read_keys(self) -> dict[int, bytes]:
+        """The keys as their files have them now; raises ``OSError`` or ``ValueError``."""
+        return schema.keys(self.table["key_files"])
+
+    def _news(self, kind: ListKind, entries: list[HostEntry]) -> None:
+        self._tell(kind, entries)
+        if self.probes is not None:
+            self.probes.use_list()
--- a/heronlug/life/reload.py
+++ b/heronlug/life/reload.py
@@ -22,10 +22,12 @@
         move: Callable[[Config], None],
         limit: Callable[[State], Awaitable[list[str]]],
         log: Callable[..., None],
-        rekey: Callable[[], None],
+        read_keys: Callable[[], dict[int, bytes] | None],
+        use_keys: Callable[[dict[int, bytes] | None], None],
     ) -> None:
         self.config = config
-        self._read, self._move, self._limit, self._log, self._rekey = read, move, limit, log, rekey
+        self._read, self._move, self._limit, self._log = read, move, limit, log
+        self._read_keys, self._use_keys = read_keys, use_keys
         self._task: asyncio.Task[None] | None = None
         self._again = False
 
@@ -57,11 +59,12 @@
             if field.name not in {APPLIED, *FRESH} and getattr(config, field.name) != getattr(self.config, field.name)
         ]
         try:
+            keys = await beside(self._read_keys)
             limits = await self._limit(state["classes"])
-        except StateError as error:  # good for the site that the files describe, and not for the one that runs
+        except (OSError, ValueError) as error:  # perhaps good for the site in the files, and not for ours
             self._log("reload_failed", error=str(error))
             return
-        self._rekey()
+        self._use_keys(keys)
         self._log("reloaded", discovery=config.discovery, needs_restart=kept, limits=limits)
         self.config = config
         self._move(config)
--- a/heronlug/life/site.py
+++ b/heronlug/life/site.py
@@ -29,6 +29,8 @@
     listen: Address
     name: Text = "heronlug"
     operators: Address | None = None
+    discovery: Address | None = None  # the node register; without it the hosts are those that the file lists
+    position: Annotated[int, Meta(ge=0, le=9999, description="a whole number, 0 to 9999")] = 0
     memory_mb: Annotated[float, Meta(ge=32, le=1e6, description="megabytes, 32 or more")] = 512.0
     sockets: Annotated[int, Meta(ge=128, le=1_000_000, description="descriptors, 128 or more")] = 1024
 
@@ -62,6 +64,7 @@
     progress_every_ms: Wait = 1000.0
     dial_timeout_ms: Span = 250.0
     conn_idle_ms: Span = 10_000.0
+    dispatchers: Annotated[int, Meta(ge=1, le=10_000, description="dispatchers that share the hosts, 1 or more")] = 1
     max_open: Annotated[int, Meta(ge=1, le=1_000_000, description="open jobs, 1 or more")] = 20_000
     retry_after_ms: Wait = 2000.0
     drain_grace_ms: Wait = 2500.0
@@ -100,8 +103,11 @@
     hosts = [form(Host, table, "host", number) for number, table in enumerate(listed)]
     classes = [form(SiteClass, t, "site", "class", n) for n, t in enumerate(site.classes)] if site is not None else []
     if serve is not None:
-        for key in ("listen", "operators"):
+        for key in ("listen", "operators", "discovery"):
             _address(getattr(serve, key), source, ("serve", key), faults)
+        if site is not None and serve.position >= site.dispatchers:
+            wrong = f"{serve.position} is none of the positions of {site.dispatchers} dispatchers"
+            faults.append(source.fault(("serve", "position"), wrong, f"0 to {site.dispatchers - 1}"))
     names: set[str] = set()
     for number, host in enumerate(hosts):
         if host is None:
@@ -129,7 +135,7 @@
     if faults:
         return None, faults
     try:
-        return parse(_raw(serve, site, classes, hosts), source.path, watched=False), []
+        return parse(_raw(serve, site, classes, hosts), source.path, watched=serve.discovery is not None), []
     except ConfigError as error:
         return None, [Fault(source.path, 0, "", str(error))]
 
@@ -153,7 +159,9 @@
         for lane in classes
     ]  # fmt: skip
     settings = {
-        "lanes": lanes, "zones": site.zones, "skus": site.kinds, "discovery": "pushed", "tick": 5.0,
+        "lanes": lanes, "zones": site.zones, "skus": site.kinds, "tick": 5.0,
+        "discovery": "on_request" if serve.discovery else "pushed",
+        "instances": site.dispatchers, "position": serve.position,
         "family_info": {"tells_start": site.tells_start, "progress": site.progress_every_ms},
         "limits": {
             "attempts_cap": site.attempts_cap, "second_copies": site.second_copies, "may_cancel": site.may_cancel,
@@ -174,7 +182,8 @@
         for host in hosts
     ]  # fmt: skip
     return {
-        "name": serve.name, "listen": serve.listen, "admin_addr": serve.operators,
+        "name": serve.name, "listen": serve.listen, "discovery": serve.discovery, "admin_addr": serve.operators,
         "limits": {"sockets": serve.sockets, "memory_mb": serve.memory_mb},
-        "known": {"generation": 1, "reset": True, "instances": instances}, "settings": settings,
+        "known": {"generation": 0 if serve.discovery else 1, "reset": True, "instances": instances},
+        "settings": settings,
     }  # fmt: skip
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -95,7 +95,7 @@
         self.inventory = Inventory(config.discovery, 0, read, self._news, deadlines, log, self.turn)
         self.core = Core(
             settings, config.seed, self, deadlines, log=log,
-            subscribe=self.inventory.subscribe, tell=lambda content, peer: self.takeover.tell(content, peer),
+            subscribe=self._subscribe, tell=lambda content, peer: self.takeover.tell(content, peer),
             max_open=min(config.max_open, int(config.memory_mb * 32)),  # bodies apart, a message takes a few KB
             max_come_back=config.max_come_back,
         )  # fmt: skip
@@ -108,11 +108,12 @@
         self.listener = Listener(self.north.protocol)
         self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
         self.core.named = self.takeover.named
-        self.cluster: Any = None  # our membership, where there is a cluster
+        self.member: Any = None  # our membership, where there is a cluster
         table = calls(self.leaving, self._takes_clients, self._cores, log, self._cluster_figures)
         self.admin = Admin(table, deadlines, log, self.turn)
         self.reload = Reload(
-            config, partial(files.load, again=True), self._moved, self.running.limit, log, self._use_keys
+            config, partial(files.load, again=True), self._moved, self.running.limit, log,
+            lambda: self.member.read_keys() if self.member is not None else None, self._use_keys,
         )
 
     # -- the front of the platform's protocol
@@ -162,8 +163,8 @@
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
         self.turn()
         await self.left.wait()
-        if self.cluster is not None:
-            await self.cluster.leave()
+        if self.member is not None:
+            await self.member.cluster.leave()
         await self.takeover.handover.part()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.takeover.handover.close()
@@ -215,27 +216,42 @@
         if server is not None:
             asyncio.get_running_loop().create_task(server.start_serving())
 
+    def drop_faktory(self, listener: Any) -> None:
+        """Close what :meth:`open_faktory` has bound, unless it is in use."""
+        _, server = listener
+        if server is not self._faktory_server:
+            server.close()
+
     async def join_cluster(self, terms: dict[str, Any]) -> None:
         """Be a member; its code is loaded only here."""
-        from heronlug.wire.cluster import Cluster
+        from heronlug.life.member import Member
 
-        cluster = Cluster(terms, self.loop.deadlines, self.log, self.turn)
-        await cluster.open()
-        self.cluster = cluster
+        config = self.config
+        member = Member(terms, self.inventory, self.core, self._news, self.loop.deadlines, self.log, self.turn,
+                        config.zones, config.kinds)  # fmt: skip
+        await member.open()
+        self.member = member
 
     def cluster_view(self, what: str) -> list[dict[str, Any]]:
         """The members, or the duties."""
-        if self.cluster is None:
+        if self.member is None:
             raise StateError("there is no [cluster] in the file that runs")
-        view: list[dict[str, Any]] = self.cluster.members() if what == "members" else self.cluster.duties()
+        cluster = self.member.cluster
+        view: list[dict[str, Any]] = cluster.members() if what == "members" else cluster.duties()
         return view
 
     def _cluster_figures(self) -> str:
-        return str(self.cluster.figures()) if self.cluster is not None else ""
+        return str(self.member.cluster.figures()) if self.member is not None else ""
+
+    def _use_keys(self, found: dict[int, bytes] | None) -> None:
+        if self.member is not None and found is not None:
+            self.member.cluster.use_keys(found)
 
-    def _use_keys(self) -> None:
-        if self.cluster is not None:
-            self.cluster.use_keys()
+    def _subscribe(self) -> None:
+        if self.member is not None:
+            self.member.subscribe()
+        else:
+            self.inventory.subscribe()
 
     def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
         """Compile plug-ins.  wasmtime is imported only here: where none is configured it takes no memory."""
@@ -315,7 +331,7 @@
         if config.discovery:
             self.inventory.move(config.discovery)
         elif config.known is not None:
-            self._news(ListKind.FULL, self.inventory.read(config.known)[2])
+            self.inventory.news(ListKind.FULL, self.inventory.read(config.known)[2])
         self.turn()
 
     def _heard(self, peer: int, content: bytes) -> None:
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -134,7 +134,7 @@
                     break
                 except BadList as error:
                     self._daemon.log("bad_known_list", error=str(error))
-        core.inventory(ListKind.CACHED, entries)
+        inventory.news(ListKind.CACHED, entries)
         if self._table:
             try:
                 core.dispatcher.resume(self._table.get("learned"), self._deadlines.clock())
--- a/heronlug/wire/cluster.py
+++ b/heronlug/wire/cluster.py
@@ -1,22 +1,23 @@
-"""The cluster on UDP: datagrams and time to :class:`Node`, its actions to the network, the log and the duties' runs."""
+"""The cluster on UDP: datagrams and time to :class:`Node`, its actions to the network, the log and the duties."""
 
 import asyncio
-import os
-from asyncio.subprocess import DEVNULL, Process
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import Any, cast
 
-from heronlug.cluster.duties import Duty, Schedule
-from heronlug.cluster.model import Action, Changed, Fence, Gained, Lost, SendTo, Terms, WakeAt
+from heronlug.cluster.model import Action, Changed, Fence, Gained, Lost, SendTo, Sheet, Terms, WakeAt
 from heronlug.cluster.node import Node
-from heronlug.cluster.ownership import tag
 from heronlug.cluster.schema import keys
 from heronlug.memory.deadlines import Deadlines, Key
+from heronlug.wire.duties import Runs
 from heronlug.wire.http import split_address
+from heronlug.wire.probes import Probes
+from heronlug.wire.register import DUTY as REGISTER
+from heronlug.wire.register import Register
 
 LEAVE_WAIT = 3000.0  # so long a planned leave may take
+STAND = 10_000.0  # verdicts of probes count so long after their prober was last heard of
+LOOK = 500.0
 
 
 class Cluster(asyncio.DatagramProtocol):
@@ -24,55 +25,54 @@
 
     def __init__(
         self, table: dict[str, Any], deadlines: Deadlines, log: Callable[..., None], turn: Callable[[], None],
-        terms: Terms | None = None,
+        register: Register | None = None, probes: Probes | None = None, terms: Terms | None = None,
     ) -> None:  # fmt: skip
         """``table`` is as :mod:`heronlug.cluster.schema` reads ``[cluster]``; raises ``OSError`` or ``ValueError``."""
         self.listen = split_address(table["listen"])
         self._table, self._deadlines, self._log, self._turn = table, deadlines, log, turn
-        self._commands = {duty["name"]: list(duty["command"]) for duty in table["duty"]}
-        self.schedule = Schedule.of(
-            [
-                Duty(duty["name"], duty["every_s"] * 1000, duty["jitter_s"] * 1000, duty["longest_s"] * 1000)
-                for duty in table["duty"]
-            ]
-        )
+        self.register, self.probes = register, probes
+        self.runs = Runs(table["duty"], self._may_act, deadlines, log, turn)
+        kept = [REGISTER] if register is not None and register.view.share != "none" else []
+        kept += probes.names if probes is not None else []
         self.node = Node(
-            table["name"], table["advertise"] or table["listen"], table["seeds"], list(self._commands),
+            table["name"], table["advertise"] or table["listen"], table["seeds"], [*self.runs.names, *kept],
             keys(table["key_files"]), int(deadlines.clock()), Random(), terms,
         )  # fmt: skip
+        for part in (register, probes):
+            if part is not None:
+                part.join(self.node, self._flush)
         self._transport: asyncio.DatagramTransport | None = None
+        self._acting = False
         self._wake: Key | None = None
-        self._due: Key | None = None
-        self._runs: dict[str, asyncio.Task[int | None]] = {}
+        self._look_at: Key | None = None
         self._left: asyncio.Future[None] | None = None
 
     async def open(self) -> None:
         """Join; raises ``OSError``."""
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=self.listen)
-        self._do(self.node.wake(self._deadlines.clock()))
+        self._look()
+        self.act(self.node.wake(self._deadlines.clock()))
 
-    def use_keys(self) -> None:
-        """Read the keys again; those that cannot be read change nothing.  Raises ``OSError`` or ``ValueError``."""
-        self.node.seal.keys = keys(self._table["key_files"])
+    def use_keys(self, found: dict[int, bytes]) -> None:
+        """Seal with the first of these from now on, and take all of them."""
+        self.node.seal.keys = found
 
     async def leave(self) -> None:
         """Hand over what we own, say that we go, and close."""
         if self._transport is not None:
             self._left = asyncio.get_running_loop().create_future()
             over = self._deadlines.after(LEAVE_WAIT, self._gone)
-            self._do(self.node.leave(self._deadlines.clock()))
+            self.act(self.node.leave(self._deadlines.clock()))
             self._turn()
             await self._left
             self._deadlines.drop(over)
             self._transport.close()
-        for key in (self._wake, self._due):
+        for key in (self._wake, self._look_at):
             self._deadlines.drop(key)
-        for name in self.schedule.duties:
-            self.schedule.lost(name)  # nothing begins any more
-        runs = [*self._runs.values()]
-        for task in runs:
-            task.cancel()
-        await asyncio.gather(*runs, return_exceptions=True)
+        for part in (self.register, self.probes):
+            if part is not None:
+                part.close()
+        await self.runs.close()
 
     # -- asyncio
 
@@ -82,7 +82,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """A datagram."""
-        self._do(self.node.receive(data, f"{addr[0]}:{addr[1]}", self._deadlines.clock()))
+        self.act(self.node.receive(data, f"{addr[0]}:{addr[1]}", self._deadlines.clock()))
         self._turn()
 
     def error_received(self, exc: Exception) -> None:
@@ -102,18 +102,20 @@
         )]  # fmt: skip
 
     def duties(self) -> list[dict[str, Any]]:
-        """All duties as this member knows them."""
+        """All duties as this member knows them; those without runs are done as long as they are owned."""
         now, listed = self._deadlines.clock(), []
-        for name, running in self.schedule.duties.items():
-            lease = self.node.leases.duties[tag(name)]
-            ours = self.node.may_act(name, now) is not None
-            listed.append({
-                "name": name, "owner": self.node.name if ours else None, "stage": lease.stage.value,
-                "fence": running.fence.number if running.fence else None,
-                "lease_left_ms": round(lease.until - now) if ours else 0,
-                "last_run_s": round((now - running.began) / 1000, 1) if running.runs else None,
-                "runs": running.runs, "failed": running.failed, "takeovers": running.takeovers,
-            })  # fmt: skip
+        for lease in self.node.leases.duties.values():
+            ours = self.node.may_act(lease.name, now) is not None
+            row: dict[str, Any] = {
+                "name": lease.name, "owner": self.node.name if ours else None, "stage": lease.stage.value,
+                "fence": lease.fence.number if ours else None, "lease_left_ms": round(lease.until - now) if ours else 0,
+                "last_run_s": None, "runs": None, "failed": None, "takeovers": lease.gained,
+            }  # fmt: skip
+            running = self.runs.schedule.duties.get(lease.name)
+            if running is not None:
+                last = round((now - running.began) / 1000, 1) if running.runs else None
+                row.update(last_run_s=last, runs=running.runs, failed=running.failed)
+            listed.append(row)
         return listed
 
     def figures(self) -> str:
@@ -127,9 +129,20 @@
             "refutations": ("counter", members.refutations),
             "local_health": ("gauge", members.slowness),
             "lease_conflicts": ("counter", leases.conflicts),
-            "duty_runs": ("counter", sum(r.runs for r in self.schedule.duties.values())),
-            "duty_runs_failed": ("counter", sum(r.failed for r in self.schedule.duties.values())),
+            "duty_runs": ("counter", sum(r.runs for r in self.runs.schedule.duties.values())),
+            "duty_runs_failed": ("counter", sum(r.failed for r in self.runs.schedule.duties.values())),
+            "pieces_sent": ("counter", self.node.sheets.counts["pieces_sent"]),
+            "pieces_taken": ("counter", self.node.sheets.counts["pieces_taken"]),
         }
+        if self.register is not None:
+            view = self.register.view
+            counts["register_readings"] = ("counter", self.register.readings)
+            counts["register_shared"] = ("gauge", int(view.source.value == "shared"))
+            counts["register_switches"] = ("counter", view.switches)
+            counts["hosts_down"] = ("gauge", len(view.down))
+            counts["probes_not_believed"] = ("gauge", int(view.panic))
+        if self.probes is not None:
+            counts.update({f"host_{name}": ("counter", count) for name, count in self.probes.counts.items()})
         lines: list[str] = []
         for name, (kind, value) in counts.items():
             lines += [f"# TYPE svc_cluster_{name} {kind}", f"svc_cluster_{name} {value}"]
@@ -139,78 +152,81 @@
 
     # -- inside
 
-    def _do(self, actions: list[Action]) -> None:
+    def act(self, actions: list[Action]) -> None:
+        """Carry out what the node says, and what follows from it."""
+        self._acting = True
+        try:
+            while actions:
+                self._act(actions)
+                actions = self.node.flush(self._deadlines.clock()) if self.node.pending else []
+        finally:
+            self._acting = False
+        if self.node.left:
+            self._gone()
+
+    def _flush(self) -> None:
+        """Something was published or withdrawn, perhaps while actions are carried out, and then it goes with these."""
+        if not self._acting:
+            self.act(self.node.flush(self._deadlines.clock()))
+
+    def _act(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, SendTo):
                 if self._transport is not None and not self._transport.is_closing():
                     self._transport.sendto(action.data, split_address(action.address))
             elif isinstance(action, WakeAt):
-                self._deadlines.drop(self._wake)
-                self._wake = self._deadlines.at(action.when, self._woken)
+                self._wake_at(action.when)
             elif isinstance(action, Changed):
                 health = action.health.name.lower()
                 self._log("member", name=action.name, health=health, cause=action.cause)
-            elif isinstance(action, Gained):
-                self._log("duty_gained", duty=action.duty, fence=action.fence.number, cause=action.cause)
-                self.schedule.gained(action.duty, action.fence, self._deadlines.clock())
-                self._plan()
+            elif isinstance(action, Sheet):
+                self._sheet(action)
             else:
-                self._lost(action)
-        if self.node.left:
-            self._gone()
+                self._owned(action)
+
+    def _wake_at(self, when: float) -> None:
+        self._deadlines.drop(self._wake)
+        self._wake = self._deadlines.at(when, self._woken)
 
     def _woken(self) -> None:
         self._wake = None
-        self._do(self.node.wake(self._deadlines.clock()))
+        self.act(self.node.wake(self._deadlines.clock()))
 
     def _gone(self) -> None:
         if self._left is not None and not self._left.done():
             self._left.set_result(None)
 
-    def _lost(self, lost: Lost) -> None:
-        self._log("duty_lost", duty=lost.duty, fence=lost.fence.number, cause=lost.cause)
-        if self.schedule.lost(lost.duty) and lost.duty in self._runs:
-            self._runs[lost.duty].cancel()
-
-    def _plan(self) -> None:
-        """Begin what is due, end what takes too long, and come again for the next."""
-        now = self._deadlines.clock()
-        for name in self.schedule.late(now):
-            if name in self._runs:
-                self._runs[name].cancel()
-        for name, fence in self.schedule.begin(now):
-            task = self._runs[name] = asyncio.get_running_loop().create_task(self._run(name, fence))
-            task.add_done_callback(partial(self._ended, name))
-        self._deadlines.drop(self._due)
-        when = self.schedule.next()
-        self._due = self._deadlines.at(max(when, now + 10.0), self._plan) if when < float("inf") else None
-
-    async def _run(self, name: str, fence: Fence) -> int | None:
-        """One run of a duty's command, under our fence; it is killed when it is late or the lease is lost."""
-        program: Process | None = None
-        try:
-            if self.node.may_act(name, self._deadlines.clock()) != fence:
-                return None
-            words = self._commands[name]
-            environ = {**os.environ, "HERONLUG_DUTY": name, "HERONLUG_FENCE": f"{fence.number}.{fence.owner}"}
-            program = await asyncio.create_subprocess_exec(*words, env=environ, stdin=DEVNULL, stdout=DEVNULL,
-                                                           stderr=DEVNULL)  # fmt: skip
-            return await program.wait()
-        except OSError as error:
-            self._log("duty_failed", duty=name, error=str(error))
-            return None
-        finally:
-            if program is not None and program.returncode is None:
-                program.kill()
-                await program.wait()
-
-    def _ended(self, name: str, task: "asyncio.Task[int | None]") -> None:
-        """A run is over, also one that was ended before it had begun: the next may begin."""
-        if self._runs.get(name) is task:
-            del self._runs[name]
-        status = None if task.cancelled() or task.exception() is not None else task.result()
-        if status != 0:
-            self._log("duty_failed", duty=name, status=status)
-        self.schedule.over(name, self._deadlines.clock(), status == 0)
-        self._plan()
-        self._turn()
+    def _may_act(self, name: str, now: float) -> Fence | None:
+        return self.node.may_act(name, now)
+
+    def _owned(self, action: Gained | Lost) -> None:
+        gained = isinstance(action, Gained)
+        self._log("duty_gained" if gained else "duty_lost", duty=action.duty, fence=action.fence.number,
+                  cause=action.cause)  # fmt: skip
+        if action.duty in self.runs.names:
+            if gained:
+                self.runs.gained(action.duty, action.fence)
+            else:
+                self.runs.lost(action.duty)
+        elif action.duty == REGISTER and self.register is not None:
+            if gained:
+                self.register.gained(action.fence)
+            else:
+                self.register.lost()
+        elif self.probes is not None:
+            if gained:
+                self.probes.gained(action.duty, action.fence)
+            else:
+                self.probes.lost(action.duty)
+
+    def _sheet(self, sheet: Sheet) -> None:
+        if sheet.topic == REGISTER and self.register is not None:
+            self.register.sheet(sheet.changes)
+        elif self.probes is not None:
+            self.probes.sheet(sheet.topic, sheet.changes)
+
+    def _look(self) -> None:
+        """Verdicts that nobody stands for are withdrawn."""
+        self._look_at = self._deadlines.after(LOOK, self._look)
+        if self.probes is not None:
+            self.probes.stale(STAND)
--- /dev/null
+++ b/heronlug/wire/duties.py
@@ -0,0 +1,143 @@
+"""Runs of periodic duties: a command, or a sweep of old files.  When one is run says :mod:`heronlug.cluster.duties`."""
+
+import asyncio
+import os
+import time
+from asyncio.subprocess import DEVNULL, Process
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from heronlug.cluster.duties import Duty, Schedule
+from heronlug.cluster.model import Fence
+from heronlug.memory.deadlines import Deadlines, Key
+
+Work = Callable[[str, Fence], Awaitable[int]]  # one run, returns its status, 0 for well; cancelled when it is late
+SWEEP_SLICE = 256  # files looked at before somebody else has the thread
+
+
+def work_of(table: dict[str, Any], log: Callable[..., None]) -> Work:
+    """What a ``[[cluster.duty]]`` calls for."""
+    if table.get("sweep"):
+        return partial(_sweep, table["sweep"], log)
+    return partial(_command, list(table["command"]))
+
+
+async def _command(words: list[str], name: str, fence: Fence) -> int:
+    """Run a command under our fence; it is killed when this is cancelled.  Raises ``OSError``."""
+    environ = {**os.environ, "HERONLUG_DUTY": name, "HERONLUG_FENCE": f"{fence.number}.{fence.owner}"}
+    program: Process | None = None
+    try:
+        program = await asyncio.create_subprocess_exec(*words, env=environ, stdin=DEVNULL, stdout=DEVNULL,
+                                                       stderr=DEVNULL)  # fmt: skip
+        return await program.wait()
+    finally:
+        if program is not None and program.returncode is None:
+            program.kill()
+            await program.wait()
+
+
+async def _sweep(table: dict[str, Any], log: Callable[..., None], name: str, fence: Fence) -> int:
+    """Delete files of a folder that are older than they may be; links and folders stay.  Raises ``OSError``."""
+    before = time.time() - table["keep_s"]
+    swept, kept = await asyncio.to_thread(_sweep_folder, Path(table["folder"]), table["pattern"], before)
+    if swept or kept:
+        log("swept", duty=name, files=swept, failed=kept)
+    return 1 if kept else 0
+
+
+def _sweep_folder(folder: Path, pattern: str, before: float) -> tuple[int, int]:
+    """How many were deleted, and how many that are old could not be."""
+    swept = kept = 0
+    for number, path in enumerate(sorted(folder.glob(pattern))):
+        if number % SWEEP_SLICE == SWEEP_SLICE - 1:
+            time.sleep(0.001)
+        try:
+            status = path.lstat()
+            if path.is_symlink() or not path.is_file() or status.st_mtime >= before:
+                continue
+            path.unlink()
+            swept += 1
+        except FileNotFoundError:
+            continue  # somebody else was quicker
+        except OSError:
+            kept += 1
+    return swept, kept
+
+
+class Runs:
+    """The periodic duties of this member."""
+
+    def __init__(
+        self, tables: list[dict[str, Any]], may_act: Callable[[str, float], Fence | None], deadlines: Deadlines,
+        log: Callable[..., None], turn: Callable[[], None],
+    ) -> None:  # fmt: skip
+        """``tables`` as :mod:`heronlug.cluster.schema` reads ``[[cluster.duty]]``."""
+        self._works = {table["name"]: work_of(table, log) for table in tables}
+        self.schedule = Schedule.of([
+            Duty(table["name"], table["every_s"] * 1000, table["jitter_s"] * 1000, table["longest_s"] * 1000)
+            for table in tables
+        ])  # fmt: skip
+        self._may_act, self._deadlines, self._log, self._turn = may_act, deadlines, log, turn
+        self._due: Key | None = None
+        self._tasks: dict[str, asyncio.Task[int]] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """The duties' names."""
+        return list(self._works)
+
+    def gained(self, name: str, fence: Fence) -> None:
+        """It is ours."""
+        self.schedule.gained(name, fence, self._deadlines.clock())
+        self._plan()
+
+    def lost(self, name: str) -> None:
+        """It is not ours any more: a run is ended."""
+        if self.schedule.lost(name) and name in self._tasks:
+            self._tasks[name].cancel()
+
+    async def close(self) -> None:
+        """Begin nothing more, and end what runs."""
+        self._deadlines.drop(self._due)
+        for name in self.names:
+            self.schedule.lost(name)
+        tasks = [*self._tasks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _plan(self) -> None:
+        """Begin what is due, end what takes too long, and come again for the next."""
+        now = self._deadlines.clock()
+        for name in self.schedule.late(now):
+            if name in self._tasks:
+                self._tasks[name].cancel()
+        for name, fence in self.schedule.begin(now):
+            task = self._tasks[name] = asyncio.get_running_loop().create_task(self._run(name, fence))
+            task.add_done_callback(partial(self._ended, name))
+        self._deadlines.drop(self._due)
+        when = self.schedule.next()
+        self._due = self._deadlines.at(max(when, now + 10.0), self._plan) if when < float("inf") else None
+
+    async def _run(self, name: str, fence: Fence) -> int:
+        """One run under our fence."""
+        if self._may_act(name, self._deadlines.clock()) != fence:
+            return -1
+        try:
+            return await self._works[name](name, fence)
+        except OSError as error:
+            self._log("duty_failed", duty=name, error=str(error))
+            return -1
+
+    def _ended(self, name: str, task: "asyncio.Task[int]") -> None:
+        """A run is over, also one that was ended before it had begun: the next may begin."""
+        if self._tasks.get(name) is task:
+            del self._tasks[name]
+        status = None if task.cancelled() or task.exception() is not None else task.result()
+        if status != 0:
+            self._log("duty_failed", duty=name, status=status)
+        self.schedule.over(name, self._deadlines.clock(), status == 0)
+        self._plan()
+        self._turn()
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -113,9 +113,11 @@
         assert self.transport is not None
         self._parser, self._body, self._size = httptools.HttpResponseParser(self), [], 0
         target, version = "/registry/instances", self.watch.version
+        wait = 0.0 if self.watch.at_once else WAIT
         if version is not None:
-            target += f"?after={version}&wait_ms={int(WAIT)}"
-        self.watch.expect(self, LIST_WAIT if version is None else WAIT + LATE, "no answer in time")
+            target += f"?after={version}&wait_ms={int(wait)}"
+        self.watch.at_once = False
+        self.watch.expect(self, LIST_WAIT if version is None else wait + LATE, "no answer in time")
         self.transport.write(http.request(b"GET", target.encode(), self.watch.address, [], b""))
 
     def data_received(self, data: bytes) -> None:
@@ -171,7 +173,8 @@
         self.address, self.version = address, version
         self.call: _Call | None = None
         self.turn = turn
-        self.read, self._news, self._deadlines, self._log = read, news, deadlines, log
+        self.read, self.news, self._deadlines, self._log = read, news, deadlines, log
+        self.at_once = False  # the next call does not wait for news
         self._watching = False
         self._fresh = False  # the first answer of a watch is told even when it brings nothing
         self._deadline: Key | None = None
@@ -183,6 +186,16 @@
             self._watching = self._fresh = True
             self._ask()
 
+    @property
+    def watching(self) -> bool:
+        """Whether a watch is on."""
+        return self._watching
+
+    def resume(self) -> None:
+        """Begin a watch after a pause; its first call is answered at once, also when there is nothing new."""
+        self.at_once = not self._watching
+        self.subscribe()
+
     def move(self, address: str) -> None:
         """Discovery is elsewhere from now on: ask there at once, and for all that it knows.
 
@@ -220,7 +233,7 @@
         self._ask()
         if entries or whole or fresh:
             self._log("inventory", version=version, whole=whole, entries=len(entries))
-            self._news(ListKind.FULL if whole else ListKind.CHANGES, entries)
+            self.news(ListKind.FULL if whole else ListKind.CHANGES, entries)
 
     def failed(self, call: _Call | None, why: str) -> None:
         """A call has failed: the list held so far stays, and the module decides when to ask again."""
@@ -229,7 +242,7 @@
         self._watching = False
         self._drop()
         self._log("inventory_failed", why=why)
-        self._news(ListKind.FAILED, [])
+        self.news(ListKind.FAILED, [])
 
     def _ask(self) -> None:
         if self.call is not None and not self.call.lost and self.call.transport is not None:
--- /dev/null
+++ b/tests/cluster/test_hosts.py
@@ -0,0 +1,169 @@
+"""Which list holds, what the core is told, and which host is probed when."""
+
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heronlug.cluster.hosts import HostView, Source
+from heronlug.cluster.probing import Prober, shard_of
+from heronlug.interface import ListKind, WorkerState
+from heronlug.memory.core import HostEntry
+
+READY, DRAINING, GONE = WorkerState.READY, WorkerState.DRAINING, WorkerState.GONE
+
+
+def hosts(*names: str, state: WorkerState = READY) -> list[HostEntry]:
+    return [HostEntry(name, f"127.0.0.1:{9000 + ord(name[0])}", state) for name in names]
+
+
+def states(view: HostView) -> dict[str, WorkerState]:
+    return {name: entry.state for name, entry in view.told.items()}
+
+
+def test_the_shared_list_is_gone_by_only_while_it_is_fresh_and_not_older() -> None:
+    view = HostView("list", 1500)
+    assert view.wants_own(False, 0.0)  # there is none yet
+    view.own_news(ListKind.FULL, 7, hosts("a", "b"))
+    view.shared_news(6, hosts("a"), [])
+    assert view.wants_own(False, 100.0)  # older than ours
+    view.shared_news(7, hosts("b"), [])
+    assert not view.wants_own(False, 100.0)
+    assert view.wants_own(True, 0.0)  # the owner reads
+    assert view.wants_own(False, 1501.0)  # its owner is silent
+    assert view.use(own=False) is not None or view.source is Source.SHARED
+    assert view.source is Source.SHARED and not view.watching
+
+
+def test_a_change_of_the_list_tells_only_what_differs() -> None:
+    view = HostView("list", 1500)
+    view.own_news(ListKind.FULL, 7, hosts("a", "b", "c"))
+    view.shared_news(8, hosts("a", "b"), [])
+    told = view.use(own=False)
+    assert told == (ListKind.CHANGES, [e._replace(state=GONE) for e in hosts("c")])
+    assert [e.name for e in view.shared_news(9, hosts("a", state=DRAINING), [])] == ["a"]
+    assert view.own_news(ListKind.CHANGES, 9, []) == (ListKind.CHANGES, [*hosts("a"), *hosts("c")])
+    assert view.source is Source.OWN
+
+
+def test_a_failed_watch_changes_no_host() -> None:
+    view = HostView("list", 1500)
+    view.own_news(ListKind.FULL, 7, hosts("a"))
+    assert view.own_news(ListKind.FAILED, 7, []) == (ListKind.FAILED, [])
+    assert states(view) == {"a": READY} and not view.watching
+
+
+def test_news_of_others_only_takes_hosts_away() -> None:
+    """``share = "news"``: nothing is sent to a host that our own list has not named."""
+    view = HostView("news", 1500)
+    view.own_news(ListKind.FULL, 7, hosts("a", "b", "c"))
+    assert view.wants_own(False, 0.0)
+    view.shared_news(8, [*hosts("a", state=DRAINING), *hosts("b", "new")], [])
+    assert states(view) == {"a": DRAINING, "b": READY}
+    view.own_news(ListKind.CHANGES, 8, hosts("a", state=DRAINING))
+    assert states(view) == {"a": DRAINING, "b": READY, "c": READY}  # ours is as new now, and counts
+
+
+def test_a_host_found_down_drains_until_it_is_up() -> None:
+    view = HostView("none", panic_share=0.5)
+    view.own_news(ListKind.FULL, 1, hosts("a", "b", "c", "d"))
+    assert view.verdicts("probe-1", ["a"], []) == hosts("a", state=DRAINING)
+    assert view.verdicts("probe-2", [], ["a"]) == []  # another shard has no say in it
+    assert view.own_news(ListKind.CHANGES, 2, hosts("a")) == (ListKind.CHANGES, [])  # the register knows nothing of it
+    assert view.verdicts("probe-1", [], ["a"]) == hosts("a")
+
+
+def test_probes_that_find_most_hosts_down_are_not_believed() -> None:
+    view = HostView("none", panic_share=0.5)
+    view.own_news(ListKind.FULL, 1, hosts("a", "b", "c", "d"))
+    view.verdicts("probe-1", ["a", "b"], [])
+    assert sum(state is DRAINING for state in states(view).values()) == 2
+    view.verdicts("probe-1", ["c"], [])
+    assert view.panic and set(states(view).values()) == {READY}
+    view.verdicts("probe-1", [], ["c"])
+    assert not view.panic and states(view)["a"] is DRAINING
+    assert view.withdraw("probe-1") == hosts("a", "b")
+
+
+STEP = st.one_of(
+    st.tuples(st.just("own"), st.sampled_from(list(ListKind)), st.lists(st.sampled_from("abcde"), unique=True)),
+    st.tuples(st.just("shared"), st.integers(0, 20), st.lists(st.sampled_from("abcdef"), unique=True)),
+    st.tuples(st.just("verdict"), st.booleans(), st.sampled_from("abcdef")),
+    st.tuples(st.just("use"), st.booleans(), st.just("")),
+)
+
+
+@given(st.sampled_from(["none", "list", "news"]), st.lists(STEP, max_size=40))
+def test_what_was_told_adds_up_to_what_holds(share: str, steps: list[tuple[str, Any, list[str]]]) -> None:
+    """The core, which applies what it is told, ends with the very hosts of the view; and none that no list has."""
+    view, core = HostView(share, 1500), dict[str, HostEntry]()
+
+    def apply(kind: ListKind, entries: list[HostEntry]) -> None:
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            core.clear()
+        for entry in entries:
+            core[entry.name] = entry
+
+    for number, (what, how, names) in enumerate(steps):
+        if what == "own":
+            told = view.own_news(ListKind(how), number, hosts(*names))
+            apply(*(told or (ListKind.CHANGES, [])))
+        elif what == "shared":
+            gone = [name for name in view.shared.hosts if name not in names]
+            apply(ListKind.CHANGES, view.shared_news(how, hosts(*names), gone))
+        elif what == "verdict":
+            apply(ListKind.CHANGES, view.verdicts("s", *((names, []) if how else ([], names))))
+        else:
+            apply(*(view.use(own=bool(how)) or (ListKind.CHANGES, [])))
+        assert {name: e for name, e in core.items() if e.state is not GONE} == view.told
+        named = view.own.hosts.keys() | (view.shared.hosts.keys() if share == "list" else set())
+        assert view.told.keys() <= named
+
+
+def test_probes_are_spread_and_verdicts_take_several_in_a_row() -> None:
+    prober = Prober(1000, fall=3, rise=2, most=64)
+    prober.use({f"h{n}": f"127.0.0.1:{9000 + n}" for n in range(50)}, [], 0.0)
+    begun = []
+    for tick in range(100, 1100, 100):
+        batch = prober.begin(float(tick))
+        begun += [name for name, _ in batch]
+        assert len(batch) < 15
+        for name, address in batch:
+            prober.ended(name, address, True)
+    assert sorted(begun) == sorted({f"h{n}" for n in range(50)})
+    verdicts, now = [], 1000.0
+    for well in (False, False, True, False, False, False, True, True):
+        now = prober.hosts["h0"].due
+        for name, address in prober.begin(now):
+            said = prober.ended(name, address, well or name != "h0")
+            if name == "h0":
+                verdicts.append(said)
+    assert verdicts == [None, None, None, None, None, False, None, True]
+
+
+def test_so_many_probes_are_out_at_once_and_what_has_gone_counts_no_more() -> None:
+    prober = Prober(100, fall=1, rise=1, most=4)
+    prober.use({f"h{n}": f"127.0.0.1:{9000 + n}" for n in range(20)}, [], 0.0)
+    first = prober.begin(1000.0)
+    assert len(first) == 4 and not prober.begin(1000.0) and prober.next() == float("inf")
+    prober.use({"h0": "127.0.0.1:9000"}, [], 1000.0)
+    assert prober.out == sum(name == "h0" for name, _ in first)
+    assert all(prober.ended(name, address, False) is None for name, address in first if name != "h0")
+    prober.use({"h0": "127.0.0.1:9999"}, ["h0"], 1000.0)
+    assert not prober.hosts["h0"].down and prober.out == 0  # another process at another address
+
+
+def test_a_successor_begins_with_what_was_down() -> None:
+    prober = Prober(100, fall=3, rise=2, most=4)
+    prober.use({"a": "127.0.0.1:9000"}, ["a"], 0.0)
+    now = 0.0
+    said = []
+    for _ in range(2):
+        now = prober.next()
+        said += [prober.ended(*which, True) for which in prober.begin(now)]
+    assert said == [None, True]
+
+
+def test_every_host_has_one_shard() -> None:
+    shards = [shard_of(f"s-{n:08x}", 8) for n in range(4000)]
+    assert all(400 < shards.count(number) < 600 for number in range(8))
--- /dev/null
+++ b/tests/cluster/test_sheets.py
@@ -0,0 +1,194 @@
+"""Sheets: the tree is canonical, a sheet is taken whole or not at all, and gets through whatever is lost."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cluster.virtual import Net
+from heronlug.cluster import trie
+from heronlug.cluster.model import Fence
+
+TOPIC = "register"
+KEYS = st.binary(min_size=1, max_size=24)
+VALUES = st.binary(max_size=90)
+REACHED = 2500.0  # ms in which a change has to be known by all: the drain promise
+
+
+@given(st.dictionaries(KEYS, VALUES, max_size=60), st.lists(st.tuples(KEYS, st.none() | VALUES), max_size=30))
+def test_the_same_rows_give_the_same_tree_and_the_difference_is_what_changed(
+    rows: dict[bytes, bytes], changes: list[tuple[bytes, bytes | None]]
+) -> None:
+    nodes: dict[int, bytes] = {}
+    first = root = trie.build(rows, nodes)
+    changed = dict(rows)
+    keys = [*rows]
+    for number, (key, value) in enumerate(changes):
+        if keys and number % 2:
+            key = keys[number % len(keys)]  # one that is there
+        root = trie.change(nodes, root, key, value)
+        if value is None:
+            changed.pop(key, None)
+        else:
+            changed[key] = value
+    assert dict(trie.walk(nodes, root)) == changed
+    assert root == trie.build(changed, {})
+    assert all(len(node) <= trie.LEAF_MOST for node in nodes.values())
+    told = trie.difference(nodes, first, root)
+    assert told == {k: changed.get(k) for k in rows.keys() | changed.keys() if rows.get(k) != changed.get(k)}
+
+
+@given(st.dictionaries(KEYS, VALUES, min_size=20, max_size=60), st.integers(0, 2**32))
+def test_what_is_absent_is_found_whatever_is_there(rows: dict[bytes, bytes], seed: int) -> None:
+    whole: dict[int, bytes] = {}
+    old = trie.build({key: rows[key] for key in list(rows)[::2]}, whole)
+    new = trie.build(rows, whole)
+    kept, rng = set(trie.names(whole, old)), Random(seed)
+    there = {name: node for name, node in whole.items() if name in kept or rng.random() < 0.5}
+    missing = trie.absent(there, old, new)
+    while missing:
+        name, counterpart = missing.popitem()
+        there[name] = whole[name]
+        missing.update(trie.absent(there, counterpart, name))
+    assert dict(trie.walk(there, new)) == rows
+
+
+def test_a_row_that_no_datagram_holds_is_refused_and_nothing_has_changed() -> None:
+    nodes: dict[int, bytes] = {}
+    root = trie.build({b"a": b"1"}, nodes)
+    with pytest.raises(ValueError, match=f"{trie.ROW_MOST} at most"):
+        trie.change(nodes, root, b"k", b"x" * trie.ROW_MOST)
+    assert dict(trie.walk(nodes, root)) == {b"a": b"1"}
+
+
+@given(st.binary(max_size=40))
+def test_bytes_that_are_no_node_are_told(data: bytes) -> None:
+    try:
+        trie.rows_of(data)
+        trie.children_of(data)
+    except trie.BadNode:
+        return
+    assert data[:1] in (b"L", b"B")
+
+
+def settled(seed: int, names: str | list[str], loss: float, rows: int = 60) -> tuple[Net, str]:
+    """Members that all have a sheet of so many rows, and who publishes it."""
+    net = Net(names, seed, loss=loss, duties=[TOPIC], topics=[TOPIC])
+    for name in net.names:
+        net.start(name)
+    net.run(8000)
+    owner = net.owner(TOPIC)
+    assert owner is not None
+    assert net.publish(owner, TOPIC, {b"h%d" % n: b"value %d" % n for n in range(rows)})
+    net.run(6000)
+    return net, owner
+
+
+def behind(net: Net, rows: dict[bytes, bytes]) -> list[str]:
+    """Who has something else."""
+    return [name for name, process in net.processes.items() if process.sheets[TOPIC] != rows]
+
+
+@pytest.mark.parametrize(("members", "loss"), [(4, 0.0), (4, 0.3), (12, 0.3)])
+def test_a_change_is_known_by_all_within_the_drain_promise(members: int, loss: float) -> None:
+    """Ten changes at each of six seeds, one row each; the sheet is never taken by halves."""
+    for seed in range(6):
+        net, owner = settled(seed, [f"m{n}" for n in range(members)], loss)
+        rows = dict(net.processes[owner].sheets[TOPIC])
+        for turn in range(10):
+            if not net.publish(owner, TOPIC, {b"h%d" % turn: b"draining", b"h%d" % (turn + 20): None}):
+                break  # its lease has run out for want of answers: another publishes from what it has
+            before = dict(rows)
+            rows[b"h%d" % turn] = b"draining"
+            rows.pop(b"h%d" % (turn + 20), None)
+            begun = net.now
+            while behind(net, rows) and net.now - begun <= REACHED:
+                net.run(20)
+                for process in net.processes.values():
+                    assert process.sheets[TOPIC] in (before, rows), f"seed {seed}: half of a change was taken"
+            assert not behind(net, rows), f"seed {seed}: {behind(net, rows)} do not know after {REACHED:.0f} ms"
+
+
+def test_an_owner_that_dies_is_noticed_and_its_successor_goes_on_from_its_rows() -> None:
+    for seed in range(4):
+        net, owner = settled(seed, "abcd", 0.3)
+        rows = dict(net.processes[owner].sheets[TOPIC])
+        net.kill(owner)
+        net.run(1600)
+        ages = [p.node.sheets.age(TOPIC, p.clock()) for p in net.processes.values()]
+        assert min(ages) > 1000, f"seed {seed}: nobody publishes, and the sheet is taken for fresh"
+        net.run(4000)
+        successor = net.owner(TOPIC)
+        assert successor is not None and successor != owner
+        assert net.publish(successor, TOPIC, {b"h1": b"new"})
+        net.run(2500)
+        assert not behind(net, {**rows, b"h1": b"new"})
+
+
+def test_an_owner_that_stood_still_does_not_put_its_old_rows_back() -> None:
+    net, owner = settled(9, "abcd", 0.0)
+    net.pause(owner, 9000)
+    net.run(7000)
+    successor = net.owner(TOPIC)
+    assert successor is not None and successor != owner and net.publish(successor, TOPIC, {b"h1": b"new"})
+    net.run(2500)  # the one before is back, with a lease that has run out
+    assert not net.publish(owner, TOPIC, {b"h1": b"old"})
+    net.run(2500)
+    assert not behind(net, {**net.processes[successor].sheets[TOPIC]})
+    assert net.processes[owner].sheets[TOPIC][b"h1"] == b"new"
+
+
+def test_both_sides_of_a_partition_come_to_one_sheet() -> None:
+    net, owner = settled(4, "abcd", 0.0)
+    net.may_overlap = True
+    net.split("ab", "cd")
+    net.run(8000)
+    publishers = net.owners(TOPIC)
+    assert len(publishers) == 2
+    for name in publishers:
+        assert net.publish(name, TOPIC, {b"side": name.encode()})
+    net.run(2000)
+    net.cut.clear()
+    net.run(9000)
+    sides = {process.sheets[TOPIC][b"side"] for process in net.processes.values()}
+    assert len(net.owners(TOPIC)) == 1 and len(sides) == 1
+
+
+def test_a_member_that_comes_late_gets_the_whole_sheet() -> None:
+    net, owner = settled(5, "abcd", 0.3, rows=400)
+    late = next(name for name in net.names if name != owner)
+    net.kill(late)
+    net.run(6000)
+    net.start(late)
+    net.run(9000)
+    publisher = net.owner(TOPIC)
+    assert publisher is not None
+    assert net.publish(publisher, TOPIC, {})
+    net.run(4000)
+    assert not behind(net, net.processes[publisher].node.sheets.rows(TOPIC))
+
+
+def test_nodes_of_old_tables_are_forgotten() -> None:
+    net, owner = settled(6, "ab", 0.0, rows=200)
+    for turn in range(400):
+        assert net.publish(owner, TOPIC, {b"h%d" % (turn % 200): b"%d" % turn})
+        net.run(20)
+    net.run(2000)
+    live = len(set(trie.names(net.processes[owner].node.sheets.nodes, net.processes[owner].node.sheets.topics[
+        next(iter(net.processes[owner].node.sheets.topics))].root)))  # fmt: skip
+    for process in net.processes.values():
+        assert len(process.node.sheets.nodes) < 3 * live + 1100
+    assert not behind(net, net.processes[owner].sheets[TOPIC])
+
+
+def test_a_sheet_of_a_lower_fence_is_not_taken() -> None:
+    net, owner = settled(7, "ab", 0.0)
+    other = next(name for name in net.names if name != owner)
+    sheets = net.processes[other].node.sheets
+    before = sheets.rows(TOPIC)
+    sheets.publish(TOPIC, Fence(1, 1), {b"h1": b"late"}, net.processes[other].clock())
+    net._do(net.processes[other], net.processes[other].node.flush(net.processes[other].clock()))
+    net.run(2000)
+    assert net.processes[owner].sheets[TOPIC] == before
+    assert net.processes[other].node.sheets.rows(TOPIC) == before
--- a/tests/cluster/test_states.py
+++ b/tests/cluster/test_states.py
@@ -39,7 +39,7 @@
     def member(self, name: str) -> Leases:
         others = {tag(other): other for other in NAMES if other != name}
         made = Leases(name, 1000 + self.lives[name], ["duty"], TERMS, lambda whom, part: None, lambda told: None,
-                      lambda now: others, lambda now: [])  # fmt: skip
+                      lambda duty, now: others, lambda now: [])  # fmt: skip
         return made
 
     def act(self, name: str, what: Any) -> None:
--- a/tests/cluster/virtual.py
+++ b/tests/cluster/virtual.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from heronlug.cluster.model import Changed, Fence, Gained, Lost, SendTo, Terms, WakeAt
+from heronlug.cluster.model import Changed, Fence, Gained, Lost, SendTo, Sheet, Terms, WakeAt
 from heronlug.cluster.node import Node
 
 KEYS = {1: b"k" * 32}
@@ -29,6 +29,9 @@
         self.paused = self.dead = False
         self.missed: list[tuple[bytes, str]] = []
         self.next = 0.0
+        self.sheets: dict[str, dict[bytes, bytes]] = {topic: {} for topic in net.topics}  # as it is told of them
+        for topic in net.topics:
+            self.node.sheets.follow(topic)
 
     def clock(self) -> float:
         """Its own time."""
@@ -40,10 +43,10 @@
 
     def __init__(
         self, names: Iterable[str], seed: int, duties: Iterable[str] = ("register", "sweep", "probe", "audit"),
-        loss: float = 0.0, terms: Terms | None = None, drift: float = 0.01,
+        loss: float = 0.0, terms: Terms | None = None, drift: float = 0.01, topics: Iterable[str] = (),
     ) -> None:  # fmt: skip
         self.rng, self.seed = Random(seed), seed
-        self.names, self.duties, self.keys = list(names), list(duties), KEYS
+        self.names, self.duties, self.topics, self.keys = list(names), list(duties), list(topics), KEYS
         self.seeds = 3 if len(self.names) > 16 else len(self.names)  # the first ones, that the others are told of
         self.loss, self.delay, self.twice, self.terms = loss, (0.5, 40.0), 0.02, terms or Terms()
         self.now = 0.0
@@ -83,6 +86,18 @@
         process = self.processes[name]
         self._do(process, process.node.leave(process.clock()))
 
+    def publish(self, name: str, topic: str, changes: dict[bytes, bytes | None]) -> bool:
+        """It publishes under its fence, if it has one."""
+        process = self.processes[name]
+        now = process.clock()
+        fence = process.node.may_act(topic, now)
+        if fence is None:
+            return False
+        process.node.sheets.publish(topic, fence, changes, now)
+        process.sheets[topic] = process.node.sheets.rows(topic)
+        self._do(process, process.node.flush(now))
+        return True
+
     def pause(self, name: str, span: float) -> None:
         """The whole process stands still; datagrams wait in its socket."""
         process = self.processes.get(name)
@@ -168,6 +183,13 @@
                 if not process.next or when < process.next:
                     process.next = when
                     self._at(when, process.name, (process, when))
+            elif isinstance(action, Sheet):
+                rows = process.sheets[action.topic]
+                for key, value in action.changes.items():
+                    if value is None:
+                        del rows[key]
+                    else:
+                        rows[key] = value
             else:
                 assert isinstance(action, Changed | Gained | Lost)
                 self.log.append((self.now, process.name, action))
