--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run try
+.PHONY: build test lint run try soak
 
 PYTHON = .venv-dev/bin/python
 
@@ -12,6 +12,10 @@
 	test $$lines -le 500 && test $$widest -le 110
 	$(PYTHON) -m pytest
 
+# what is too long for each landing: ten thousand seeds of the cluster's troubles, and more states of its leases
+soak: .venv-dev/ready
+	CLUSTER_SEEDS=10000 CLUSTER_STATES=100000 $(PYTHON) -m pytest -q -s tests/cluster/test_virtual.py tests/cluster/test_states.py
+
 lint: .venv-dev/ready
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
@@ -27,7 +31,7 @@
 	.venv/bin/python -m pip -q install -r requirements.txt
 	touch $@
 
-.venv-dev/ready: requirements.txt requirements-dev.txt
+.venv-dev/ready: requirements.txt requirements-dev.txt requirements-lab.txt
 	test -x $(PYTHON) || python3 -m venv .venv-dev
-	$(PYTHON) -m pip -q install -r requirements.txt -r requirements-dev.txt
+	$(PYTHON) -m pip -q install -r requirements.txt -r requirements-dev.txt -r requirements-lab.txt
 	touch $@
--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -1,16 +1,19 @@
 """The cluster in virtual time: ``python benchmarks/cluster.py [--kills N]``.
 
 Takeover times of owners killed at several rates of loss; false suspicions an hour; datagrams and bytes a second,
-and CPU for each member at 4 to 200 members. The virtual network of the tests is used, so no socket bounds the size;
-its cost is in the CPU figures, which are an upper bound.
+and CPU for each member at 4 to 200 members; how long a change of a sheet takes to reach all; the datagrams' form beside
+msgpack. The virtual network of the tests is used, so no socket bounds the size; its cost is in the CPU figures, which
+are an upper bound.
 """
 
 import sys
 import time
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 import click
+import msgspec
 import numpy as np
 
 ROOT = Path(__file__).parents[1]
@@ -18,6 +21,9 @@
 
 from cluster.virtual import Net  # noqa: E402
 
+from heronlug.cluster import codec  # noqa: E402
+from heronlug.cluster.model import Fence, Health, News  # noqa: E402
+
 LOSSES = (0.0, 0.1, 0.3, 0.5)
 SIZES = (4, 16, 48, 200)
 
@@ -67,6 +73,64 @@
     return size, (net.sent - sent) / span / size, (net.bytes - data) / span / size, cpu
 
 
+def sheet(job: tuple[int, float, int]) -> tuple[float, list[float]]:
+    """Milliseconds until all have a first sheet of so many rows, and until all know each of ten changes."""
+    size, loss, rows = job
+    net = Net([f"m{n:03}" for n in range(size)], 1, loss=loss, duties=["register"], topics=["register"])
+    net.may_overlap = True
+    for name in net.names:
+        net.start(name)
+    net.run(9000)
+
+    def publish(changes: dict[bytes, bytes | None]) -> float:
+        owner = net.owner("register")
+        if owner is None or not net.publish(owner, "register", changes):
+            return float("nan")
+        begun, wanted = net.now, net.processes[owner].sheets["register"]
+        while any(p.sheets["register"] != wanted for p in net.processes.values()) and net.now - begun < 60_000:
+            net.run(10)
+        return net.now - begun
+
+    row = b"10.0.0.1:8081 and what else there is of a host, 64 bytes of it"
+    first = publish({b"h%d" % n: row for n in range(rows)})
+    took = []
+    for turn in range(10):
+        took.append(publish({b"h%d" % turn: b"draining"}))
+        net.run(500)
+    return first, took
+
+
+def per_call(call: Callable[[], object], rounds: int = 20_000) -> float:
+    """Microseconds of a call, the least of three runs."""
+    best = float("inf")
+    for _ in range(3):
+        start = time.perf_counter()
+        for _ in range(rounds):
+            call()
+        best = min(best, time.perf_counter() - start)
+    return best / rounds * 1e6
+
+
+def forms() -> None:
+    """The fixed form beside msgpack of the same tuples, by size and cost."""
+    pack, unpack = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
+    fence = Fence(1_796_138_343_696, 0xB5C3A1D2)
+    for part in (
+        codec.Ping(0x6B3F21C4), codec.Ask(0xB5C3A1D2, fence, 0x6B3F21C4, fence),
+        codec.Announce(0xB5C3A1D2, fence, 4711, 0xB5C3A1D2B5C3A1D2),
+        News("dispatcher-12", "10.0.0.12:7946", 1_796_138_343_696, Health.ALIVE),
+    ):  # fmt: skip
+        fixed = codec.encode_part(part)
+        flat = (type(part).__name__[0], *part)
+        packed = pack(flat)
+        print(f"{type(part).__name__:>10} {len(fixed):8} {len(packed):8} "
+              f"{per_call(lambda p=part: codec.encode_part(p)):8.2f} {per_call(lambda f=flat: pack(f)):8.2f} "
+              f"{per_call(lambda d=fixed: codec.decode_parts(d)):8.2f} {per_call(lambda d=packed: unpack(d)):8.2f}")
+    seal, other = codec.Seal(1, {1: b"k" * 32}, 0), codec.Seal(2, {1: b"k" * 32}, 0)
+    print(f"seal a datagram {per_call(lambda: seal.pack([codec.Ping(1)])):.2f} us, "
+          f"open one {per_call(lambda: other.unpack(seal.pack([codec.Ping(1)])[0])):.2f} us with its sealing")
+
+
 @click.command()
 @click.option("--kills", default=500, help="kills at each rate of loss")
 def main(kills: int) -> None:
@@ -84,6 +148,14 @@
         print(f"\n{'members':>7} {'datagrams/s':>12} {'bytes/s':>9} {'CPU ms/s':>9}   a member, four duties, no loss")
         for size, datagrams, data, cpu in pool.map(traffic, SIZES):
             print(f"{size:7} {datagrams:12.1f} {data:9.0f} {cpu:9.2f}")
+        print(f"\n{'members':>7} {'loss':>5} {'first of 1,000 rows':>20} {'a change p50':>13} {'most':>6} ms")
+        jobs = [(size, loss, 1000) for size in (4, 16, 48) for loss in LOSSES[:3]] + [(200, 0.0, 300)]
+        for (size, loss, rows), (first, took) in zip(jobs, pool.map(sheet, jobs), strict=True):
+            p50, most = np.nanpercentile(took, [50, 100])
+            print(f"{size:7} {loss:5.0%} {first:20.0f} {p50:13.0f} {most:6.0f}   {rows} rows")
+    heads = ("fixed", "msgpack", "encode", "msgpack", "decode", "msgpack")
+    print(f"\n{'part':>10} " + " ".join(f"{head:>8}" for head in heads) + "   bytes, then us")
+    forms()
 
 
 if __name__ == "__main__":
--- a/heronlug/cluster/leases.py
+++ b/heronlug/cluster/leases.py
@@ -17,7 +17,7 @@
 
 from heronlug.cluster.codec import Accept, Ask, Deny, Done, Free, Grant, Offer, Part
 from heronlug.cluster.model import NO_FENCE, Fence, Gained, Lost, Terms
-from heronlug.cluster.ownership import ranked, tag
+from heronlug.cluster.ownership import first, tag
 
 OFFERS = 12  # offers, and farewells, before one lets go without an answer
 NUMBERS = 32  # requests remembered
@@ -109,16 +109,16 @@
             self._lapse(duty, now)
             if duty.next <= now:
                 candidates = self._candidates(now) if candidates is None else candidates
-                self._step(duty, self._voters(duty.name, now), candidates, now)
+                self._step(duty, candidates, now)
 
     def _lapse(self, duty: Duty, now: float) -> None:
         if duty.stage in (Stage.HOLDING, Stage.OFFERING) and now >= duty.until:
             self._stop(duty, Stage.IDLE, "lease over")
 
-    def _step(self, duty: Duty, voters: dict[int, str], candidates: list[str], now: float) -> None:
+    def _step(self, duty: Duty, candidates: list[str], now: float) -> None:
         """What one member does about a duty, by its stage."""
-        first = next(iter(ranked(duty.name, candidates)), "")
-        ours = not self.leaving and (first == self.name or now < duty.promised)
+        heir = first(duty.name, candidates)
+        ours = not self.leaving and (heir == self.name or now < duty.promised)
         duty.next = now + self.terms.ask_every
         if duty.stage is Stage.IDLE and ours:
             duty.stage, duty.tries = Stage.ASKING, 0
@@ -126,13 +126,14 @@
         elif duty.stage is Stage.ASKING and not ours:
             self._let_go(duty, now)
             duty.stage = Stage.IDLE
-        elif duty.stage is Stage.HOLDING and not ours and first:
-            duty.stage, duty.heir, duty.tries = Stage.OFFERING, tag(first), 0
-        elif duty.stage is Stage.OFFERING and (ours or tag(first) != duty.heir):
+        elif duty.stage is Stage.HOLDING and not ours and heir:
+            duty.stage, duty.heir, duty.tries = Stage.OFFERING, tag(heir), 0
+        elif duty.stage is Stage.OFFERING and (ours or tag(heir) != duty.heir):
             duty.stage = Stage.HOLDING
         if duty.stage is Stage.ASKING:
-            self._ask(duty, voters, now)
+            self._ask(duty, self._voters(duty.name, now), now)
         elif duty.stage is Stage.HOLDING or duty.stage is Stage.OFFERING:
+            voters = self._voters(duty.name, now)
             if self._secured(duty, voters) - now < self._renewal():
                 self._ask(duty, voters, now)
             if duty.stage is Stage.OFFERING:
--- a/heronlug/cluster/ownership.py
+++ b/heronlug/cluster/ownership.py
@@ -1,6 +1,8 @@
 """Who should own what: rendezvous hashing (Thaler, Ravishankar 1998); a death moves only the dead one's duties."""
 
 from collections.abc import Iterable
+from functools import lru_cache
+from heapq import nlargest
 
 from xxhash import xxh32_intdigest, xxh64_intdigest
 
@@ -10,9 +12,20 @@
     return int(xxh32_intdigest(name.encode()))
 
 
+@lru_cache(maxsize=65_536)
+def weight(duty: str, member: str) -> tuple[int, str]:
+    """How much a member should own a duty; the member itself breaks ties."""
+    return int(xxh64_intdigest(f"{duty}\0{member}".encode())), member
+
+
+def first(duty: str, members: Iterable[str]) -> str:
+    """The member that should own a duty; none is empty."""
+    return max(members, key=lambda member: weight(duty, member), default="")
+
+
 def ranked(duty: str, members: Iterable[str]) -> list[str]:
     """The members in the order in which they should own a duty, the first first."""
-    return sorted(members, key=lambda member: (xxh64_intdigest(f"{duty}\0{member}".encode()), member), reverse=True)
+    return sorted(members, key=lambda member: weight(duty, member), reverse=True)
 
 
 def foremost(duty: str, members: dict[int, str], most: int) -> dict[int, str]:
@@ -20,4 +33,4 @@
     if len(members) <= most:
         return members
     by_name = {name: number for number, name in members.items()}
-    return {by_name[name]: name for name in ranked(duty, by_name)[:most]}
+    return {by_name[name]: name for name in nlargest(most, by_name, key=lambda member: weight(duty, member))}
--- /dev/null
+++ b/heronlug/emulator/dispatchers.py
@@ -0,0 +1,193 @@
+"""An emulated dispatcher: the real core with the real decision module, and a network in place of sockets."""
+
+from typing import TYPE_CHECKING, Any
+
+from heronlug import interface as pk
+from heronlug.emulator.clients import Job
+from heronlug.emulator.hosts import Host, Run
+from heronlug.emulator.policies import OURS, POLICIES, Look
+from heronlug.emulator.timeline import VirtualDeadlines
+from heronlug.interface import ListKind, NoteKind, Outcome, WorkerState
+from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
+from heronlug.rules import Answered, Listed, Sent, Started, Stopped, Taken
+
+if TYPE_CHECKING:
+    from heronlug.emulator.world import World
+
+PROGRESS = 1000.0  # ms between words of a job that runs
+MAX_COME_BACK = 2000.0
+
+
+class Dispatcher:
+    """One position, and its processes one after the other."""
+
+    def __init__(self, world: "World", number: int) -> None:
+        self.world, self.number, self.name = world, number, f"d{number}"
+        self.zone = number % len(world.scenario.zones)
+        self.up = False
+        self.life = 0
+        self.deadlines: VirtualDeadlines
+        self.core: Core
+        self._known: list[HostEntry] = []
+
+    # -- its process
+
+    def start(self) -> None:
+        """A process starts, with the list that was held last."""
+        world = self.world
+        self.life += 1
+        self.up = True
+        seed = world.seed * 1000003 + self.number * 101 + self.life
+        settings = world.settings(self.number, self.zone)
+        self.deadlines = VirtualDeadlines(world.line)
+        self.core = Core(
+            settings, seed, self, self.deadlines, subscribe=self._watch, tell=self._tell,
+            max_open=world.scenario.dispatchers.max_open, max_come_back=MAX_COME_BACK,
+        )  # fmt: skip
+        if world.scenario.policy != OURS:
+            self.core.dispatcher = POLICIES[world.scenario.policy](settings, seed, self._look)  # type: ignore[assignment]
+        elif world.module is not None:
+            self.core.dispatcher = world.module(settings, seed)
+        world.tell(Started(world.line.now, self.name))
+        self._list(ListKind.CACHED, self._known or list(world.register.entries.values()))
+
+    def kill(self) -> None:
+        """The process is gone at once, and its clients see that."""
+        world = self.world
+        self.up, self.deadlines.dead = False, True
+        self._known = [host.entry for host in self.core.hosts.values() if host.entry.state is not WorkerState.GONE]
+        world.register.leave(self)
+        world.tell(Stopped(world.line.now, self.name, True))
+        for relay in list(self.core.relays):
+            run: Run = relay.wire
+            if run is not None and run.began_at < 0:  # what runs goes on, for nobody
+                world.line.after(world.delay(self.zone, run.job[1]), run.job[1].drop, run)
+        for message in list(self.core.messages):
+            if not message.closed:
+                world.clients.lost(message.load)
+
+    # -- its clients
+
+    def take(self, job: Job) -> None:
+        """A client hands it a job."""
+        world, lane = self.world, self.world.lanes[job.lane]
+        now = world.line.now
+        world.tell(Taken(now, self.name, job.name, lane.name, lane.effect is pk.Effect.ONCE, job.give_up_at))
+        self.core.take(job, job.lane, job.give_up_at - now, name=job.name, slots=float(job.need))
+
+    def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
+        """The core's final answer."""
+        job: Job = message.load
+        self.world.tell(Answered(self.world.line.now, self.name, job.name, final.value))
+        self.world.clients.answered(job, final, come_back)
+
+    # -- its hosts
+
+    def send(self, relay: Relay) -> None:
+        """Begin a relay."""
+        world, job = self.world, relay.message.load
+        host = world.hosts.get(relay.host.entry.name)
+        if world.guarded and not self.core.may_write(relay):
+            self.core.ended(relay, Outcome.MOOT)
+            return
+        if host is None or world.cut(self.zone, host.zone):
+            world.line.after(world.scenario.network.dial_timeout_ms, self._ended, self.life, relay,
+                             Outcome.CONNECT_FAILED)  # fmt: skip
+            return
+        world.tell(Sent(world.line.now, self.name, job.name, host.name))
+        self.core.written()
+        world.sent(job, self.zone, host.zone)
+        lane = world.lanes[job.lane]
+        relay.wire = Run((relay, host, self.life), job.work, float(job.need), lane.worth, self._told)
+        world.line.after(world.delay(self.zone, host), self._arrive, relay.wire)
+
+    def cancel(self, relay: Relay) -> None:
+        """Nobody waits for it any more; the host hears that."""
+        run: Run | None = relay.wire
+        if run is not None:
+            host: Host = run.job[1]
+            if not self.world.cut(self.zone, host.zone):
+                self.world.line.after(self.world.delay(self.zone, host), host.drop, run)
+
+    def _arrive(self, run: Run) -> None:
+        relay, host, life = run.job
+        if not relay.out and life == self.life and self.up:
+            return  # cancelled on its way
+        if not host.up:
+            self._back(run, Outcome.CONNECT_FAILED)
+        elif not host.take(run):
+            self._back(run, Outcome.FULL)
+
+    def _told(self, run: Run, what: str) -> None:
+        """The host has something to tell of a run."""
+        if what == "started":
+            self._later(run, self._noted, NoteKind.STARTED, 0.0)
+            self.world.line.after(PROGRESS, self._progress, run)
+        else:
+            self._back(run, Outcome.SERVED if what == "done" else Outcome.RESET)
+
+    def _progress(self, run: Run) -> None:
+        relay, host, _ = run.job
+        if run.ends is not None and not host.still and relay.out:
+            whole = run.work * host.slow / host.kind.speed
+            share = min(0.99, (self.world.line.now - run.began_at) / whole) if whole else 0.0
+            self._later(run, self._noted, NoteKind.PROGRESS, share)
+        if relay.out and run in host.running:
+            self.world.line.after(PROGRESS, self._progress, run)
+
+    def _back(self, run: Run, outcome: Outcome) -> None:
+        self._later(run, self._ended_of, outcome)
+
+    def _later(self, run: Run, what: Any, *args: Any) -> None:
+        """What a host says comes after the way back, and not before a cut has healed."""
+        relay, host, life = run.job
+        if life != self.life or not self.up:
+            return
+        if self.world.cut(self.zone, host.zone):
+            self.world.held.append((self._later, run, what, *args))
+            return
+        self.world.line.after(self.world.delay(self.zone, host), what, life, relay, *args)
+
+    def _noted(self, life: int, relay: Relay, kind: NoteKind, share: float) -> None:
+        if life == self.life and self.up:
+            self.core.noted(relay, kind, share)
+
+    def _ended_of(self, life: int, relay: Relay, outcome: Outcome) -> None:
+        self._ended(life, relay, outcome)
+
+    def _ended(self, life: int, relay: Relay, outcome: Outcome) -> None:
+        if life == self.life and self.up:
+            self.core.ended(relay, outcome)
+
+    # -- the register and the others
+
+    def listed(self, kind: ListKind, entries: list[HostEntry]) -> None:
+        """News of the register."""
+        self._list(kind, entries)
+
+    def _list(self, kind: ListKind, entries: list[HostEntry]) -> None:
+        now = self.world.line.now
+        for entry in entries:
+            self.world.tell(Listed(now, self.name, entry.name, entry.state.name.lower()))
+        self.core.inventory(kind, entries)
+
+    def _watch(self) -> None:
+        self.world.register.watch(self)
+
+    def _tell(self, content: bytes, peer: int) -> None:
+        for other in self.world.dispatchers if peer < 0 else [self.world.dispatchers[peer]]:
+            if other is not self:
+                self.world.datagram(self, other, content)
+
+    def heard(self, sender: int, content: bytes) -> None:
+        """Another dispatcher's datagram."""
+        if self.up:
+            self.core.heard(sender, content)
+
+    def _look(self, number: int) -> Look:
+        host = self.world.hosts.get(self.core.hosts[number].entry.name)
+        if host is None:
+            return Look(0.0, 1.0, 1.0, False, 0.0)
+        far = 2 * self.world.median(self.zone, host.zone)
+        well = host.up and not host.still and not self.world.cut(self.zone, host.zone)
+        return Look(host.inside, host.capacity(), host.kind.speed / host.slow, well, far)
--- /dev/null
+++ b/heronlug/emulator/draws.py
@@ -0,0 +1,94 @@
+"""All chance of a run: streams spawned for each entity, and distributions by their names in ``scipy.stats``.
+
+Every entity draws from a stream of its own, seeded by the run's seed and its name, so that one host more changes no
+other's draws; and a job's work is drawn when it arrives, so that two policies are given the same jobs.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+from zlib import crc32
+
+import numpy as np
+from numpy.typing import NDArray
+from scipy import stats
+
+BATCH = 512
+NAMES = ("constant", "expon", "gamma", "lognorm", "pareto", "uniform", "weibull_min")
+FITTED = ("expon", "gamma", "lognorm", "weibull_min")
+
+
+def stream(seed: int, *names: str) -> np.random.Generator:
+    """The stream of one entity."""
+    return np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, *(crc32(n.encode()) for n in names)])))
+
+
+def distribution(table: Mapping[str, Any]) -> Any:
+    """A frozen distribution out of ``{dist = "lognorm", s = 0.6, scale = 180}``; raises ``ValueError``.
+
+    ``constant`` takes ``value`` alone; all others the parameters that scipy has for them.
+    """
+    given = dict(table)
+    name = given.pop("dist", "")
+    if name not in NAMES:
+        raise ValueError(f"{name!r} is none of {', '.join(NAMES)}")
+    if name == "constant":
+        if set(given) != {"value"} or not given["value"] >= 0:
+            raise ValueError("a constant takes value, 0 or more, and nothing else")
+        return float(given["value"])
+    kind = getattr(stats, name)
+    shapes = kind.shapes.split(", ") if kind.shapes else []
+    unknown = given.keys() - {*shapes, "loc", "scale"}
+    if unknown or not set(shapes) <= given.keys():
+        raise ValueError(f"{name} takes {', '.join([*shapes, 'loc', 'scale'])}")
+    frozen = kind(**given)
+    low, mean = frozen.support()[0], frozen.mean()
+    if not (np.isfinite(mean) and low >= 0):
+        raise ValueError(f"{name} with these has a mean of {mean:g} and begins at {low:g}: times are 0 or more, "
+                         "and their mean is finite")  # fmt: skip
+    return frozen
+
+
+class Draws:
+    """Values of one distribution from one stream, drawn in batches."""
+
+    __slots__ = ("_at", "_batch", "_draw")
+
+    def __init__(self, dist: Any, rng: np.random.Generator) -> None:
+        if isinstance(dist, float):
+            self._draw: Callable[[], NDArray[np.float64]] = lambda: np.full(BATCH, dist)
+        else:
+            self._draw = lambda: dist.rvs(BATCH, random_state=rng)
+        self._batch: list[float] = []
+        self._at = 0
+
+    def next(self) -> float:
+        """The next value."""
+        if self._at == len(self._batch):
+            self._batch, self._at = [*map(float, self._draw())], 0
+        self._at += 1
+        return self._batch[self._at - 1]
+
+
+class Fit(NamedTuple):
+    """A distribution fitted to values."""
+
+    name: str
+    params: dict[str, float]
+    aic: float  # less is better
+    ks: float  # the largest distance between the two distribution functions
+
+
+def fit(values: NDArray[np.float64]) -> list[Fit]:
+    """Distributions fitted to times (ms, positive), the best by AIC first; raises ``ValueError`` for too few."""
+    if len(values) < 20 or not np.all(np.isfinite(values)) or np.min(values) <= 0:
+        raise ValueError("20 values or more, all above 0, are needed")
+    fits = []
+    for name in FITTED:
+        kind = getattr(stats, name)
+        params = kind.fit(values, floc=0)
+        shapes = kind.shapes.split(", ") if kind.shapes else []
+        likelihood = float(np.sum(kind.logpdf(values, *params)))
+        distance = float(stats.kstest(values, kind.cdf, args=params).statistic)
+        named = dict(zip([*shapes, "loc", "scale"], map(float, params), strict=True))
+        fits.append(Fit(name, named, 2 * (len(shapes) + 1) - 2 * likelihood, distance))
+    return sorted(fits, key=lambda each: each.aic)
--- /dev/null
+++ b/heronlug/emulator/policies.py
@@ -0,0 +1,223 @@
+"""Other ways to choose a host, to compare the module with: a floor and a ceiling for every figure.
+
+Each takes the module's place in a core: events in, actions out. All retry alike (what the effect allows, at once, up to
+the cap) and send nothing to a host that is not ready; they differ in the choice alone. None keeps a margin for cold
+hosts or hands on what it knows.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from heronlug import interface as pk
+
+
+class Look(NamedTuple):
+    """What is true of a host at this moment; dispatchers do not see it, and two of the policies do."""
+
+    inside: float  # slots that run or wait
+    capacity: float  # slots that it has now
+    speed: float
+    well: bool  # it is up and does not stand still
+    far: float  # ms to reach it and back
+
+
+class Worker:
+    """A host as a policy knows it."""
+
+    __slots__ = ("entry", "number", "out")
+
+    def __init__(self, entry: pk.WorkerEntry) -> None:
+        self.number, self.entry = entry.worker, entry
+        self.out = 0.0  # slots that we have sent and that have not ended
+
+
+class Job:
+    """An open job."""
+
+    __slots__ = ("arrived", "hosts", "out", "spoiled", "tries")
+
+    def __init__(self, arrived: pk.JobArrived) -> None:
+        self.arrived = arrived
+        self.tries = 0
+        self.out: set[int] = set()
+        self.hosts: list[int] = []
+        self.spoiled = False  # an attempt may have run
+
+
+class Policy:
+    """The base: everything but the choice.  ``look`` takes a worker's number."""
+
+    name = ""
+
+    def __init__(self, settings: pk.Settings, seed: int, look: Callable[[int], Look]) -> None:
+        self.s, self.rng, self.look = settings, Random(seed), look
+        self.workers: dict[int, Worker] = {}
+        self.ready: list[Worker] = []
+        self.jobs: dict[int, Job] = {}
+        self._subscribed = False
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """A worker of those; there is at least one."""
+        raise NotImplementedError
+
+    def avoided(self, now: float) -> set[int]:
+        """None is avoided for what it did."""
+        return set()
+
+    def handle(self, now: float, event: pk.Event) -> list[pk.Action]:
+        """The actions that an event leads to."""
+        out: list[pk.Action] = []
+        if isinstance(event, pk.JobArrived):
+            self.jobs[event.job] = Job(event)
+            self._send(event.job, now, out)
+        elif isinstance(event, pk.AttemptEnded):
+            self._ended(event, now, out)
+        elif isinstance(event, pk.WorkerList):
+            self._listed(event, out)
+        elif isinstance(event, pk.ClientGone | pk.JobPassedOn):
+            job = self.jobs.pop(event.job, None)
+            if job is not None:
+                out += [pk.Cancel(event.job, attempt) for attempt in job.out]
+        elif isinstance(event, pk.NoTimeLeft):
+            if self.jobs.pop(event.job, None) is not None:
+                out.append(pk.Fail(event.job))
+        return out
+
+    def _listed(self, event: pk.WorkerList, out: list[pk.Action]) -> None:
+        if event.kind is pk.ListKind.FAILED:
+            self._subscribed = False
+            return
+        if event.kind is not pk.ListKind.CHANGES:
+            here = {entry.worker for entry in event.entries}
+            for gone in self.workers.keys() - here:
+                del self.workers[gone]
+        for entry in event.entries:
+            if entry.state is pk.WorkerState.GONE:
+                self.workers.pop(entry.worker, None)
+            elif entry.worker in self.workers:
+                self.workers[entry.worker].entry = entry
+            else:
+                self.workers[entry.worker] = Worker(entry)
+        self.ready = [worker for worker in self.workers.values() if worker.entry.state is pk.WorkerState.READY]
+        if not self._subscribed:
+            self._subscribed = True
+            out.append(pk.Subscribe())
+
+    def _send(self, number: int, now: float, out: list[pk.Action]) -> None:
+        job = self.jobs[number]
+        arrived = job.arrived
+        lane = arrived.terms or self.s.classes[arrived.job_class]
+        if job.tries >= self.s.cap(lane) or now >= arrived.give_up_at or not self.ready:
+            del self.jobs[number]
+            out.append(pk.Fail(number) if job.spoiled else pk.Refuse(number))
+            return
+        among = [worker for worker in self.ready if worker.number not in job.hosts] or self.ready
+        worker = self.choose(job, among)
+        worker.out += arrived.slots
+        job.out.add(job.tries)
+        job.hosts.append(worker.number)
+        job.tries += 1
+        out.append(pk.Send(number, worker.number))
+
+    def _ended(self, event: pk.AttemptEnded, now: float, out: list[pk.Action]) -> None:
+        job = self.jobs.get(event.job)
+        worker = self.workers.get(event.worker)
+        if worker is not None:
+            worker.out = max(0.0, worker.out - (job.arrived.slots if job is not None else 1.0))
+        if job is None:
+            return
+        job.out.discard(event.attempt)
+        if event.final:
+            del self.jobs[event.job]
+            return
+        lane = job.arrived.terms or self.s.classes[job.arrived.job_class]
+        ran = event.outcome not in pk.NEVER_RAN
+        job.spoiled = job.spoiled or ran
+        if ran and lane.effect is not pk.Effect.REPEATABLE:
+            del self.jobs[event.job]
+            out.append(pk.Fail(event.job))
+        else:
+            self._send(event.job, now, out)
+
+
+class RandomChoice(Policy):
+    """Any."""
+
+    name = "random"
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """Any of them, each as likely."""
+        return self.rng.choice(among)
+
+
+class RoundRobin(Policy):
+    """One after the other."""
+
+    name = "round-robin"
+    _next = 0
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """The next."""
+        self._next += 1
+        return among[self._next % len(among)]
+
+
+class LeastInFlight(Policy):
+    """The one to which we have sent the least that has not ended."""
+
+    name = "least-in-flight"
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """Of those with as little, any."""
+        least = min(worker.out for worker in among)
+        return self.rng.choice([worker for worker in among if worker.out == least])
+
+
+class TwoChoices(Policy):
+    """Of two, the one with less of ours in flight (Mitzenmacher 2001)."""
+
+    name = "two-choices"
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """Of two at random, the better."""
+        one, other = self.rng.choice(among), self.rng.choice(among)
+        return one if one.out <= other.out else other
+
+
+class ShortestQueue(Policy):
+    """The one with the least in it, whoever sent it: join the shortest queue, which no dispatcher can see."""
+
+    name = "shortest-queue"
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """Of those with as little, any."""
+        inside = [(self.look(worker.number).inside, worker) for worker in among]
+        least = min(each for each, _ in inside)
+        return self.rng.choice([worker for each, worker in inside if each == least])
+
+
+class Oracle(Policy):
+    """Sees all: queues, capacity, speed, distance, who stands still.  Chooses by when the job would begin."""
+
+    name = "oracle"
+
+    def choose(self, job: Job, among: list[Worker]) -> Worker:
+        """The one where it would be done first, by how much stands before it."""
+
+        def waits(worker: Worker) -> float:
+            seen = self.look(worker.number)
+            if not seen.well:
+                return float("inf")
+            over = max(0.0, seen.inside + job.arrived.slots - seen.capacity) / seen.capacity
+            return (1 + over) * MEAN_WORK / seen.speed + seen.far
+
+        return min(among, key=waits)
+
+
+MEAN_WORK = 200.0  # ms: only the proportion of waiting to distance depends on it
+POLICIES: dict[str, type[Policy]] = {
+    policy.name: policy
+    for policy in (RandomChoice, RoundRobin, LeastInFlight, TwoChoices, ShortestQueue, Oracle)
+}
+OURS = "heronlug"
--- /dev/null
+++ b/heronlug/rules/checker.py
@@ -0,0 +1,166 @@
+"""Proves the four rules on a run's events, one after the other as they come.
+
+1. Every accepted job ends in exactly one final answer, in time.
+2. What must not run twice does not.
+3. A host that a dispatcher was told drains or is gone gets nothing new of it after the grace.
+4. No cold host is pushed over, by all dispatchers together.
+
+A violation comes with the events that led to it. Memory is bounded by what is open and, for rule 2, by the jobs that
+must not run twice.
+"""
+
+from collections import Counter, deque
+from math import inf
+from typing import NamedTuple
+
+from heronlug.rules.events import Answered, Began, Ended, Event, Listed, Load, Sent, Started, Stopped, Taken
+
+TRAIL = 12  # events kept for each open job, and for each host
+KEPT = 200  # violations kept whole; all are counted
+
+
+class Violation(NamedTuple):
+    """A rule was broken."""
+
+    rule: int
+    at: float
+    what: str
+    trail: tuple[Event, ...]  # the events that led there, the last last
+
+
+class Open:
+    """A job that is owed an answer."""
+
+    __slots__ = ("taken", "trail")
+
+    def __init__(self, taken: Taken) -> None:
+        self.taken = taken
+        self.trail: deque[Event] = deque([taken], maxlen=TRAIL)
+
+
+class Checker:
+    """Give it events by :meth:`see`, and at the end :meth:`finish`."""
+
+    def __init__(self, drain_grace: float = 2500.0, slack: float = 0.0) -> None:
+        """``slack`` in milliseconds is granted to answers, for clocks of different processes."""
+        self.drain_grace, self.slack = drain_grace, slack
+        self.violations: list[Violation] = []
+        self.counts: Counter[int] = Counter()  # by rule
+        self.seen = 0
+        self.coldest = 0.0  # the highest share of what a cold host stands
+        self._open: dict[tuple[str, str], Open] = {}
+        self._over: dict[str, set[str]] = {}  # by dispatcher: jobs that have had their answer
+        self._once: set[str] = set()
+        self._ran: dict[str, Began] = {}  # what must not run twice, and has run
+        self._told_off: dict[tuple[str, str], float] = {}
+        self._hosts: dict[str, deque[Event]] = {}
+        self._last = -inf
+
+    def see(self, event: Event) -> None:
+        """One event."""
+        self.seen += 1
+        self._last = event.at
+        if isinstance(event, Taken):
+            self._taken(event)
+        elif isinstance(event, Answered):
+            self._answered(event)
+        elif isinstance(event, Sent):
+            self._sent(event)
+        elif isinstance(event, Began):
+            self._began(event)
+        elif isinstance(event, Listed):
+            self._listed(event)
+        elif isinstance(event, Load):
+            self._load(event)
+        elif isinstance(event, Ended):
+            if self._open.pop((event.dispatcher, event.job), None) is not None:
+                self._over.setdefault(event.dispatcher, set()).add(event.job)
+        elif isinstance(event, Started):
+            self._over[event.dispatcher] = set()
+            for key in [key for key in self._told_off if key[0] == event.dispatcher]:
+                del self._told_off[key]  # a new process is told anew
+        else:
+            self._stopped(event)
+
+    def finish(self, at: float) -> list[Violation]:
+        """The run is over: what is still open and out of time has had no answer."""
+        for job in self._open.values():
+            if job.taken.give_up_at + self.slack < at:
+                self._break(1, at, f"{job.taken.job} has had no final answer", job.trail)
+        return self.violations
+
+    # -- inside
+
+    def _break(self, rule: int, at: float, what: str, trail: "deque[Event] | tuple[Event, ...]") -> None:
+        self.counts[rule] += 1
+        if len(self.violations) < KEPT:
+            self.violations.append(Violation(rule, at, what, tuple(trail)))
+
+    def _trail(self, host: str) -> "deque[Event]":
+        return self._hosts.setdefault(host, deque(maxlen=TRAIL))
+
+    def _taken(self, event: Taken) -> None:
+        key = event.dispatcher, event.job
+        if key in self._open:
+            self._break(1, event.at, f"{event.job} was taken twice while it is open", (*self._open[key].trail, event))
+        self._open[key] = Open(event)
+        self._over.setdefault(event.dispatcher, set()).discard(event.job)
+        if event.once:
+            self._once.add(event.job)
+
+    def _answered(self, event: Answered) -> None:
+        job = self._open.pop((event.dispatcher, event.job), None)
+        over = self._over.setdefault(event.dispatcher, set())
+        if job is None:
+            why = "has had a second answer" if event.job in over else "was answered and never taken"
+            self._break(1, event.at, f"{event.job} {why}", (event,))
+        elif event.at > job.taken.give_up_at + self.slack:
+            late = event.at - job.taken.give_up_at
+            self._break(1, event.at, f"{event.job} was answered {late:.0f} ms too late", (*job.trail, event))
+        over.add(event.job)
+
+    def _sent(self, event: Sent) -> None:
+        job = self._open.get((event.dispatcher, event.job))
+        if job is not None:
+            job.trail.append(event)
+        else:
+            self._break(1, event.at, f"{event.job} was sent and is not open", (event,))
+        told = self._told_off.get((event.dispatcher, event.host))
+        if told is not None and event.at - told > self.drain_grace:
+            since = event.at - told
+            trail = (*self._trail(event.host), event)
+            self._break(3, event.at, f"{event.host} was sent {event.job} {since:.0f} ms after it was told off", trail)
+
+    def _began(self, event: Began) -> None:
+        if event.job not in self._once:
+            return
+        before = self._ran.get(event.job)
+        if before is not None:
+            what = f"{event.job} ran at {event.host} after it had at {before.host}"
+            trails = [job.trail for (_, name), job in self._open.items() if name == event.job]
+            self._break(2, event.at, what, (*(trails[0] if trails else ()), before, event))
+        self._ran[event.job] = event
+
+    def _listed(self, event: Listed) -> None:
+        self._trail(event.host).append(event)
+        key = event.dispatcher, event.host
+        if event.state == "ready":
+            self._told_off.pop(key, None)
+        else:
+            self._told_off.setdefault(key, event.at)
+
+    def _load(self, event: Load) -> None:
+        self.coldest = max(self.coldest, event.share)
+        trail = self._trail(event.host)
+        trail.append(event)
+        if event.fell:
+            self._break(4, event.at, f"{event.host} was pushed over while it was cold", trail)
+
+    def _stopped(self, event: Stopped) -> None:
+        held = [key for key in self._open if key[0] == event.dispatcher]
+        for key in held:
+            job = self._open.pop(key)
+            if not event.killed:
+                what = f"{job.taken.job} has had no final answer when {event.dispatcher} ended"
+                self._break(1, event.at, what, (*job.trail, event))
+        self._over.pop(event.dispatcher, None)
--- /dev/null
+++ b/heronlug/rules/events.py
@@ -0,0 +1,110 @@
+"""What a run tells the checker of, in the order in which it happened.  Times in milliseconds of one clock.
+
+As a line of a file an event is a JSON list: the kind's name, then its fields.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+
+class Started(NamedTuple):
+    """A dispatcher's process has started."""
+
+    at: float
+    dispatcher: str
+
+
+class Stopped(NamedTuple):
+    """It has ended; what it held is over without an answer only if it was ``killed``."""
+
+    at: float
+    dispatcher: str
+    killed: bool
+
+
+class Taken(NamedTuple):
+    """A dispatcher has accepted a job: it is owed one final answer by ``give_up_at``."""
+
+    at: float
+    dispatcher: str
+    job: str  # unique among all of a run
+    lane: str
+    once: bool  # it must not run twice
+    give_up_at: float
+
+
+class Answered(NamedTuple):
+    """A final answer has gone out."""
+
+    at: float
+    dispatcher: str
+    job: str
+    final: str  # served, refused, failed
+
+
+class Sent(NamedTuple):
+    """The first byte of an attempt has been written."""
+
+    at: float
+    dispatcher: str
+    job: str
+    host: str
+
+
+class Began(NamedTuple):
+    """A job begins to run at a host's process."""
+
+    at: float
+    host: str
+    job: str
+
+
+class Ended(NamedTuple):
+    """A client has gone: nothing is owed any more."""
+
+    at: float
+    dispatcher: str
+    job: str
+
+
+class Listed(NamedTuple):
+    """A dispatcher has been told of a host's state: ready, draining or gone."""
+
+    at: float
+    dispatcher: str
+    host: str
+    state: str
+
+
+class Load(NamedTuple):
+    """What is in a cold host, in shares of what it stands: more than 1 for longer than it may, and it falls over."""
+
+    at: float
+    host: str
+    share: float
+    fell: bool
+
+
+Event = Started | Stopped | Taken | Answered | Sent | Began | Ended | Listed | Load
+KINDS: dict[str, Any] = {
+    kind.__name__: kind for kind in (Started, Stopped, Taken, Answered, Sent, Began, Ended, Listed, Load)
+}
+
+
+def write(event: Event) -> bytes:
+    """One line."""
+    return msgspec.json.encode([type(event).__name__, *event]) + b"\n"
+
+
+def read(lines: Iterable[bytes]) -> Iterator[Event]:
+    """Events of lines; raises ``ValueError`` with the line's number."""
+    for number, line in enumerate(lines, 1):
+        if not line.strip():
+            continue
+        try:
+            words: list[Any] = msgspec.json.decode(line, type=list)
+            yield msgspec.convert(words[1:], KINDS[words[0]])
+        except (msgspec.MsgspecError, ValueError, KeyError, TypeError, IndexError) as error:
+            raise ValueError(f"line {number}: no event: {error}") from None
--- a/tests/cluster/test_states.py
+++ b/tests/cluster/test_states.py
@@ -6,6 +6,7 @@
 """
 
 import copy
+import os
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
@@ -21,7 +22,7 @@
 NAMES = ("a", "b", "c")
 TERMS = Terms(drift=0.0)
 KEY = tag("duty")
-STATES = 15_000
+STATES = int(os.environ.get("CLUSTER_STATES", "15000"))
 
 
 class World:
--- /dev/null
+++ b/tests/emulator/test_maths.py
@@ -0,0 +1,143 @@
+"""The model against mathematics: waiting times of M/M/1, M/M/c and M/G/1, the tail of two choices, Little's law.
+
+Bounds are confidence intervals of batch means (99.9%), from fixed seeds.
+"""
+
+from math import factorial, sqrt
+
+import numpy as np
+import pytest
+from numpy.typing import NDArray
+from scipy import stats
+
+from emulator.fleets import scenario
+from heronlug.emulator.draws import Draws, stream
+from heronlug.emulator.hosts import Host, Kind, Run, Warmth
+from heronlug.emulator.timeline import Timeline
+from heronlug.emulator.world import World
+
+JOBS, BATCHES = 40_000, 30
+
+
+def waits(slots: int, rate: float, work: object, seed: int) -> NDArray[np.float64]:
+    """Waiting times at one host, the first tenth left out."""
+    line, found = Timeline(), []
+    host = Host("h", Kind("k", slots, queue=10**9), 0, line, Warmth())
+    gaps = Draws(stats.expon(scale=1 / rate), stream(seed, "gaps"))
+    works = Draws(work, stream(seed, "works"))
+
+    def told(run: Run, what: str) -> None:
+        if what == "started":
+            found.append(run.began_at - run.came_at)
+
+    def arrive(left: int) -> None:
+        host.take(Run(None, works.next(), 1.0, 1.0, told))
+        if left:
+            line.after(gaps.next(), arrive, left - 1)
+
+    arrive(JOBS)
+    line.run(1e12)
+    assert len(found) == JOBS + 1 and host.inside == 0
+    return np.array(found[JOBS // 10 :])
+
+
+def holds(values: NDArray[np.float64], wanted: float) -> None:
+    """Whether the mean is what it should be, as far as the run can tell; the run has to be able to tell something."""
+    means = np.array([batch.mean() for batch in np.array_split(values, BATCHES)])
+    half = stats.t.ppf(0.9995, BATCHES - 1) * means.std(ddof=1) / sqrt(BATCHES)
+    assert half < 0.5 * wanted
+    assert abs(means.mean() - wanted) <= half, f"{means.mean():.2f} +- {half:.2f}, {wanted:.2f} was expected"
+
+
+def erlang_c(slots: int, load: float) -> float:
+    """The chance to wait at all (Erlang 1917)."""
+    whole = load**slots / factorial(slots) * slots / (slots - load)
+    return whole / (sum(load**n / factorial(n) for n in range(slots)) + whole)
+
+
+@pytest.mark.parametrize(("slots", "use"), [(1, 0.5), (1, 0.8), (4, 0.8), (16, 0.85)])
+def test_waits_of_m_m_c(slots: int, use: float) -> None:
+    mean = 100.0
+    rate = use * slots / mean
+    wanted = erlang_c(slots, use * slots) * mean / (slots * (1 - use))
+    holds(waits(slots, rate, stats.expon(scale=mean), seed=slots), wanted)
+
+
+@pytest.mark.parametrize("work", [stats.lognorm(0.8, scale=80.0), stats.gamma(0.7, scale=120.0), 100.0])
+def test_waits_of_m_g_1(work: object) -> None:
+    """Pollaczek and Khinchine's formula."""
+    mean, variance = (work, 0.0) if isinstance(work, float) else work.stats("mv")  # type: ignore[attr-defined]
+    use = 0.7
+    rate = use / float(mean)
+    wanted = rate * (float(variance) + float(mean) ** 2) / (2 * (1 - use))
+    holds(waits(1, rate, work, seed=3), wanted)
+
+
+def busy_shares(policy: str, use: float, hosts: int = 80) -> list[float]:
+    """Shares of single-slot hosts that have 1, 2, 3 and 4 jobs or more in them, over time."""
+    rate = use * hosts / 0.1
+    text = f"""
+name = "queues"
+span_s = 40
+policy = "{policy}"
+[dispatchers]
+count = 1
+attempts_cap = 1
+[network]
+inside_ms = 0.001
+sigma = 0.0
+[register]
+lag_ms = 0.0
+[safety]
+tip_multiple = 100.0
+[[kind]]
+name = "k"
+slots = 1
+queue = 10000
+[[pool]]
+kind = "k"
+count = {hosts}
+[[class]]
+name = "c"
+effect = "repeatable"
+aim_ms = 100
+deadline_ms = 100000
+work = {{dist = "expon", scale = 100.0}}
+[[arrivals]]
+class = "c"
+rate = {rate}
+"""
+    from heronlug.emulator.scenario import parse
+    from heronlug.forms import Source
+
+    world = World(parse(Source.parse("queues.toml", text.encode())))
+    counts = np.zeros(4)
+
+    def sample(left: int) -> None:
+        inside = np.array([host.inside for host in world.hosts.values()])
+        counts[:] += [(inside >= level).mean() for level in (1, 2, 3, 4)]
+        if left:
+            world.line.after(100.0, sample, left - 1)
+
+    world.line.at(10_000.0, sample, 299)
+    world.run()
+    return [float(share) for share in counts / 300]
+
+
+def test_the_tail_of_two_choices_and_its_place_between_random_and_the_shortest_queue() -> None:
+    """Mitzenmacher 2001: with two choices the share of queues of k or more is use^(2^k - 1), for many hosts."""
+    use = 0.8
+    two = busy_shares("two-choices", use)
+    assert two[0] == pytest.approx(use, rel=0.04)
+    assert two[1:3] == pytest.approx([two[0] ** 3, two[0] ** 7], rel=0.1)
+    random, shortest = busy_shares("random", use), busy_shares("shortest-queue", use)
+    assert random[:3] == pytest.approx([use, use**2, use**3], rel=0.08)  # each host is an M/M/1
+    assert shortest[1] < 0.2 * two[1] < 0.2 * random[1]  # at this use hardly anybody waits behind the shortest
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_littles_law_holds_for_each_run(seed: int) -> None:
+    figures = World(scenario(), seed).run()
+    inside, rate_times_stay = figures.little
+    assert inside == pytest.approx(rate_times_stay, rel=1e-9)
+    assert 5 < inside < 200
