--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -7,6 +7,7 @@
 from heronlug import __version__
 from heronlug.cli.change import apply, plan
 from heronlug.cli.cluster import cluster
+from heronlug.cli.emulate import emulate, experiment, rules
 from heronlug.cli.inspect import check, limits
 from heronlug.cli.serve import serve, try_
 from heronlug.life.config import ConfigError
@@ -22,7 +23,7 @@
     """
 
 
-for command in (serve, check, plan, apply, limits, cluster, try_):
+for command in (serve, check, plan, apply, limits, cluster, try_, emulate, experiment, rules):
     group.add_command(command)
 
 
--- /dev/null
+++ b/heronlug/cli/emulate.py
@@ -0,0 +1,188 @@
+"""``emulate``, ``experiment`` and ``rules``: the emulator, sweeps over it, and the checker of any run's events."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from heronlug.cli.words import FILE, print_columns, print_json
+
+SET = click.option("--set", "changes", multiple=True, metavar="KEY=VALUE", help="another value of the scenario's")
+STORE = click.argument("store", type=FILE)
+
+
+def _value(text: str) -> Any:
+    try:
+        return orjson.loads(text)
+    except ValueError:
+        return text
+
+
+def changed(changes: tuple[str, ...]) -> dict[str, Any]:
+    """``--set`` as keys and values."""
+    found = {}
+    for text in changes:
+        key, equals, value = text.partition("=")
+        if not equals:
+            raise click.BadParameter(f"{text!r} is no KEY=VALUE", param_hint="--set")
+        found[key] = _value(value)
+    return found
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@SET
+@click.option("--seed", type=int, help="in place of the scenario's")
+@click.option("--events", type=FILE, help="write all events of the run there, a line each")
+@click.option("--json", "as_json", is_flag=True, help="one JSON object of all figures")
+def emulate(file: Path, changes: tuple[str, ...], seed: int | None, events: Path | None, as_json: bool) -> int:
+    """Play the scenario FILE once.  The exit status is 1 where a rule was broken."""
+    from heronlug.emulator.scenario import load
+    from heronlug.emulator.world import World
+    from heronlug.rules import write
+
+    try:
+        scenario = load(file, changed(changes))
+    except ValueError as error:
+        raise click.ClickException(str(error)) from None
+    if events is None:
+        world = World(scenario, seed)
+        figures = world.run()
+    else:
+        with events.open("wb") as out:
+            world = World(scenario, seed, record=lambda event: out.writelines((write(event),)))
+            figures = world.run()
+    if as_json:
+        print_json(figures.flat())
+    else:
+        print_columns(figures.table())
+        loads = figures.flat()
+        print(f"service {figures.service:.4f}, hosts {loads['load_mean']:.0%} loaded, "
+              f"{loads['attempts_per_job']:.3f} attempts a job; {figures.events} events in {figures.wall:.1f} s")
+        for violation in world.checker.violations[:10]:
+            print(f"rule {violation.rule} broken at {violation.at:.0f} ms: {violation.what}")
+    return 1 if figures.violations else 0
+
+
+@click.group()
+def rules() -> None:
+    """The four rules, on the events of any run."""
+
+
+@rules.command("check")
+@click.argument("file", type=FILE)
+@click.option("--drain-grace-ms", default=2500.0, help="from the register's word to the last send")
+@click.option("--slack-ms", default=50.0, help="for the clocks of several processes")
+def check_rules(file: Path, drain_grace_ms: float, slack_ms: float) -> int:
+    """Check the events in FILE, as ``emulate --events`` writes them.  The exit status is 1 where a rule was broken."""
+    from heronlug.rules import Checker, read
+
+    checker, last = Checker(drain_grace_ms, slack_ms), 0.0
+    try:
+        with file.open("rb") as lines:
+            for event in read(lines):
+                checker.see(event)
+                last = event.at
+    except (OSError, ValueError) as error:
+        raise click.ClickException(f"{file}: {error}") from None
+    for violation in checker.finish(last):
+        print(f"rule {violation.rule} broken at {violation.at:.0f} ms: {violation.what}")
+        for event in violation.trail:
+            print("    " + " ".join(map(str, (type(event).__name__, *event))))
+    print(f"{checker.seen} events, " + (f"{sum(checker.counts.values())} violations" if checker.counts else "all kept"))
+    return 1 if checker.counts else 0
+
+
+@click.group()
+def experiment() -> None:
+    """Sweeps over scenarios, on all cores."""
+
+
+def _store_of(file: Path, store: Path | None) -> Path:
+    return store if store is not None else file.with_suffix(".sqlite")
+
+
+@experiment.command()
+@click.argument("file", type=FILE)
+@click.option("--store", type=FILE, help="where runs are kept; beside FILE if not given")
+@click.option("--workers", type=click.IntRange(1, 256), default=os.cpu_count() or 1, help="processes at once")
+def run(file: Path, store: Path | None, workers: int) -> int:
+    """Play what of FILE has not been played yet.  Interrupted, it goes on from there next time."""
+    from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+
+    from heronlug.lab import runner
+    from heronlug.lab.experiment import Job, read
+    from heronlug.lab.store import Kept, Store
+
+    try:
+        experiment, jobs = read(file)
+    except ValueError as error:
+        raise click.ClickException(str(error)) from None
+    with Store(_store_of(file, store)) as kept:
+        there = kept.has(experiment.name, [job.key for job in jobs])
+        columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+        with Progress(*columns) as progress:
+            task = progress.add_task(experiment.name, total=len(jobs), completed=len(there))
+
+            def done(job: Job, run: Kept | None, why: str) -> None:
+                progress.advance(task)
+                if run is None:
+                    progress.console.print(f"seed {job.seed} of {job.params}: {why}")
+
+            good, failed = runner.run(experiment.name, jobs, kept, workers, done)
+    print(f"{good} of {len(jobs)} runs are in {_store_of(file, store)}; {len(there)} were there before")
+    return 1 if failed else 0
+
+
+@experiment.command()
+@STORE
+@click.argument("a")
+@click.argument("b")
+@click.option("--figure", "figures", multiple=True, help="only these; all if not given")
+@click.option("--experiment", "name", default="", help="of these runs, where the store has several")
+@click.option("--json", "as_json", is_flag=True)
+def compare(store: Path, a: str, b: str, figures: tuple[str, ...], name: str, as_json: bool) -> int:
+    """What changes from A to B in STORE, each such as ``policy=heronlug``, over pairs of the same seed."""
+    from heronlug.lab import compare as comparing
+    from heronlug.lab.store import Store
+
+    try:
+        with Store(store, create=False) as kept:
+            matched = comparing.pairs(kept.runs(name), comparing.chosen(a), comparing.chosen(b))
+        found = comparing.compare(matched, figures)
+    except (OSError, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    if as_json:
+        print_json([{**each._asdict(), "noise": each.noise} for each in found])
+        return 0
+    rows = [["figure", a, b, "change", "95% from", "to", "pairs", ""]]
+    for each in found:
+        numbers = [f"{value:.4g}" for value in (each.a, each.b, each.change, each.low, each.high)]
+        rows.append([each.figure, *numbers, str(each.pairs), "noise" if each.noise else ""])
+    print_columns(rows)
+    return 0
+
+
+@experiment.command()
+@STORE
+@click.option("--out", type=FILE, help="the page; beside STORE if not given")
+@click.option("--experiment", "name", default="", help="of these runs, where the store has several")
+def report(store: Path, out: Path | None, name: str) -> int:
+    """Write one HTML page of what is in STORE."""
+    from heronlug.lab.report import page
+    from heronlug.lab.store import Store
+
+    try:
+        with Store(store, create=False) as kept:
+            names = [each for each, _, _ in kept.experiments()]
+            if not name and len(set(names)) > 1:
+                raise ValueError(f"{store}: --experiment names one of {', '.join(sorted(set(names)))}")
+            text = page(name or (names[0] if names else str(store)), kept.runs(name))
+    except (OSError, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    target = out if out is not None else store.with_suffix(".html")
+    target.write_text(text)
+    print(target)
+    return 0
--- a/heronlug/emulator/draws.py
+++ b/heronlug/emulator/draws.py
@@ -31,6 +31,9 @@
     name = given.pop("dist", "")
     if name not in NAMES:
         raise ValueError(f"{name!r} is none of {', '.join(NAMES)}")
+    for key, value in given.items():
+        if isinstance(value, bool) or not isinstance(value, int | float) or not np.isfinite(value):
+            raise ValueError(f"{key}: {value!r} is no finite number")
     if name == "constant":
         if set(given) != {"value"} or not given["value"] >= 0:
             raise ValueError("a constant takes value, 0 or more, and nothing else")
--- /dev/null
+++ b/heronlug/lab/compare.py
@@ -0,0 +1,92 @@
+"""Which of two ways is better, run by run of the same seed, and whether the difference is more than noise."""
+
+import math
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import numpy as np
+from numpy.typing import NDArray
+from scipy import stats
+
+from heronlug.lab.store import Kept
+
+CONFIDENCE = 0.95
+RESAMPLES = 4000
+
+
+class Difference(NamedTuple):
+    """A figure of two ways."""
+
+    figure: str
+    a: float  # means
+    b: float
+    change: float  # of b against a
+    low: float  # of the confidence interval, nan where there are too few pairs
+    high: float
+    pairs: int
+
+    @property
+    def noise(self) -> bool:
+        """Whether it may as well be none."""
+        return not (self.low > 0 or self.high < 0)
+
+
+def chosen(text: str) -> dict[str, str]:
+    """``policy=random,dispatchers.count=4``; raises ``ValueError``."""
+    wanted = {}
+    for part in text.split(","):
+        key, equals, value = part.partition("=")
+        if not equals or not key:
+            raise ValueError(f"{part!r} is no KEY=VALUE")
+        wanted[key.strip()] = value.strip()
+    return wanted
+
+
+def pairs(runs: Sequence[Kept], a: dict[str, str], b: dict[str, str]) -> list[tuple[Kept, Kept]]:
+    """Runs of both ways with the same seed and the same of all else that varies; raises ``ValueError`` for none."""
+    known = {key for run in runs for key in run.params}
+    for key in a.keys() | b.keys():
+        if key not in known:
+            raise ValueError(f"{key!r} does not vary here; what does: {', '.join(sorted(known)) or 'nothing'}")
+    sides: list[dict[Any, Kept]] = []
+    for wanted in (a, b):
+        found = {}
+        for run in runs:
+            if all(str(run.params.get(key)) == value for key, value in wanted.items()):
+                rest = tuple(sorted((k, str(v)) for k, v in run.params.items() if k not in a.keys() | b.keys()))
+                found[run.seed, rest] = run
+        sides.append(found)
+    both = sorted(sides[0].keys() & sides[1].keys())
+    if not both:
+        raise ValueError("no two runs have the same seed and all else alike")
+    return [(sides[0][key], sides[1][key]) for key in both]
+
+
+def compare(matched: Sequence[tuple[Kept, Kept]], figures: Sequence[str] = ()) -> list[Difference]:
+    """Each figure, or those named; raises ``ValueError`` for one that there is not."""
+    names = list(figures) or [name for name in matched[0][0].figures if name in matched[0][1].figures]
+    found = []
+    for name in names:
+        try:
+            values = np.array([(a.figures[name], b.figures[name]) for a, b in matched])
+        except KeyError:
+            raise ValueError(f"{name!r} is no figure; there are {', '.join(matched[0][0].figures)}") from None
+        values = values[np.isfinite(values).all(axis=1)]
+        if not len(values):
+            continue
+        change = values[:, 1] - values[:, 0]
+        low, high = interval(change)
+        found.append(Difference(name, float(values[:, 0].mean()), float(values[:, 1].mean()), float(change.mean()), low,
+                                high, len(values)))  # fmt: skip
+    return found
+
+
+def interval(values: NDArray[np.float64]) -> tuple[float, float]:
+    """A bootstrap confidence interval of a mean (BCa; Efron 1987); nan for fewer than three values."""
+    if len(values) < 3:
+        return math.nan, math.nan
+    if np.ptp(values) == 0:  # nothing to draw from
+        return float(values[0]), float(values[0])
+    result = stats.bootstrap((values,), np.mean, confidence_level=CONFIDENCE, n_resamples=RESAMPLES,
+                             random_state=np.random.default_rng(0))  # fmt: skip
+    return float(result.confidence_interval.low), float(result.confidence_interval.high)
--- /dev/null
+++ b/heronlug/lab/experiment.py
@@ -0,0 +1,126 @@
+"""An experiment file: a scenario, what is set for all runs, what varies, and how many seeds.
+
+    name = "dispatchers"
+    scenario = "../scenarios/steady.toml"   # beside this file
+    seeds = 10
+
+    [set]
+    span_s = 30
+
+    [vary]
+    policy = ["heronlug", "random"]
+    dispatchers.count = [4, 16, 50]
+"""
+
+import hashlib
+from collections.abc import Iterator
+from itertools import product
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+import orjson
+from msgspec import Meta, Struct, field
+
+import heronlug
+from heronlug.emulator import scenario as scenarios
+from heronlug.emulator.scenario import Scenario
+from heronlug.forms import Faults, Source
+from heronlug.forms.decode import decode
+
+Params = dict[str, Any]
+MOST = 100_000  # runs of one experiment
+
+
+class Experiment(Struct, forbid_unknown_fields=True):
+    """The file."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
+    scenario: Annotated[str, Meta(min_length=1, description="a scenario file, beside this one")]
+    seeds: Annotated[int, Meta(ge=1, le=10_000, description="a whole number, 1 or more")] = 5
+    first_seed: Annotated[int, Meta(ge=0, le=2**30, description="a whole number, 0 or more")] = 1
+    set: dict[str, Any] = field(default_factory=dict)
+    vary: dict[str, Any] = field(default_factory=dict)
+
+
+class Job(NamedTuple):
+    """One run that is to be: what varies, its seed, and a key that no other run of another outcome has."""
+
+    key: str
+    path: str
+    params: Params
+    fixed: Params
+    seed: int
+
+
+def flat(table: dict[str, Any], prefix: str = "") -> Params:
+    """Nested tables as dotted keys."""
+    found: Params = {}
+    for key, value in table.items():
+        if isinstance(value, dict):
+            found |= flat(value, f"{prefix}{key}.")
+        else:
+            found[prefix + key] = value
+    return found
+
+
+def version() -> str:
+    """What of the program bears on a run: its version and a digest of the code that plays it."""
+    digest, root = hashlib.sha256(), Path(heronlug.__file__).parent
+    for path in sorted([*root.glob("*.py"), *(root / "memory").glob("*.py"), *(root / "emulator").glob("*.py"),
+                        *(root / "rules").glob("*.py")]):  # fmt: skip
+        digest.update(path.name.encode() + path.read_bytes())
+    return f"{heronlug.__version__}+{digest.hexdigest()[:8]}"
+
+
+def read(path: Path) -> tuple[Experiment, list[Job]]:
+    """An experiment and all its runs, each scenario checked; raises :class:`Faults`."""
+    source = Source.read(path)
+    experiment, faults = decode(Experiment, source.table, source, ())
+    if experiment is None:
+        raise Faults(faults)
+    experiment.set, experiment.vary = flat(experiment.set), flat(experiment.vary)
+    for key, values in experiment.vary.items():
+        at = ("vary", *key.split("."))
+        if not isinstance(values, list) or not values:
+            faults.append(source.fault(at, f"{values!r} is no list", "a list of at least one value"))
+        elif any(value in values[:number] for number, value in enumerate(values)):
+            faults.append(source.fault(at, "a value is there twice", "each value once"))
+        if key in experiment.set or key == "seed":
+            faults.append(source.fault(at, "it is set by something else", "seeds, or in [set], or here"))
+    if faults:
+        raise Faults(faults)
+    base = path.parent / experiment.scenario
+    jobs, code = [], version()
+    for params in combinations(experiment.vary):
+        try:
+            scenario = scenarios.load(base, {**experiment.set, **params})
+        except Faults as error:
+            with_params = ", ".join(f"{key} = {value!r}" for key, value in params.items())
+            text = f"with {with_params or 'what is set'}: {error.faults[0]}"
+            raise Faults([source.fault(("scenario",), text, "a scenario that holds")]) from None
+        except ValueError as error:
+            raise Faults([source.fault(("vary",), str(error), "a key of the scenario")]) from None
+        for seed in range(experiment.first_seed, experiment.first_seed + experiment.seeds):
+            key = hashlib.sha256(orjson.dumps([known(scenario), seed, code], option=orjson.OPT_SORT_KEYS)).hexdigest()
+            jobs.append(Job(key[:24], str(base), params, experiment.set, seed))
+    if len(jobs) > MOST:
+        raise Faults([source.fault(("vary",), f"{len(jobs)} runs", f"{MOST} at most")])
+    return experiment, jobs
+
+
+def known(scenario: Scenario) -> Any:
+    """All that a run depends on, but for its seed; a recorded trace by its content."""
+    kept = scenarios.plain(scenario)
+    kept.pop("seed")
+    for arrivals in scenario.arrivals:
+        if arrivals.shape == "trace":
+            data = (Path(scenario.folder) / arrivals.file).read_bytes()
+            kept.setdefault("traces", []).append(hashlib.sha256(data).hexdigest())
+    return msgspec.to_builtins(kept)
+
+
+def combinations(vary: dict[str, list[Any]]) -> Iterator[Params]:
+    """All combinations of what varies."""
+    for values in product(*vary.values()):
+        yield dict(zip(vary, values, strict=True))
--- /dev/null
+++ b/heronlug/lab/report.py
@@ -0,0 +1,152 @@
+"""One HTML page of an experiment: no outside assets, drawings as SVG within it."""
+
+import io
+import math
+from collections import defaultdict
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+import numpy as np
+from jinja2 import Environment, FileSystemLoader, StrictUndefined, select_autoescape
+
+from heronlug.emulator.figures import FINALS
+from heronlug.lab.compare import interval
+from heronlug.lab.store import Kept
+
+matplotlib.use("svg")
+from matplotlib import pyplot as plt
+
+LINES = 10  # cases that a drawing shows at most: more cannot be told apart
+SHOWN = 10  # broken rules that are shown with what led to them
+HEADS = [*FINALS, "p50 ms", "p90 ms", "p99 ms", "p99.9 ms"]
+
+
+def label_of(params: dict[str, Any]) -> str:
+    """A case's name: what varies, in the order of its keys."""
+    return ", ".join(f"{key} {value}" for key, value in sorted(params.items())) or "all"
+
+
+def page(name: str, runs: Sequence[Kept]) -> str:
+    """The page; raises ``ValueError`` where there are no runs."""
+    if not runs:
+        raise ValueError(f"{name}: there are no runs to report")
+    grouped: dict[str, list[Kept]] = defaultdict(list)
+    for run in runs:
+        grouped[label_of(run.params)].append(run)
+    lanes = sorted({lane for run in runs for lane in run.details["aims"]})
+    cases = [_case(label, group, lanes) for label, group in grouped.items()]
+    drawn = dict(list(grouped.items())[:LINES])
+    folder = Path(__file__).parent
+    loader = Environment(loader=FileSystemLoader(folder), autoescape=select_autoescape(["html"]),
+                         undefined=StrictUndefined)  # fmt: skip
+    return loader.get_template("report.html").render(
+        name=name, runs=len(runs), seeds=max(len(group) for group in grouped.values()), version=runs[0].version,
+        cases=cases, lanes=lanes, lane_heads=HEADS, cdfs={lane: _cdf(lane, drawn) for lane in lanes},
+        over_time=_over_time(drawn), loads=_loads(drawn), colds=_colds(drawn), recoveries=_recoveries(grouped),
+        violations=_violations(grouped),
+    )  # fmt: skip
+
+
+def _mean(values: Sequence[float]) -> float:
+    finite = [value for value in values if math.isfinite(value)]
+    return float(np.mean(finite)) if finite else math.nan
+
+
+def _case(label: str, group: list[Kept], lanes: list[str]) -> dict[str, Any]:
+    mean = {key: _mean([run.figures.get(key, math.nan) for run in group]) for key in group[0].figures}
+    low, high = interval(np.array([run.figures["service"] for run in group]))
+    service = f"{mean['service']:.4f}" + (f" ({low:.4f} to {high:.4f})" if math.isfinite(low) else "")
+    rows = {}
+    for lane in lanes:
+        shares = [f"{mean.get(f'{lane}.{final}', math.nan):.2%}" for final in FINALS]
+        times = [f"{mean.get(f'{lane}.{head.split()[0]}', math.nan):.0f}" for head in HEADS[len(FINALS) :]]
+        rows[lane] = [*shares, *times]
+    broken = int(sum(run.figures["violations"] for run in group))
+    return {"label": label, "mean": mean, "service": service, "lanes": rows, "broken": broken}
+
+
+def _svg(figure: Any) -> str:
+    out = io.StringIO()
+    figure.savefig(out, format="svg", bbox_inches="tight", metadata={"Date": None})
+    plt.close(figure)
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+def _axes(title: str, x: str, y: str) -> tuple[Any, Any]:
+    figure, axes = plt.subplots(figsize=(9, 3.6))
+    axes.set(title=title, xlabel=x, ylabel=y)
+    axes.grid(alpha=0.3)
+    return figure, axes
+
+
+def _cdf(lane: str, grouped: dict[str, list[Kept]]) -> str:
+    figure, axes = _axes(f"{lane}: latency of what was served", "ms", "share")
+    aim = 0.0
+    for label, group in grouped.items():
+        quantiles = [run.details["quantiles"][lane] for run in group if lane in run.details["quantiles"]]
+        aim = group[0].details["aims"].get(lane, 0.0)
+        if quantiles:
+            times = np.mean(quantiles, axis=0)
+            axes.plot(np.maximum(times, 1.0), np.linspace(0, 1, len(times)), label=label)
+    axes.axvline(aim, color="grey", linestyle=":", label="aim")
+    axes.set_xscale("log")
+    axes.legend(fontsize=8)
+    return _svg(figure)
+
+
+def _over_time(grouped: dict[str, list[Kept]]) -> str:
+    figure, axes = _axes("Worth earned of what was possible, by the second of arrival", "s", "share")
+    for label, group in grouped.items():
+        earned, possible = np.sum([run.details["by_second"] for run in group], axis=0)
+        shares = np.divide(earned, possible, out=np.full(len(earned), np.nan), where=possible > 0)
+        axes.plot(shares, label=label, linewidth=1)
+    for trouble in next(iter(grouped.values()))[0].details["recovery"]:
+        axes.axvline(trouble["at_s"], color="grey", linestyle=":")
+        axes.annotate(trouble["what"], (trouble["at_s"], 0.02), xycoords=("data", "axes fraction"), fontsize=8,
+                      rotation=90, color="grey")  # fmt: skip
+    axes.legend(fontsize=8)
+    return _svg(figure)
+
+
+def _loads(grouped: dict[str, list[Kept]]) -> str:
+    figure, axes = _axes("Load of each host, from the least to the most loaded", "share of the hosts", "share of slots")
+    for label, group in grouped.items():
+        loads = np.sort([host["load"] for run in group for host in run.details["hosts"]])
+        axes.plot(np.linspace(0, 1, len(loads)), loads, label=label)
+    axes.legend(fontsize=8)
+    return _svg(figure)
+
+
+def _colds(grouped: dict[str, list[Kept]]) -> str:
+    figure, axes = _axes("Most in a cold host, in shares of what it stands", "", "share")
+    peaks = {label: [max((host["peak"] for host in run.details["hosts"]), default=0.0) for run in group]
+             for label, group in grouped.items()}  # fmt: skip
+    axes.boxplot(list(peaks.values()), tick_labels=[label[:24] for label in peaks])
+    axes.axhline(1.0, color="red", linestyle=":", label="falls over if it lasts")
+    axes.tick_params(axis="x", labelrotation=20, labelsize=8)
+    axes.legend(fontsize=8)
+    return _svg(figure)
+
+
+def _recoveries(grouped: dict[str, list[Kept]]) -> list[dict[str, Any]]:
+    rows = []
+    for label, group in grouped.items():
+        for number, trouble in enumerate(group[0].details["recovery"]):
+            spans = [run.details["recovery"][number]["seconds"] for run in group]
+            finite = [span for span in spans if span is not None and math.isfinite(span)]
+            text = f"{np.mean(finite):.1f}" if finite else "never"
+            if len(finite) < len(spans):
+                text += f" (not in {len(spans) - len(finite)} of {len(spans)})"
+            rows.append({"label": label, "what": trouble["what"], "at_s": trouble["at_s"], "seconds": text})
+    return rows
+
+
+def _violations(grouped: dict[str, list[Kept]]) -> list[dict[str, Any]]:
+    found = [
+        {"label": label, "seed": run.seed, **each}
+        for label, group in grouped.items() for run in group for each in run.details["violations"]
+    ]  # fmt: skip
+    return found[:SHOWN]
--- /dev/null
+++ b/heronlug/lab/runner.py
@@ -0,0 +1,75 @@
+"""Plays an experiment's runs on all cores and keeps each as it ends."""
+
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from heronlug.emulator import scenario as scenarios
+from heronlug.emulator.figures import Figures
+from heronlug.emulator.world import World
+from heronlug.lab.experiment import Job, version
+from heronlug.lab.store import Kept, Store
+
+QUANTILES = 200
+SHOWN = 20  # violations kept with what led to them
+
+
+def play(job: Job) -> Kept:
+    """One run, in a process of its own."""
+    scenario = scenarios.load(Path(job.path), {**job.fixed, **job.params})
+    world = World(scenario, job.seed)
+    figures = world.run()
+    return Kept(job.params, job.seed, version(), figures.flat(), _details(world, figures), figures.wall)
+
+
+def _details(world: World, figures: Figures) -> dict[str, Any]:
+    shares = np.linspace(0, 1, QUANTILES + 1)
+    return {
+        "quantiles": {
+            lane.name: np.quantile(np.frombuffer(lane.latencies), shares).round(2).tolist()
+            for lane in figures.lanes if len(lane.latencies)
+        },
+        "by_second": figures.by_second.tolist(),
+        "hosts": [host._asdict() for host in figures.hosts],
+        "violations": [
+            {"rule": v.rule, "at": v.at, "what": v.what, "trail": [[type(e).__name__, *e] for e in v.trail]}
+            for v in world.checker.violations[:SHOWN]
+        ],
+        "recovery": [
+            {"what": trouble.what, "at_s": trouble.at_s, "seconds": figures.recovery(trouble.at_s)}
+            for trouble in world.scenario.trouble
+        ],
+        "aims": {lane.name: lane.aim for lane in world.lanes},
+        "tip": world.scenario.safety.tip_multiple,
+    }  # fmt: skip
+
+
+def run(
+    name: str, jobs: list[Job], store: Store, workers: int, done: Callable[[Job, Kept | None, str], None]
+) -> tuple[int, int]:
+    """Play what is not there yet; how many runs there are now, and how many failed.
+
+    ``done`` is told of each: with the run, or with why it failed.  Interrupted, it leaves what is done.
+    """
+    there = store.has(name, [job.key for job in jobs])
+    failed = 0
+    with ProcessPoolExecutor(workers) as pool:
+        waiting = {pool.submit(play, job): job for job in jobs if job.key not in there}
+        try:
+            for future in as_completed(waiting):
+                job = waiting[future]
+                try:
+                    kept = future.result()
+                except Exception as error:  # one run fails, the others go on
+                    failed += 1
+                    done(job, None, f"{type(error).__name__}: {error}")
+                else:
+                    store.put(name, job.key, kept)
+                    done(job, kept, "")
+        except BaseException:
+            pool.shutdown(wait=False, cancel_futures=True)
+            raise
+    return len(jobs) - failed, failed
--- /dev/null
+++ b/heronlug/lab/store.py
@@ -0,0 +1,97 @@
+"""Runs in SQLite: each is kept as soon as it is done, so that an experiment goes on where it was interrupted."""
+
+import sqlite3
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+FORMAT = 1
+TABLE = """
+create table if not exists runs (
+    key text not null, experiment text not null, params text not null, seed integer not null, version text not null,
+    figures text not null, details text not null, wall real not null, at real not null,
+    primary key (experiment, key)
+) without rowid
+"""
+
+
+class StoreError(ValueError):
+    """A file that is no store of ours."""
+
+
+class Kept(NamedTuple):
+    """One run."""
+
+    params: dict[str, Any]
+    seed: int
+    version: str
+    figures: dict[str, float]  # see Figures.flat; nan where there is none
+    details: dict[str, Any]  # quantiles, service by second, hosts, violations, recovery
+    wall: float
+
+
+class Store:
+    """One file; a context that closes it."""
+
+    def __init__(self, path: Path, create: bool = True) -> None:
+        """Raises :class:`StoreError`, or ``OSError`` where there is none and none is to be made."""
+        if not create and not path.is_file():
+            raise FileNotFoundError(f"{path}: there is no such store; `experiment run` makes it")
+        try:
+            self._db = sqlite3.connect(path)
+            self._db.execute("pragma journal_mode = wal")
+            found = self._db.execute("pragma user_version").fetchone()[0]
+            if found not in (0, FORMAT):
+                raise StoreError(f"{path}: a store of format {found}, this program has {FORMAT}")
+            self._db.execute(f"pragma user_version = {FORMAT}")
+            self._db.execute(TABLE)
+            self._db.commit()
+        except sqlite3.DatabaseError as error:
+            raise StoreError(f"{path}: {error}") from None
+
+    def __enter__(self) -> "Store":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._db.close()
+
+    def has(self, experiment: str, keys: Iterable[str]) -> set[str]:
+        """Those of the keys that are there."""
+        there = {row[0] for row in self._db.execute("select key from runs where experiment = ?", (experiment,))}
+        return there & set(keys)
+
+    def put(self, experiment: str, key: str, run: Kept) -> None:
+        """Keep a run."""
+        values = (
+            key, experiment, _text(run.params), run.seed, run.version, _text(run.figures), _text(run.details), run.wall,
+            time.time(),
+        )  # fmt: skip
+        with self._db:
+            self._db.execute("insert or replace into runs values (?, ?, ?, ?, ?, ?, ?, ?, ?)", values)
+
+    def runs(self, experiment: str = "", version: str = "") -> list[Kept]:
+        """All runs of an experiment, or of all; of the version that ran last where none is named."""
+        rows = self._db.execute(
+            "select params, seed, version, figures, details, wall from runs where ? in ('', experiment)"
+            " order by at, key", (experiment,),
+        ).fetchall()  # fmt: skip
+        wanted = version or (rows[-1][2] if rows else "")
+        return [
+            Kept(orjson.loads(params), seed, code, _numbers(figures), orjson.loads(details), wall)
+            for params, seed, code, figures, details, wall in rows if code == wanted
+        ]  # fmt: skip
+
+    def experiments(self) -> list[tuple[str, str, int]]:
+        """Names, versions and how many runs."""
+        return self._db.execute("select experiment, version, count(*) from runs group by 1, 2 order by 1, 2").fetchall()
+
+
+def _numbers(text: str) -> dict[str, float]:
+    return {key: float("nan") if value is None else value for key, value in orjson.loads(text).items()}
+
+
+def _text(value: Any) -> str:
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS | orjson.OPT_SERIALIZE_NUMPY).decode()
