Load on sockets, open loop: heronlug load, stand-in and demo; the model beside the sockets

Need: a scenario is to be played in real time too, against running dispatchers, so that the model can be held against what happens on sockets, and a stall of a dispatcher shows in the figures.

Change: heronlug stand-in runs the emulator's own hosts behind sockets, with their troubles, and a register that lists them. heronlug load hands the very jobs of the model (same seed, same work) to dispatchers over HTTP or Faktory, each when it is due, counts from then, and refuses addresses that are not loopback; histograms by hdrhistogram. heronlug demo starts all of it with dispatchers of ours and ends with a table of sockets, model and gap. [serve] peers lets dispatchers of whole files tell each other, as on the platform.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run try soak
+.PHONY: build test lint run try soak demo
 
 PYTHON = .venv-dev/bin/python
 
@@ -26,6 +26,10 @@
 try: build
 	exec .venv/bin/python -m heronlug try deploy/local.toml
 
+# stand-in hosts, dispatchers and load on loopback, ending with a table
+demo: .venv-dev/ready
+	$(PYTHON) -m heronlug demo scenarios/steady.toml --set span_s=15
+
 .venv/ready: requirements.txt
 	test -x .venv/bin/python || python3 -m venv .venv
 	.venv/bin/python -m pip -q install -r requirements.txt
--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -9,10 +9,13 @@
 from heronlug.cli.cluster import cluster
 from heronlug.cli.emulate import emulate, experiment, rules
 from heronlug.cli.inspect import check, limits
+from heronlug.cli.load import demo, load, stand_in
 from heronlug.cli.serve import serve, try_
 from heronlug.life.config import ConfigError
 from heronlug.life.state import StateError
 
+LAB = {"hdrh", "jinja2", "matplotlib", "numpy", "rich", "scipy"}  # of requirements-lab.txt
+
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="heronlug")
@@ -23,7 +26,7 @@
     """
 
 
-for command in (serve, check, plan, apply, limits, cluster, try_, emulate, experiment, rules):
+for command in (serve, check, plan, apply, limits, cluster, try_, emulate, experiment, rules, load, stand_in, demo):
     group.add_command(command)
 
 
@@ -36,6 +39,11 @@
         return error.exit_code
     except click.Abort:
         return 1
+    except ModuleNotFoundError as error:
+        if (error.name or "").split(".")[0] not in LAB:
+            raise
+        print(f"heronlug: {error.name} is not installed: this command needs the extra, heronlug[lab]", file=sys.stderr)
+        return 2
     except (ConfigError, StateError) as error:
         print("\n".join(f"heronlug: {line}" for line in str(error).splitlines()), file=sys.stderr)
         return 1
--- a/heronlug/emulator/dispatchers.py
+++ b/heronlug/emulator/dispatchers.py
@@ -99,6 +99,7 @@
         world.sent(job, self.zone, host.zone)
         lane = world.lanes[job.lane]
         relay.wire = Run((relay, host, self.life), job.work, float(job.need), lane.worth, self._told)
+        host.coming += job.need
         world.line.after(world.delay(self.zone, host), self._arrive, relay.wire)
 
     def cancel(self, relay: Relay) -> None:
@@ -111,6 +112,7 @@
 
     def _arrive(self, run: Run) -> None:
         relay, host, life = run.job
+        host.coming -= run.need
         if not relay.out and life == self.life and self.up:
             return  # cancelled on its way
         if not host.up:
@@ -187,7 +189,9 @@
     def _look(self, number: int) -> Look:
         host = self.world.hosts.get(self.core.hosts[number].entry.name)
         if host is None:
-            return Look(0.0, 1.0, 1.0, False, 0.0)
+            return Look(0.0, 0.0, 1.0, 1.0, 1.0, False, 0.0)
         far = 2 * self.world.median(self.zone, host.zone)
         well = host.up and not host.still and not self.world.cut(self.zone, host.zone)
-        return Look(host.inside, host.capacity(), host.kind.speed / host.slow, well, far)
+        capacity = host.capacity()
+        stands = host.warmth.tip_multiple * capacity
+        return Look(host.inside, host.coming, stands, capacity, host.kind.speed / host.slow, well, far)
--- a/heronlug/emulator/hosts.py
+++ b/heronlug/emulator/hosts.py
@@ -66,6 +66,7 @@
     waiting: list[Run] = field(default_factory=list)
     used: float = 0.0  # slots that run
     inside: float = 0.0  # slots that run or wait
+    coming: float = 0.0  # slots that are on their way here
     busy: float = 0.0  # slot milliseconds that have run
     peak: float = 0.0  # the most of what it stands that was in it while it was cold, 1 is where it begins to tip
     runs: int = 0
--- a/heronlug/emulator/policies.py
+++ b/heronlug/emulator/policies.py
@@ -16,6 +16,8 @@
     """What is true of a host at this moment; dispatchers do not see it, and two of the policies do."""
 
     inside: float  # slots that run or wait
+    coming: float  # slots that are on their way to it, from all dispatchers
+    stands: float  # slots in it that it stands for long
     capacity: float  # slots that it has now
     speed: float
     well: bool  # it is up and does not stand still
@@ -57,8 +59,8 @@
         self.jobs: dict[int, Job] = {}
         self._subscribed = False
 
-    def choose(self, job: Job, among: list[Worker]) -> Worker:
-        """A worker of those; there is at least one."""
+    def choose(self, job: Job, among: list[Worker]) -> Worker | None:
+        """A worker of those, of which there is at least one; None turns the job away."""
         raise NotImplementedError
 
     def avoided(self, now: float) -> set[int]:
@@ -114,6 +116,10 @@
             return
         among = [worker for worker in self.ready if worker.number not in job.hosts] or self.ready
         worker = self.choose(job, among)
+        if worker is None:
+            del self.jobs[number]
+            out.append(pk.Fail(number) if job.spoiled else pk.Refuse(number))
+            return
         worker.out += arrived.slots
         job.out.add(job.tries)
         job.hosts.append(worker.number)
@@ -198,21 +204,26 @@
 
 
 class Oracle(Policy):
-    """Sees all: queues, capacity, speed, distance, who stands still.  Chooses by when the job would begin."""
+    """Sees all: queues, what is on its way, capacity, speed, distance, who stands still, and how much a host stands.
+
+    Chooses by when the job would be done, and turns it away where every host has as much as it stands.
+    """
 
     name = "oracle"
 
-    def choose(self, job: Job, among: list[Worker]) -> Worker:
+    def choose(self, job: Job, among: list[Worker]) -> Worker | None:
         """The one where it would be done first, by how much stands before it."""
 
         def waits(worker: Worker) -> float:
             seen = self.look(worker.number)
-            if not seen.well:
+            after = seen.inside + seen.coming + job.arrived.slots
+            if not seen.well or (after > seen.stands and seen.inside + seen.coming > 0):
                 return float("inf")
-            over = max(0.0, seen.inside + job.arrived.slots - seen.capacity) / seen.capacity
+            over = max(0.0, after - seen.capacity) / seen.capacity
             return (1 + over) * MEAN_WORK / seen.speed + seen.far
 
-        return min(among, key=waits)
+        best = min(among, key=waits)
+        return best if waits(best) < float("inf") else None
 
 
 MEAN_WORK = 200.0  # ms: only the proportion of waiting to distance depends on it
--- a/heronlug/life/site.py
+++ b/heronlug/life/site.py
@@ -30,6 +30,7 @@
     name: Text = "heronlug"
     operators: Address | None = None
     discovery: Address | None = None  # the node register; without it the hosts are those that the file lists
+    peers: list[Address] = msgspec.field(default_factory=list)  # of all dispatchers by position, ours too; UDP
     position: Annotated[int, Meta(ge=0, le=9999, description="a whole number, 0 to 9999")] = 0
     memory_mb: Annotated[float, Meta(ge=32, le=1e6, description="megabytes, 32 or more")] = 512.0
     sockets: Annotated[int, Meta(ge=128, le=1_000_000, description="descriptors, 128 or more")] = 1024
@@ -105,6 +106,11 @@
     if serve is not None:
         for key in ("listen", "operators", "discovery"):
             _address(getattr(serve, key), source, ("serve", key), faults)
+        for number, peer in enumerate(serve.peers):
+            _address(peer, source, ("serve", "peers", number), faults)
+        if site is not None and serve.peers and len(serve.peers) != site.dispatchers:
+            wrong = f"{len(serve.peers)} addresses for {site.dispatchers} dispatchers"
+            faults.append(source.fault(("serve", "peers"), wrong, "one for each, in the order of their positions"))
         if site is not None and serve.position >= site.dispatchers:
             wrong = f"{serve.position} is none of the positions of {site.dispatchers} dispatchers"
             faults.append(source.fault(("serve", "position"), wrong, f"0 to {site.dispatchers - 1}"))
@@ -166,6 +172,7 @@
         "limits": {
             "attempts_cap": site.attempts_cap, "second_copies": site.second_copies, "may_cancel": site.may_cancel,
             "dial_timeout": site.dial_timeout_ms, "conn_idle": site.conn_idle_ms, "max_open": site.max_open,
+            "may_tell": bool(serve.peers),
             "retry_after": site.retry_after_ms > 0, "max_retry_after": site.retry_after_ms,
         },
         "safety": {
@@ -183,6 +190,7 @@
     ]  # fmt: skip
     return {
         "name": serve.name, "listen": serve.listen, "discovery": serve.discovery, "admin_addr": serve.operators,
+        "peers": serve.peers, "peer_listen": serve.peers[serve.position] if serve.peers else None,
         "limits": {"sockets": serve.sockets, "memory_mb": serve.memory_mb},
         "known": {"generation": 0 if serve.discovery else 1, "reset": True, "instances": instances},
         "settings": settings,
--- /dev/null
+++ b/heronlug/load/faktory.py
@@ -0,0 +1,148 @@
+"""Jobs over the Faktory work protocol, open loop: producers push what is due, stand-in workers run it.
+
+Faktory work protocol, version 2. A producer is not told how a job ends, so a job has ended here when its worker has
+acknowledged it; one that no worker was given by its deadline counts as refused.
+"""
+
+import asyncio
+import contextlib
+import secrets
+import time
+from collections.abc import Iterable
+
+import orjson
+
+from heronlug.emulator.scenario import Scenario
+from heronlug.load.http import LATE
+from heronlug.load.plan import Due
+from heronlug.load.tally import Tally
+
+PRODUCERS = 4
+WORKERS_MOST = 200
+WAIT = 10.0  # s for any reply
+BEAT = 10.0  # s
+
+
+class FaktoryError(ValueError):
+    """The server has answered an error, or what is no answer."""
+
+
+class Client:
+    """A connection: one command at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+
+    @classmethod
+    async def connect(cls, address: tuple[str, int], hello: dict[str, object]) -> "Client":
+        """Connect and say hello; raises ``OSError`` or :class:`FaktoryError`."""
+        client = cls(*await asyncio.open_connection(*address))
+        greeting = await client._reply()
+        if greeting is None or not greeting.startswith(b"HI "):
+            raise FaktoryError(f"{greeting!r} is no greeting")
+        await client.call(b"HELLO " + orjson.dumps({"v": 2, **hello}))
+        return client
+
+    async def call(self, command: bytes) -> bytes | None:
+        """One command and its reply; raises :class:`FaktoryError`, ``OSError`` or ``EOFError``."""
+        self._writer.write(command + b"\r\n")
+        return await asyncio.wait_for(self._reply(), WAIT)
+
+    def close(self) -> None:
+        """End it."""
+        self._writer.transport.abort()
+
+    async def _reply(self) -> bytes | None:
+        line = (await self._reader.readuntil(b"\r\n"))[:-2]
+        kind, rest = line[:1], line[1:]
+        if kind == b"+":
+            return rest
+        if kind == b"$":
+            length = int(rest)
+            return None if length < 0 else (await self._reader.readexactly(length + 2))[:-2]
+        raise FaktoryError(rest.decode("utf-8", "replace"))
+
+
+class FaktoryLoad:
+    """Producers and workers of one scenario."""
+
+    def __init__(
+        self, address: tuple[str, int], scenario: Scenario, tallies: dict[str, Tally], seconds: float
+    ) -> None:
+        """``seconds`` bounds the whole; the front has no password."""
+        self.address, self.tallies, self._most = address, tallies, seconds * 1000
+        speeds = {kind.name: (kind.slots, kind.speed) for kind in scenario.kind}
+        self.speeds = [speeds[pool.kind][1] for pool in scenario.pool for _ in range(pool.count * speeds[pool.kind][0])]
+        self.out: dict[str, Due] = {}
+        self._queue: asyncio.Queue[Due] = asyncio.Queue()
+        self._began = time.monotonic()
+
+    def now(self) -> float:
+        """Milliseconds since the start."""
+        return (time.monotonic() - self._began) * 1000
+
+    async def run(self, due: Iterable[Due]) -> None:
+        """Play it, and wait for the last acknowledgements; raises ``OSError`` or :class:`FaktoryError` at the start."""
+        producers = [await Client.connect(self.address, {}) for _ in range(PRODUCERS)]
+        workers = []
+        for speed in self.speeds[:WORKERS_MOST]:
+            wid = secrets.token_hex(8)
+            hello = {"wid": wid, "hostname": "load", "pid": 1, "labels": ["load"]}
+            workers.append(asyncio.create_task(self._work(await Client.connect(self.address, hello), wid, speed)))
+        pushing = [asyncio.create_task(self._push(client)) for client in producers]
+        self._began = time.monotonic()
+        longest = 0.0
+        for each in due:
+            if each.at > self._most:
+                break
+            while (wait := each.at - self.now()) > 0.5:
+                await asyncio.sleep(wait / 1000)
+            longest = max(longest, each.at + each.lane.deadline_ms)
+            self.tallies[each.lane.name].late_begun += self.now() - each.at > LATE
+            self._queue.put_nowait(each)
+        while (self.out or not self._queue.empty()) and self.now() < longest + 1000:
+            await asyncio.sleep(0.02)
+        for each in self.out.values():
+            self.tallies[each.lane.name].ended("refused", self.now() - each.at)
+        for task in [*workers, *pushing]:
+            task.cancel()
+        await asyncio.gather(*workers, *pushing, return_exceptions=True)
+
+    async def _push(self, client: Client) -> None:
+        try:
+            while True:
+                due = await self._queue.get()
+                jid = secrets.token_hex(12)
+                left = max(1, round(due.lane.deadline_ms - (self.now() - due.at)))
+                self.out[jid] = due
+                job = {"jid": jid, "jobtype": due.lane.name, "queue": "default", "args": [due.work],
+                       "custom": {"remaining_ms": left}}  # fmt: skip
+                try:
+                    await client.call(b"PUSH " + orjson.dumps(job))
+                except FaktoryError:
+                    self._ended(jid, "refused")
+        finally:
+            client.close()
+
+    async def _work(self, client: Client, wid: str, speed: float) -> None:
+        beaten = time.monotonic()
+        try:
+            while True:
+                if time.monotonic() - beaten > BEAT:
+                    await client.call(b"BEAT " + orjson.dumps({"wid": wid}))
+                    beaten = time.monotonic()
+                data = await client.call(b"FETCH default")
+                if not data:
+                    continue
+                job = orjson.loads(data)
+                await asyncio.sleep(float(job["args"][0]) / speed / 1000)
+                with contextlib.suppress(FaktoryError):  # it was late: the front has given it up
+                    await client.call(b"ACK " + orjson.dumps({"jid": job["jid"]}))
+                    self._ended(job["jid"], "served")
+        finally:
+            client.close()
+
+    def _ended(self, jid: str, how: str) -> None:
+        due = self.out.pop(jid, None)
+        if due is not None:
+            self.tallies[due.lane.name].ended(how, self.now() - due.at)
--- /dev/null
+++ b/heronlug/load/http.py
@@ -0,0 +1,173 @@
+"""Jobs over the platform's HTTP protocol, open loop."""
+
+import asyncio
+import secrets
+import time
+from collections import deque
+from collections.abc import Iterable
+from functools import partial
+from typing import Any, cast
+
+import httptools
+
+from heronlug.load.plan import Due
+from heronlug.load.tally import Tally
+
+MOST = 4000  # connections at once; a job that finds all busy waits, and its time counts
+LATE = 10.0  # ms that the tool itself may be late with a job
+
+
+class Job:
+    """One job that is out."""
+
+    __slots__ = ("began", "due", "txn")
+
+    def __init__(self, due: Due, began: float) -> None:
+        self.due, self.began, self.txn = due, began, secrets.token_hex(8)
+
+
+class Connection(asyncio.Protocol):
+    """A connection to a dispatcher, one job at a time."""
+
+    def __init__(self, load: "HttpLoad", door: int) -> None:
+        self.load, self.door = load, door
+        self.job: Job | None = None
+        self.transport: asyncio.Transport | None = None
+        self._parser: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Open."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def hand(self, job: Job) -> None:
+        """Send a job."""
+        assert self.transport is not None
+        self.job, self._parser = job, httptools.HttpResponseParser(self)
+        lane, body = job.due.lane, f"{job.due.work:.3f}".encode()
+        left = max(1, round(lane.deadline_ms - (self.load.now() - job.due.at)))
+        head = (
+            f"POST /{lane.name} HTTP/1.1\r\nHost: load\r\nX-Txn: {job.txn}\r\nX-Lane: {lane.name}\r\n"
+            f"X-Remaining-Ms: {left}\r\nIdempotency-Key: {job.txn * 2}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self.transport.write(head.encode() + body)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of an answer."""
+        if self._parser is None:
+            if self.transport is not None:
+                self.transport.abort()  # an answer that nobody asked for
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport is not None:
+                self.transport.abort()
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        status, keep = self._parser.get_status_code(), self._parser.should_keep_alive()
+        job, self.job, self._parser = self.job, None, None
+        assert job is not None
+        self.load.ended(job, "served" if status == 200 else "refused" if status in (429, 503) else "failed")
+        if keep and self.transport is not None and not self.transport.is_closing():
+            self.load.idle(self)
+        elif self.transport is not None:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Closed, perhaps with a job out."""
+        self.load.closed(self)
+        job, self.job = self.job, None
+        if job is not None:
+            self.load.ended(job, "lost")
+
+
+class HttpLoad:
+    """Hands a plan's jobs to dispatchers in turn, each when it is due."""
+
+    def __init__(self, addresses: list[tuple[str, int]], tallies: dict[str, Tally], seconds: float) -> None:
+        """``seconds`` bounds the whole, beside the plan's own end."""
+        self.addresses, self.tallies, self._most = addresses, tallies, seconds * 1000
+        self.out = 0
+        self._idle: list[deque[Connection]] = [deque() for _ in addresses]
+        self._open = 0
+        self._waiting: deque[Job] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._began = time.monotonic()
+        self._turn = 0
+        self._all: set[Connection] = set()
+
+    def now(self) -> float:
+        """Milliseconds since the start."""
+        return (time.monotonic() - self._began) * 1000
+
+    async def run(self, due: Iterable[Due]) -> None:
+        """Play it, and wait for the last answers."""
+        self._began = time.monotonic()
+        longest = 0.0
+        for each in due:
+            if each.at > self._most:
+                break
+            while (wait := each.at - self.now()) > 0.5:
+                await asyncio.sleep(wait / 1000)
+            self.out += 1
+            longest = max(longest, each.at + each.lane.deadline_ms)
+            self.tallies[each.lane.name].late_begun += self.now() - each.at > LATE
+            self._hand(Job(each, self.now()))
+        while self.out and self.now() < longest + 1000:
+            await asyncio.sleep(0.02)
+        for job in self._waiting:
+            self.ended(job, "lost")
+        for connection in list(self._all):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await asyncio.sleep(0)
+
+    def ended(self, job: Job, how: str) -> None:
+        """A job is over; its time counts from when it was due."""
+        self.out -= 1
+        self.tallies[job.due.lane.name].ended(how, self.now() - job.due.at)
+
+    def idle(self, connection: Connection) -> None:
+        """A connection is free."""
+        if self._waiting:
+            connection.hand(self._waiting.popleft())
+        else:
+            self._idle[connection.door].append(connection)
+
+    def closed(self, connection: Connection) -> None:
+        """One less."""
+        self._open -= 1
+        self._all.discard(connection)
+        if connection in self._idle[connection.door]:
+            self._idle[connection.door].remove(connection)
+
+    def _hand(self, job: Job) -> None:
+        self._turn = (self._turn + 1) % len(self.addresses)
+        idle = self._idle[self._turn]
+        while idle:
+            connection = idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                connection.hand(job)
+                return
+        if self._open >= MOST:
+            self._waiting.append(job)
+            return
+        self._open += 1
+        task = asyncio.get_running_loop().create_task(self._dial(self._turn, job))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, door: int, job: Job) -> None:
+        loop = asyncio.get_running_loop()
+        for turn in range(len(self.addresses)):  # one that does not listen is passed over
+            door = (door + turn) % len(self.addresses)
+            try:
+                _, connection = await loop.create_connection(partial(Connection, self, door), *self.addresses[door])
+            except OSError:
+                continue
+            self._all.add(connection)
+            connection.hand(job)
+            return
+        self._open -= 1
+        self.ended(job, "lost")
--- /dev/null
+++ b/heronlug/standin/fleet.py
@@ -0,0 +1,299 @@
+"""A whole fleet of stand-in hosts on loopback, as a scenario describes it, and the register that lists them.
+
+The hosts are the emulator's own model (slots, queues, cold starts, tipping over), in real time and behind sockets that
+speak PROTOCOL, *Dispatchers to runners*. A job's body may name its work in milliseconds; else it is drawn.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+import orjson
+
+from heronlug.emulator.draws import Draws, distribution, stream
+from heronlug.emulator.hosts import Host, Kind, Run, Warmth
+from heronlug.emulator.scenario import Scenario
+from heronlug.emulator.troubles import Troubles
+from heronlug.interface import WorkerState
+from heronlug.rules import Began, Event, Load
+from heronlug.standin.live import LiveLine
+from heronlug.standin.register import Register
+from heronlug.wire.inventory import STATES
+
+WORDS = {state: word for word, state in STATES.items()}
+PROGRESS = 1000.0  # ms between words of a job that runs
+ELSEWHERE = ("partition", "dispatcher-kill")  # troubles that no fleet of hosts can play
+TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class Fleet:
+    """All hosts, by the names in the register."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int | None = None, record: Callable[[Event], None] | None = None
+    ) -> None:
+        self.scenario, self.seed = scenario, scenario.seed if seed is None else seed
+        self.line: LiveLine
+        self.register, self.hosts = Register(), dict[str, Host]()
+        self.servers: dict[str, Server] = {}
+        self._record = record
+        safety = scenario.safety
+        self._warmth = Warmth(safety.cold_from, safety.warm_after_ms, safety.tip_multiple, safety.overload_for_ms)
+        self.lanes = {lane.name: lane for lane in scenario.classes}
+        self.works = {lane.name: Draws(distribution(lane.work), stream(self.seed, "work", lane.name))
+                      for lane in scenario.classes}  # fmt: skip
+        self._began_at = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.fell = 0
+
+    async def open(self, port: int = 0) -> int:
+        """Start all hosts and the register; returns the register's port.  Raises ``OSError``."""
+        self.line = LiveLine()
+        for pool_number, pool in enumerate(self.scenario.pool):
+            kind = next(each for each in self.scenario.kind if each.name == pool.kind)
+            zone = self.scenario.zones.index(pool.zone) if pool.zone else 0
+            made = Kind(kind.name, kind.slots, kind.speed, kind.queue, kind.order)
+            for number in range(pool.count):
+                await self._add(f"{pool.kind}-{pool_number}-{number}", made, zone)
+        return await self.register.open(port=port)
+
+    def begin(self) -> None:
+        """The scenario's time starts: its troubles come from now on."""
+        self.line._began = LiveLine()._began
+        Troubles(cast(Any, _World(self)))
+
+    def close(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self.servers.values():
+            server.close()
+        self.register.close()
+
+    # -- what troubles ask
+
+    def lose(self, host: Host) -> None:
+        """Its process ends: connections are reset, new ones refused."""
+        host.end()
+        self.servers[host.name].close()
+
+    def list_host(self, host: Host, state: WorkerState) -> None:
+        """The register has it so."""
+        kind = host.kind.name
+        started = host.started_at and self.unix(host.started_at)
+        self.register.put(
+            host.name, hostPort=f"127.0.0.1:{self.servers[host.name].port}", zone=self.scenario.zones[host.zone],
+            machineType=kind, lifecycle=WORDS[state], startedAtMs=round(started),
+        )  # fmt: skip
+        if state is WorkerState.READY and not self.servers[host.name].listening:
+            self._do(self.servers[host.name].open())
+
+    def replace(self, host: Host) -> None:
+        """A cold successor under a name of its own."""
+        base, _, number = host.name.partition("+")
+        self._do(self._succeed(f"{base}+{int(number or 0) + 1}", host))
+
+    def unix(self, at: float) -> float:
+        """A time of the line as Unix milliseconds."""
+        import time
+
+        return time.time() * 1000 - (self.line.now - at)
+
+    def tell(self, event: Event) -> None:
+        """For whoever records."""
+        if self._record is not None:
+            self._record(event)
+
+    # -- inside
+
+    def _do(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _add(self, name: str, kind: Kind, zone: int) -> Host:
+        host = self.hosts[name] = Host(name, kind, zone, self.line, self._warmth)
+        host.tipped, host.began = self._tipped, self._began
+        server = self.servers[name] = Server(self, host)
+        await server.open()
+        self.list_host(host, WorkerState.READY)
+        return host
+
+    async def _succeed(self, name: str, host: Host) -> None:
+        self.hosts.pop(host.name, None)
+        successor = await self._add(name, host.kind, host.zone)
+        successor.slow = host.slow
+        successor.start()
+        self.list_host(successor, WorkerState.READY)
+
+    def _tipped(self, host: Host) -> None:
+        self.fell += 1
+        stands = self._warmth.tip_multiple * host.capacity()
+        self.tell(Load(self.unix(self.line.now), host.name, host.inside / stands, host.cold))
+        from heronlug.emulator.troubles import BACK
+
+        self.lose(host)
+        self.list_host(host, WorkerState.GONE)
+        self.line.after(BACK, self._restart, host)
+
+    def _restart(self, host: Host) -> None:
+        host.start()
+        self.list_host(host, WorkerState.READY)
+
+    def _began(self, host: Host, run: Run) -> None:
+        self.tell(Began(self.unix(self.line.now), host.name, run.job.txn))
+
+
+class _World:
+    """What the emulator's troubles see of a fleet on sockets."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        scenario = fleet.scenario
+        ours = [trouble for trouble in scenario.trouble if trouble.what not in ELSEWHERE]
+        self.scenario = _Only(ours, scenario.zones)
+        self.seed, self.line, self.hosts = fleet.seed, fleet.line, fleet.hosts
+        self.lose, self.list_host, self.replace = fleet.lose, fleet.list_host, fleet.replace
+        self.register = fleet.register
+
+
+class _Only:
+    """A scenario's troubles and zones."""
+
+    def __init__(self, trouble: list[Any], zones: list[str]) -> None:
+        self.trouble, self.zones = trouble, zones
+
+
+class Server:
+    """One host's listening socket; the port stays the same for its next process."""
+
+    def __init__(self, fleet: Fleet, host: Host) -> None:
+        self.fleet, self.host = fleet, host
+        self.port = 0
+        self.connections: set[Connection] = set()
+        self._server: asyncio.AbstractServer | None = None
+
+    @property
+    def listening(self) -> bool:
+        """Whether it takes connections."""
+        return self._server is not None
+
+    async def open(self) -> None:
+        """Listen; raises ``OSError``."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self), "127.0.0.1", self.port, backlog=512)
+        self.port = int(self._server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Listen no more, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a dispatcher: one request at a time."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.txn = ""
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._headers: dict[bytes, bytes] = {}
+        self._body = b""
+        self._run: Run | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A dispatcher has dialled."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Gone: what waits or runs for it is dropped."""
+        self.server.connections.discard(self)
+        run, self._run = self._run, None
+        if run is not None:
+            self.server.host.drop(run)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of a request; what is no HTTP ends the connection."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def eof_received(self) -> bool:
+        """The dispatcher has ended its sending: it gives the attempt up."""
+        return False
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._headers, self._body = {}, b""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        self._headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """The last byte: the job is here."""
+        fleet, host = self.server.fleet, self.server.host
+        lane = fleet.lanes.get(self._headers.get(b"x-lane", b"").decode("latin-1"))
+        self.txn = self._headers.get(b"x-txn", b"").decode("latin-1")
+        if lane is None or not self.txn:
+            self._write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        try:
+            work = min(1e7, max(0.0, float(self._body)))
+        except ValueError:
+            work = fleet.works[lane.name].next()
+        run = self._run = Run(self, work, float(lane.slots), lane.worth, self._told)
+        # the head goes out first: what is begun at once tells of it within take
+        if len(host.waiting) >= host.kind.queue and host.used + run.need > host.capacity():
+            self._run = None
+            self._write(TURNED_AWAY)
+            return
+        self._write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if not host.take(run):
+            self._run = None
+            self._line("returned")
+            self._write(b"0\r\n\r\n")
+
+    def _told(self, run: Run, what: str) -> None:
+        if run is not self._run:
+            return
+        if what == "started":
+            self._line("started")
+            self.server.fleet.line.after(PROGRESS, self._progress, run)
+        elif what == "done":
+            self._run = None
+            self._line("done", result=f"{self.server.host.name} {self.txn}")
+            self._write(b"0\r\n\r\n")
+
+    def _progress(self, run: Run) -> None:
+        if run is self._run:
+            host = self.server.host
+            if run.ends is not None and not host.still:
+                whole = run.work * host.slow / host.kind.speed
+                share = (self.server.fleet.line.now - run.began_at) / whole if whole else 0.0
+                self._line("running", share=round(min(0.99, share), 3))
+            self.server.fleet.line.after(PROGRESS, self._progress, run)
+
+    def _line(self, state: str, **more: Any) -> None:
+        table = {"id": self.txn, "from": self.server.host.name, "state": state, **more}
+        line = orjson.dumps(table, option=orjson.OPT_APPEND_NEWLINE)
+        self._write(b"%x\r\n%s\r\n" % (len(line), line))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -102,7 +102,7 @@
 
 
 def nothing_seen(number: int) -> Look:
-    return Look(0.0, 1.0, 1.0, True, 0.0)
+    return Look(0.0, 0.0, 1.0, 1.0, 1.0, True, 0.0)
 
 
 def broken(policy: type[Policy]) -> Callable[[pk.Settings, int], Policy]:
