Accepted Faktory jobs survive a restart: a store in SQLite with group commit

Need: a restart of the dispatcher forgot every accepted job and every known jid, so a job pushed again could run twice.

Change: heronlug/store keeps accepted jobs, first deliveries and outcomes behind a narrow interface; a thread commits all that came meanwhile in one go, and replies that promise something (to a push, to a delivery of what may not be repeated at will, to an ACK) go out when it is on the disk. After a restart each job goes on as its class allows. A full disk refuses new work, outcomes are tried again; a damaged or foreign file is refused at the start. heronlug store check, dump, compact. A delivery that was lost before its first byte ends as never begun. Off unless [faktory] store names a file.

Found by its tests: a file that could not be opened stayed locked by the attempt.

--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -11,6 +11,7 @@
 from heronlug.cli.inspect import check, limits
 from heronlug.cli.load import demo, load, stand_in
 from heronlug.cli.serve import serve, try_
+from heronlug.cli.store import store
 from heronlug.life.config import ConfigError
 from heronlug.life.state import StateError
 
@@ -26,7 +27,9 @@
     """
 
 
-for command in (serve, check, plan, apply, limits, cluster, try_, emulate, experiment, rules, load, stand_in, demo):
+for command in (
+    serve, check, plan, apply, limits, cluster, store, try_, emulate, experiment, rules, load, stand_in, demo,
+):  # fmt: skip
     group.add_command(command)
 
 
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -31,6 +31,7 @@
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
 from heronlug.wire.inventory import Inventory, read_list
+from heronlug.wire.keeping import open_store
 from heronlug.wire.north import North
 from heronlug.wire.peers import Peers
 from heronlug.wire.south import South
@@ -179,6 +180,7 @@
         if self.faktory is not None:
             self.use_faktory(None)
             self.faktory.close()
+            self.faktory.store.close()
 
     # -- what plan and apply change
 
@@ -192,9 +194,13 @@
             remember=terms["remember_s"] * 1000,
             max_known=int(terms["max_known"]),
             max_connections=int(terms["max_connections"]),
+            store=terms["store"],
         )
+        if self.faktory is not None and self.faktory.terms.store != wanted.store:
+            raise ValueError("faktory: store: it changes with a restart alone")
         if self.faktory is None:
             self.faktory = self._make_faktory(wanted)
+            self.faktory.recover()
         if self._faktory_server is not None and self.faktory.terms.listen == wanted.listen:
             return wanted, self._faktory_server
         front = self.faktory
@@ -292,7 +298,7 @@
 
     def _make_faktory(self, terms: Terms) -> Faktory:
         """The second front has a core of its own: its workers cannot run what came by HTTP, nor the other way."""
-        front = Faktory(terms, self.loop.deadlines, self.log, self.turn)
+        front = Faktory(terms, self.loop.deadlines, self.log, self.turn, open_store(terms.store, self.log))
         settings = replace(
             self.core.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=(),
             retry_share=1e3, retry_burst=1e6,  # workers pull: no storm; the cap of attempts holds
--- a/heronlug/life/state.py
+++ b/heronlug/life/state.py
@@ -36,7 +36,7 @@
 EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}, "cluster": {}}
 FAKTORY: dict[str, Any] = {
     "listen": "", "password": "", "beat_timeout_s": 60.0, "reserve_for_s": 1800.0, "remember_s": 86400.0,
-    "max_known": 100_000, "max_connections": 200,
+    "max_known": 100_000, "max_connections": 200, "store": "",
 }  # fmt: skip
 PLUGIN: dict[str, Any] = {"name": "", "file": "", "fuel": 100_000, "memory_kb": 1024}
 KEYS = ("log_level", "faktory", "plugin", "class", "cluster")
@@ -85,6 +85,8 @@
             split_address(faktory["listen"])
         except ValueError as error:
             faults.append(source.fault(("faktory", "listen"), str(error), "such as 127.0.0.1:7419"))
+    if faktory["store"] and isinstance(faktory["store"], str):
+        faktory["store"] = str((Path(source.path).parent / faktory["store"]).resolve())
     plugins = _plugins(table.get("plugin", []), source, faults)
     classes: dict[str, Any] = {}
     if "class" in table:
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from functools import partial
 from typing import Any, cast
 
 import orjson
@@ -23,6 +24,7 @@
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
 from heronlug.wire import http
+from heronlug.wire.keeping import Kept, Store, Way, kept, left, must_be_kept_first, recovered
 
 VERSION = 2
 FETCH_WAIT = 2_000.0  # a FETCH with nothing to collect is answered with nothing after this
@@ -42,6 +44,7 @@
     remember: float = 86_400_000.0  # a jid stays known for so long after its final answer
     max_known: int = 100_000  # jids; past that nothing is taken in, for to forget one may be to run it twice
     max_connections: int = 200
+    store: str = ""  # the file of accepted work; without one a restart forgets it
 
 
 class Refusal(Exception):
@@ -64,6 +67,10 @@
     reserve_for: float
     terms: JobClass  # as it was accepted under, also for a time that is to come
     final: Final | None = None
+    waiting: "list[Taken] | None" = None  # who is to be told once it is kept; None: it is
+
+
+Taken = Callable[["Refusal | None"], None]
 
 
 @dataclass(slots=True, eq=False)
@@ -86,6 +93,7 @@
     worker: Worker
     connection: "Connection"
     over: Key
+    written: bool = False  # a byte of it may have gone out
 
 
 def simple(text: str) -> bytes:
@@ -113,6 +121,16 @@
     return table
 
 
+def _tables(text: bytes) -> list[dict[str, Any]]:
+    try:
+        tables = orjson.loads(text)
+    except ValueError:
+        raise Refusal("malformed JSON") from None
+    if not isinstance(tables, list) or not all(isinstance(table, dict) for table in tables):
+        raise Refusal("not a JSON list of objects")
+    return tables
+
+
 def _figure(table: dict[str, Any], key: str) -> float | None:
     value = table.get(key)
     if value is None:
@@ -133,11 +151,13 @@
         self.reserved: set[str] = set()  # jids collected here
         self.queues: list[str] = []  # of the FETCH that waits, if one does
         self.waiting: Key | None = None
-        self._commands: deque[bytes] = deque()  # read ahead while a FETCH waits
+        self._commands: deque[bytes] = deque()  # read ahead while a FETCH waits, or something is being kept
+        self._held = False
         self._lines = http.Lines()
         self._greeted = False
         self._salt = secrets.token_hex(8)
         self._closing = False
+        self._doing = False
         self._silence: Key | None = None
 
     # -- asyncio
@@ -197,14 +217,28 @@
         self.write(bulk(data))
         self._next()
 
+    def hold(self) -> Callable[[bytes], None]:
+        """Read no further until what this returns is called with the reply; it may be called at once."""
+        self._held = True
+
+        def reply(data: bytes) -> None:
+            self._held = False
+            self.write(data)
+            if not self._doing:
+                self._next()
+                self.front.turn()
+
+        return reply
+
     def _hang_up(self, why: str) -> None:
         self._commands.clear()
         self.write(error(why))
         self.close()
 
     def _next(self) -> None:
-        while self._commands and not self._closing and self.waiting is None:
+        while self._commands and not self._closing and self.waiting is None and not self._held:
             word, _, rest = self._commands.popleft().strip().partition(b" ")
+            self._doing = True
             try:
                 self._do(word.decode("ascii", "replace").upper(), rest.strip())
             except Hangup as refusal:
@@ -214,6 +248,8 @@
             except Exception as fault:  # one connection ends, the process does not
                 self.front.log("exception", where="faktory", error=repr(fault))
                 self._hang_up("internal error")
+            finally:
+                self._doing = False
 
     def _do(self, word: str, rest: bytes) -> None:
         front = self.front
@@ -222,15 +258,19 @@
                 raise Hangup("say HELLO first")
             self._hello(_table(rest))
         elif word == "PUSH":
-            front.push(_table(rest))
-            self.write(simple("OK"))
+            table = _table(rest)
+            reply = self.hold()
+            front.push(table, lambda refusal: reply(simple("OK") if refusal is None else error(str(refusal))))
         elif word == "PUSHB":
-            self.write(bulk(orjson.dumps(front.push_all(rest))))
+            tables = _tables(rest)
+            replies = self.hold()
+            front.push_all(tables, lambda refused: replies(bulk(orjson.dumps(refused))))
         elif word == "FETCH":
             self._fetch(rest)
         elif word in ("ACK", "FAIL"):
             front.end(self, _table(rest), Outcome.SERVED if word == "ACK" else Outcome.ERROR)
-            self.write(simple("OK"))
+            ended = self.hold()
+            front.store.after(lambda why: ended(error(f"not kept: {why}") if why else simple("OK")))
         elif word == "BEAT":
             state = front.beat(_table(rest))
             self.write(bulk(orjson.dumps({"state": state})) if state else simple("OK"))
@@ -278,8 +318,9 @@
     core: Core
 
     def __init__(
-        self, terms: Terms, deadlines: Deadlines, log: Callable[..., None], turn: Callable[[], None]
+        self, terms: Terms, deadlines: Deadlines, log: Callable[..., None], turn: Callable[[], None], store: Store
     ) -> None:
+        self.store = store
         self.terms, self.deadlines, self.log, self.turn = terms, deadlines, log, turn
         self.connections: Slots[Connection] = Slots()
         self.workers: dict[str, Worker] = {}
@@ -299,7 +340,8 @@
         if not taking:
             for key, job in self._scheduled.values():
                 self.deadlines.drop(key)
-                self._final(job, Final.REFUSED)
+                if not self.store.lasts:
+                    self._final(job, Final.REFUSED)
             self._scheduled.clear()
 
     # -- what the core asks
@@ -325,18 +367,28 @@
 
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The one final answer: by the protocol no one waits for it, so it is kept under the jid and logged."""
+        if self.stopping and self.store.lasts and final is Final.REFUSED:
+            self.log("job_kept", jid=message.load.jid)  # it never ran, and the next process goes on with it
+            return
         self._final(message.load, final)
 
     def _final(self, job: Job, final: Final) -> None:
         job.final = final
         job.table = {}
+        self.store.end(job.jid, final.value, self.deadlines.clock())
         self.log("job_answered", jid=job.jid, final=final.value)
         self.deadlines.after(self.terms.remember, self._forget, job)
 
     # -- producers
 
-    def push(self, table: dict[str, Any]) -> None:
-        """Take a job in; raises :class:`Refusal`.  One that is known by its jid starts nothing new."""
+    def push(self, table: dict[str, Any], taken: Taken) -> None:
+        """Take a job in, and tell when it is kept, or why not.  One that is known by its jid starts nothing new."""
+        try:
+            self._push(table, taken)
+        except Refusal as refusal:
+            taken(refusal)
+
+    def _push(self, table: dict[str, Any], taken: Taken) -> None:
         jid = table.get("jid")
         if not isinstance(jid, str) or not 8 <= len(jid) <= 128:
             raise Refusal("jid is no text of 8 to 128 characters")
@@ -344,6 +396,10 @@
         if known is not None:
             if known.final in (Final.REFUSED, Final.FAILED):
                 raise Refusal(f"jid {jid} has had its final answer: {known.final.value}")
+            if known.waiting is None:
+                taken(None)
+            else:
+                known.waiting.append(taken)
             return
         names = [lane.name for lane in self.core.settings.classes]
         if table.get("jobtype") not in names:
@@ -365,33 +421,77 @@
         if len(self.jobs) >= self.terms.max_known:
             raise Refusal("too many jobs are known, come back later")
         reserve = reserve * 1000 if reserve else self.terms.reserve_for
-        job = Job(jid, lane, queue, table, size, reserve, self.core.settings.classes[lane])
-        self.jobs[jid] = job
         due = self._due(table)
-        if due > self.deadlines.clock():
-            wait = deadline if remaining is None else remaining
-            self._scheduled[jid] = self.deadlines.at(due, self._take, job, wait), job
-            return
-        message = self._take(job, deadline if remaining is None else remaining)
-        if message.final is Final.REFUSED and not message.relays:
-            del self.jobs[jid]  # it was never accepted: to push it again is harmless
-            raise Refusal("refused, come back later")
-
-    def push_all(self, text: bytes) -> dict[str, str]:
-        """Take many jobs in; what was not taken, by jid."""
-        try:
-            tables = orjson.loads(text)
-        except ValueError:
-            raise Refusal("malformed JSON") from None
-        if not isinstance(tables, list) or not all(isinstance(table, dict) for table in tables):
-            raise Refusal("not a JSON list of objects")
+        job = Job(jid, lane, queue, table, size, reserve, self.core.settings.classes[lane], waiting=[taken])
+        self.jobs[jid] = job
+        wait = deadline if remaining is None else remaining
+        record = kept(jid, names[lane], queue, table, self.deadlines.clock(), wait, due)
+        self.store.accept(record, lambda why: self._accepted(job, wait, due, why))
+
+    def _accepted(self, job: Job, wait: float, due: float, why: str) -> None:
+        """A job is kept, and goes on its way; or it could not be, and was never accepted."""
+        waiting, job.waiting = job.waiting or [], None
+        refusal: Refusal | None = None
+        if why:
+            del self.jobs[job.jid]
+            refusal = Refusal(f"it cannot be kept: {why}")
+        elif due > self.deadlines.clock() and not self.stopping:
+            self._scheduled[job.jid] = self.deadlines.at(due, self._take, job, wait), job
+        else:
+            message = self._take(job, wait)
+            if message.final is Final.REFUSED and not message.relays:
+                del self.jobs[job.jid]  # it was never accepted: to push it again is harmless
+                self.store.forget(job.jid)
+                refusal = Refusal("refused, come back later")
+        for taken in waiting:
+            taken(refusal)
+
+    def push_all(self, tables: list[dict[str, Any]], told: Callable[[dict[str, str]], None]) -> None:
+        """Take many jobs in; tells what was not taken, by jid, once all of them are kept or not."""
         refused: dict[str, str] = {}
+        left_over = len(tables)
+
+        def one(jid: str, refusal: Refusal | None) -> None:
+            nonlocal left_over
+            left_over -= 1
+            if refusal is not None:
+                refused[jid] = str(refusal)
+            if not left_over:
+                told(refused)
+
         for table in tables:
-            try:
-                self.push(table)
-            except Refusal as refusal:
-                refused[str(table.get("jid", ""))] = str(refusal)
-        return refused
+            self.push(table, partial(one, str(table.get("jid", ""))))
+        if not tables:
+            told(refused)
+
+    def recover(self) -> None:
+        """Go on with what was accepted before a restart: each job as its class allows."""
+        now, lanes = self.deadlines.clock(), self.core.settings.classes
+        found, counts = recovered(self.store, {lane.name: lane for lane in lanes}, now, self.terms.remember)
+        for record, way in found:
+            self._recover(record, way, now)
+        if found:
+            self.log("recovered", jobs=len(found), **counts)
+
+    def _recover(self, record: Kept, way: Way, now: float) -> None:
+        names = [lane.name for lane in self.core.settings.classes]
+        lane = names.index(record.lane) if record.lane in names else 0
+        terms = self.core.settings.classes[lane]
+        table = orjson.loads(record.table) if record.table else {}
+        reserve = float(table.get("reserve_for") or 0) * 1000 or self.terms.reserve_for
+        job = Job(record.jid, lane, record.queue, table, len(record.table), reserve, terms)
+        self.jobs[record.jid] = job
+        if record.final:
+            job.final, job.table = Final(record.final), {}
+            over = max(0.0, self.terms.remember - max(0.0, now - record.ended_at))
+            self.deadlines.after(over, self._forget, job)
+            if way is not Way.KNOWN:
+                may = " (may have run)" if record.delivered_at else ""
+                self.log("job_answered", jid=job.jid, final=record.final + may, cause="restart")
+        elif way is Way.LATER:
+            self._scheduled[job.jid] = self.deadlines.at(record.due, self._take, job, record.remaining), job
+        else:
+            self._take(job, left(record, now))
 
     def _due(self, table: dict[str, Any]) -> float:
         at = table.get("at")
@@ -445,11 +545,31 @@
                 continue
             job: Job = relay.message.load
             over = self.deadlines.after(job.reserve_for, self._reset, worker, job.jid, "reservation passed")
-            worker.reserved[job.jid] = Reservation(relay, worker, connection, over)
+            reservation = worker.reserved[job.jid] = Reservation(relay, worker, connection, over)
             connection.reserved.add(job.jid)
-            data = orjson.dumps({"queue": "default", "retry": 0, **job.table})
-            connection.fetched(data)
+            self.deadlines.drop(connection.waiting)
+            connection.waiting = None
+            if must_be_kept_first(job.terms):
+                now = self.deadlines.clock()
+                reply = connection.hold()
+                self.store.deliver(job.jid, now, partial(self._deliver, reservation, reply))
+            else:
+                self._deliver(reservation, connection.hold(), "")
+
+    def _deliver(self, reservation: Reservation, reply: Callable[[bytes], None], why: str) -> None:
+        """That it goes out is kept: now its bytes may, if they still should."""
+        relay, worker = reservation.relay, reservation.worker
+        job: Job = relay.message.load
+        if worker.reserved.get(job.jid) is not reservation:
+            reply(bulk(None))  # given up meanwhile, and not a byte has gone out
+        elif why or not self.core.may_write(relay):
+            self._release(worker, job.jid)
+            self.core.ended(relay, Outcome.FULL)
+            reply(bulk(None))
+        else:
+            reservation.written = True
             self.core.written()
+            reply(bulk(orjson.dumps({"queue": "default", "retry": 0, **job.table})))
             self.core.noted(relay, NoteKind.STARTED)
 
     def end(self, connection: Connection, table: dict[str, Any], outcome: Outcome) -> None:
@@ -515,6 +635,7 @@
     def _forget(self, job: Job) -> None:
         if self.jobs.get(job.jid) is job:
             del self.jobs[job.jid]
+            self.store.forget(job.jid)
 
     def _list(self, changes: Iterable[tuple[str, WorkerState]]) -> None:
         # a worker collects at its own pace, so a fresh one cannot be pushed over: it is listed as started long ago
@@ -569,11 +690,12 @@
 
     def _reset(self, worker: Worker, jid: str, why: str) -> None:
         """A delivered job may have run: the core does not send it again beyond what its class allows."""
-        if jid in worker.reserved:
+        reservation = worker.reserved.get(jid)
+        if reservation is not None:
             relay = self._release(worker, jid)
             self.resets += 1
             self.log("job_reset", jid=jid, wid=worker.wid, why=why)
-            self.core.ended(relay, Outcome.RESET)
+            self.core.ended(relay, Outcome.RESET if reservation.written else Outcome.CONNECT_FAILED)
 
 
 def _utc(now: float) -> str:
