--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -298,7 +298,7 @@
 
     def _make_faktory(self, terms: Terms) -> Faktory:
         """The second front has a core of its own: its workers cannot run what came by HTTP, nor the other way."""
-        front = Faktory(terms, self.loop.deadlines, self.log, self.turn, open_store(terms.store, self.log))
+        front = Faktory(terms, self.loop.deadlines, self.log, self.turn, open_store(terms.store, self.log, self.turn))
         settings = replace(
             self.core.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=(),
             retry_share=1e3, retry_burst=1e6,  # workers pull: no storm; the cap of attempts holds
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -226,7 +226,6 @@
             self.write(data)
             if not self._doing:
                 self._next()
-                self.front.turn()
 
         return reply
 
--- a/heronlug/wire/keeping.py
+++ b/heronlug/wire/keeping.py
@@ -12,7 +12,7 @@
 from heronlug.store.model import Done, Final, Kept, Store, Way, left, settle
 
 
-def open_store(path: str, log: Callable[..., None]) -> Store:
+def open_store(path: str, log: Callable[..., None], turn: Callable[[], None]) -> Store:
     """The store in a file, or none that lasts; raises ``ValueError``.  SQLite is loaded only for a file."""
     if not path:
         return MemoryStore()
@@ -20,9 +20,13 @@
 
     loop = asyncio.get_running_loop()
 
+    def happen(what: Callable[[], None]) -> None:
+        what()
+        turn()
+
     def soon(what: Callable[[], None]) -> None:
         if not loop.is_closed():
-            loop.call_soon_threadsafe(what)
+            loop.call_soon_threadsafe(happen, what)
 
     return SqliteStore(Path(path), soon, log)
 
