--- a/heronlug/lab/experiment.py
+++ b/heronlug/lab/experiment.py
@@ -51,6 +51,7 @@
     params: Params
     fixed: Params
     seed: int
+    code: str  # the version that was asked for, whatever becomes of the files meanwhile
 
 
 def flat(table: dict[str, Any], prefix: str = "") -> Params:
@@ -103,7 +104,7 @@
             raise Faults([source.fault(("vary",), str(error), "a key of the scenario")]) from None
         for seed in range(experiment.first_seed, experiment.first_seed + experiment.seeds):
             key = hashlib.sha256(orjson.dumps([known(scenario), seed, code], option=orjson.OPT_SORT_KEYS)).hexdigest()
-            jobs.append(Job(key[:24], str(base), params, experiment.set, seed))
+            jobs.append(Job(key[:24], str(base), params, experiment.set, seed, code))
     if len(jobs) > MOST:
         raise Faults([source.fault(("vary",), f"{len(jobs)} runs", f"{MOST} at most")])
     return experiment, jobs
--- a/heronlug/lab/runner.py
+++ b/heronlug/lab/runner.py
@@ -10,7 +10,7 @@
 from heronlug.emulator import scenario as scenarios
 from heronlug.emulator.figures import Figures
 from heronlug.emulator.world import World
-from heronlug.lab.experiment import Job, version
+from heronlug.lab.experiment import Job
 from heronlug.lab.store import Kept, Store
 
 QUANTILES = 200
@@ -22,7 +22,7 @@
     scenario = scenarios.load(Path(job.path), {**job.fixed, **job.params})
     world = World(scenario, job.seed)
     figures = world.run()
-    return Kept(job.params, job.seed, version(), figures.flat(), _details(world, figures), figures.wall)
+    return Kept(job.params, job.seed, job.code, figures.flat(), _details(world, figures), figures.wall)
 
 
 def _details(world: World, figures: Figures) -> dict[str, Any]:
