Read once more: one pace for both loads, one fall of a host, a pushed job written out once

Need: the change had the same piece twice, or did the same work twice. Both loads paced their jobs by copies of one loop and clock (now load/pace.py); the stand-in fleet wrote again what Troubles.fall does; LiveLine repeated an inherited method; a pushed job was encoded for its size and again for the store, also where nothing is kept. Dead: ownership.ranked, Register.row, store's now, keeping.kept.

Behaviour stays.

--- a/heronlug/cluster/ownership.py
+++ b/heronlug/cluster/ownership.py
@@ -23,11 +23,6 @@
     return max(members, key=lambda member: weight(duty, member), default="")
 
 
-def ranked(duty: str, members: Iterable[str]) -> list[str]:
-    """The members in the order in which they should own a duty, the first first."""
-    return sorted(members, key=lambda member: weight(duty, member), reverse=True)
-
-
 def foremost(duty: str, members: dict[int, str], most: int) -> dict[int, str]:
     """So many of the members as come first in a duty's rank, by tag; all of them where there are no more."""
     if len(members) <= most:
--- a/heronlug/load/faktory.py
+++ b/heronlug/load/faktory.py
@@ -13,7 +13,7 @@
 import orjson
 
 from heronlug.emulator.scenario import Scenario
-from heronlug.load.http import LATE
+from heronlug.load.pace import Pace
 from heronlug.load.plan import Due
 from heronlug.load.tally import Tally
 
@@ -63,23 +63,19 @@
         raise FaktoryError(rest.decode("utf-8", "replace"))
 
 
-class FaktoryLoad:
+class FaktoryLoad(Pace):
     """Producers and workers of one scenario."""
 
     def __init__(
         self, address: tuple[str, int], scenario: Scenario, tallies: dict[str, Tally], seconds: float
     ) -> None:
         """``seconds`` bounds the whole; the front has no password."""
-        self.address, self.tallies, self._most = address, tallies, seconds * 1000
+        super().__init__(tallies, seconds)
+        self.address = address
         speeds = {kind.name: (kind.slots, kind.speed) for kind in scenario.kind}
         self.speeds = [speeds[pool.kind][1] for pool in scenario.pool for _ in range(pool.count * speeds[pool.kind][0])]
         self.out: dict[str, Due] = {}
         self._queue: asyncio.Queue[Due] = asyncio.Queue()
-        self._began = time.monotonic()
-
-    def now(self) -> float:
-        """Milliseconds since the start."""
-        return (time.monotonic() - self._began) * 1000
 
     async def run(self, due: Iterable[Due]) -> None:
         """Play it, and wait for the last acknowledgements; raises ``OSError`` or :class:`FaktoryError` at the start."""
@@ -90,17 +86,9 @@
             hello = {"wid": wid, "hostname": "load", "pid": 1, "labels": ["load"]}
             workers.append(asyncio.create_task(self._work(await Client.connect(self.address, hello), wid, speed)))
         pushing = [asyncio.create_task(self._push(client)) for client in producers]
-        self._began = time.monotonic()
-        longest = 0.0
-        for each in due:
-            if each.at > self._most:
-                break
-            while (wait := each.at - self.now()) > 0.5:
-                await asyncio.sleep(wait / 1000)
-            longest = max(longest, each.at + each.lane.deadline_ms)
-            self.tallies[each.lane.name].late_begun += self.now() - each.at > LATE
+        async for each in self.due(due):
             self._queue.put_nowait(each)
-        while (self.out or not self._queue.empty()) and self.now() < longest + 1000:
+        while (self.out or not self._queue.empty()) and not self.over():
             await asyncio.sleep(0.02)
         for each in self.out.values():
             self.tallies[each.lane.name].ended("refused", self.now() - each.at)
--- a/heronlug/load/http.py
+++ b/heronlug/load/http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import time
 from collections import deque
 from collections.abc import Iterable
 from functools import partial
@@ -10,11 +9,11 @@
 
 import httptools
 
+from heronlug.load.pace import Pace
 from heronlug.load.plan import Due
 from heronlug.load.tally import Tally
 
 MOST = 4000  # connections at once; a job that finds all busy waits, and its time counts
-LATE = 10.0  # ms that the tool itself may be late with a job
 
 
 class Job:
@@ -82,39 +81,27 @@
             self.load.ended(job, "lost")
 
 
-class HttpLoad:
+class HttpLoad(Pace):
     """Hands a plan's jobs to dispatchers in turn, each when it is due."""
 
     def __init__(self, addresses: list[tuple[str, int]], tallies: dict[str, Tally], seconds: float) -> None:
         """``seconds`` bounds the whole, beside the plan's own end."""
-        self.addresses, self.tallies, self._most = addresses, tallies, seconds * 1000
+        super().__init__(tallies, seconds)
+        self.addresses = addresses
         self.out = 0
         self._idle: list[deque[Connection]] = [deque() for _ in addresses]
         self._open = 0
         self._waiting: deque[Job] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._began = time.monotonic()
         self._turn = 0
         self._all: set[Connection] = set()
 
-    def now(self) -> float:
-        """Milliseconds since the start."""
-        return (time.monotonic() - self._began) * 1000
-
     async def run(self, due: Iterable[Due]) -> None:
         """Play it, and wait for the last answers."""
-        self._began = time.monotonic()
-        longest = 0.0
-        for each in due:
-            if each.at > self._most:
-                break
-            while (wait := each.at - self.now()) > 0.5:
-                await asyncio.sleep(wait / 1000)
+        async for each in self.due(due):
             self.out += 1
-            longest = max(longest, each.at + each.lane.deadline_ms)
-            self.tallies[each.lane.name].late_begun += self.now() - each.at > LATE
             self._hand(Job(each, self.now()))
-        while self.out and self.now() < longest + 1000:
+        while self.out and not self.over():
             await asyncio.sleep(0.02)
         for job in self._waiting:
             self.ended(job, "lost")
--- a/heronlug/standin/fleet.py
+++ b/heronlug/standin/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -35,6 +36,7 @@
     ) -> None:
         self.scenario, self.seed = scenario, scenario.seed if seed is None else seed
         self.line: LiveLine
+        self.troubles: Troubles
         self.register, self.hosts = Register(), dict[str, Host]()
         self.servers: dict[str, Server] = {}
         self._record = record
@@ -61,7 +63,7 @@
     def begin(self) -> None:
         """The scenario's time starts: its troubles come from now on."""
         self.line._began = LiveLine()._began
-        Troubles(cast(Any, _World(self)))
+        self.troubles = Troubles(cast(Any, _World(self)))
 
     def close(self) -> None:
         """End everything."""
@@ -96,8 +98,6 @@
 
     def unix(self, at: float) -> float:
         """A time of the line as Unix milliseconds."""
-        import time
-
         return time.time() * 1000 - (self.line.now - at)
 
     def tell(self, event: Event) -> None:
@@ -131,15 +131,7 @@
         self.fell += 1
         stands = self._warmth.tip_multiple * host.capacity()
         self.tell(Load(self.unix(self.line.now), host.name, host.inside / stands, host.cold))
-        from heronlug.emulator.troubles import BACK
-
-        self.lose(host)
-        self.list_host(host, WorkerState.GONE)
-        self.line.after(BACK, self._restart, host)
-
-    def _restart(self, host: Host) -> None:
-        host.start()
-        self.list_host(host, WorkerState.READY)
+        self.troubles.fall(host)
 
     def _began(self, host: Host, run: Run) -> None:
         self.tell(Began(self.unix(self.line.now), host.name, run.job.txn))
--- a/heronlug/standin/live.py
+++ b/heronlug/standin/live.py
@@ -29,10 +29,6 @@
         entry.append(self._loop.call_later(max(0.0, when - self.now) / 1000, self._happen, entry))
         return entry
 
-    def after(self, delay: float, what: Callable[..., object], *args: Any) -> Entry:
-        """As :meth:`Timeline.after`."""
-        return self.at(self.now + delay, what, *args)
-
     @staticmethod
     def cancel(entry: Entry | None) -> None:
         """As :meth:`Timeline.cancel`."""
--- a/heronlug/store/sqlite.py
+++ b/heronlug/store/sqlite.py
@@ -8,7 +8,6 @@
 import os
 import sqlite3
 import threading
-import time
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
@@ -228,8 +227,3 @@
         raise StoreError(f"{path}: {error}") from None
     finally:
         db.close()
-
-
-def now() -> float:
-    """Unix milliseconds."""
-    return time.time() * 1000
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -25,7 +25,7 @@
 from heronlug.memory.slots import Slots
 from heronlug.schedule.chains import Chains, Edge, Start, edges_of
 from heronlug.wire import http
-from heronlug.wire.keeping import Kept, Store, Way, kept, left, must_be_kept_first, recovered
+from heronlug.wire.keeping import Kept, Store, Way, left, must_be_kept_first, recovered
 
 VERSION = 2
 FETCH_WAIT = 2_000.0  # a FETCH with nothing to collect is answered with nothing after this
@@ -428,8 +428,8 @@
         queue, custom = table.get("queue", "default"), table.get("custom") or {}
         if not isinstance(queue, str) or not queue or not isinstance(custom, dict):
             raise Refusal("queue is no text, or custom no object")
-        size = len(orjson.dumps(table))
-        if size > http.MAX_BODY:
+        data = orjson.dumps(table)
+        if len(data) > http.MAX_BODY:
             raise Refusal("a job holds 64 KiB at most")
         lane = names.index(table["jobtype"])
         deadline = self.core.settings.classes[lane].deadline
@@ -442,10 +442,10 @@
         reserve = reserve * 1000 if reserve else self.terms.reserve_for
         due = self._due(table)
         self._edges(custom)
-        job = Job(jid, lane, queue, table, size, reserve, self.core.settings.classes[lane], waiting=[taken])
+        job = Job(jid, lane, queue, table, len(data), reserve, self.core.settings.classes[lane], waiting=[taken])
         self.jobs[jid] = job
         wait = deadline if remaining is None else remaining
-        record = kept(jid, names[lane], queue, table, self.deadlines.clock(), wait, due)
+        record = Kept(jid, names[lane], queue, data, self.deadlines.clock(), wait, due)
         self.store.accept(record, lambda why: self._accepted(job, wait, due, why))
 
     def _accepted(self, job: Job, wait: float, due: float, why: str) -> None:
--- a/heronlug/wire/keeping.py
+++ b/heronlug/wire/keeping.py
@@ -3,9 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
-
-import orjson
 
 from heronlug.interface import Effect, JobClass
 from heronlug.store.memory import MemoryStore
@@ -31,11 +28,6 @@
     return SqliteStore(Path(path), soon, log)
 
 
-def kept(jid: str, lane: str, queue: str, table: dict[str, Any], at: float, remaining: float, due: float) -> Kept:
-    """A job as it is kept."""
-    return Kept(jid, lane, queue, orjson.dumps(table), at, remaining, due)
-
-
 def must_be_kept_first(terms: JobClass) -> bool:
     """Whether a delivery has to be on the disk before its first byte: what may not run twice at will."""
     return terms.effect is not Effect.REPEATABLE
@@ -61,4 +53,4 @@
     return found, counts
 
 
-__all__ = ["Done", "Kept", "Store", "Way", "kept", "left", "must_be_kept_first", "open_store", "recovered"]
+__all__ = ["Done", "Kept", "Store", "Way", "left", "must_be_kept_first", "open_store", "recovered"]
--- a/heronlug/wire/register.py
+++ b/heronlug/wire/register.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import msgspec
 
@@ -233,7 +232,3 @@
         if self._node is not None:
             self._node.sheets.withdraw(DUTY)
             self._flush()
-
-    def row(self) -> dict[str, Any]:
-        """What operators see."""
-        return {"source": self.view.source.value, "readings": self.readings, "switches": self.view.switches}
