Copies wait for the usual way of a start, near hosts come first, relays tell in turns

A probe in the south side logged the time from a request's write to the word of its start: 135 to 173 ms on a new connection to another hall, 35 to 51 on a warm one, 1 to 11 inside the hall; the dial itself takes 0.3 ms. A copy went out 2 * look = 62 ms after the send (_watch), that is before any start could have been heard, and the host was taken for full (_on_unstarted: stuck_until, Kind.waited). Of 1,932 jobs with copies half were told of a start 128 to 140 ms after the send. Excluded: full hosts (load 0.4, no turned-away). With four dispatchers connections are warm and this does not show; with 218 each job meets a new one. Now the word of a start is waited for as RFC 6298 reckons round trips, by hall, and dial_timeout while nothing is known.

Near hosts come first now, and a host without outcomes is scored less the price of crossing.

Two of them told the same sums four times a second each, to all. They take turns now: half the datagrams, and half as often where one of them is dead. A stand-in waits for twice as long.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -239,7 +239,8 @@
         if lane.second_copy_after and copied:
             self.agenda.at(flight.sent + lane.second_copy_after, self._on_unended, flight)
         elif self.can_hedge and copied and flight.waiting:
-            self.agenda.at(now + 2 * self.look, self._on_unstarted, flight)
+            start = now + self.lags[flight.worker.zone].usual(self.s.dial_timeout)
+            self.agenda.at(start + 2 * self.look, self._on_unstarted, flight)
 
     def _on_overrun(self, flight: Flight, now: float) -> None:
         """Time-out of one attempt: it is cancelled, and as it may have run, its end says what may follow."""
@@ -319,6 +320,7 @@
         if flight.waiting:
             flight.waiting = False
             worker.waiting -= 1
+            self.lags[worker.zone].heard(now - flight.sent)
             if self.by_starts:
                 worker.model.started(worker.own - worker.waiting + worker.told)
             attempts = flight.job.attempts if self.s.may_cancel else []  # its copies elsewhere have lost
@@ -472,7 +474,8 @@
 
     def _score(self, worker: Worker, now: float) -> float:
         """Upper confidence bound on the payoff; with N = 0 the mean of the others' bounds."""
-        bound = worker.mean + sqrt(4 * self.log_t / worker.n) if worker.n > 0.01 else self.usual
+        far = PAYOFF_TOP * self.s.cross_zone_price * (worker.zone != self.s.zone)
+        bound = worker.mean + sqrt(4 * self.log_t / worker.n) if worker.n > 0.01 else self.usual - far
         age = now - worker.started_at
         if not worker.started_at or age >= self.s.warm_after:
             worker.budget = inf
@@ -493,7 +496,7 @@
         self.subscribed, self.asks = self.s.list_pushed or event.kind != pk.ListKind.CACHED, 0
         self._ask(None, now)  # what is cached may be stale
         fresh = self.listed(event)
-        self.rng.shuffle(fresh)  # an arbitrary first order, another one at each dispatcher
+        fresh.sort(key=lambda w: (w.zone != self.s.zone, self.rng.random()))  # near first, else as it comes
         self.order = [w for w in self.order if w.state is pk.WorkerState.READY] + fresh
         self._rank(now)
         self.peers.list_ready(self.order)
@@ -515,11 +518,11 @@
             worker.ended(badly)
 
     def _on_beat(self, _: None, now: float) -> None:
-        """Relays: the first by position of whom something is heard; others step in when one is silent."""
+        """Relays, in turns by the clock: the first by position; others step in where these are silent."""
         # messages get lost, and who begins as a relay knows nothing: a count that is not told again is void
         self.peers.changed.update({f.worker.id: f.worker for f in self.flights.values()})
         heard = self.peers.relays_heard(self.s.position, RELAYS, now)
-        silent = self.s.position < RELAYS or now - heard > (SILENT + self.s.position) * self.view_gap
+        silent = self.s.position < RELAYS or now - heard > (2 * SILENT + self.s.position) * self.view_gap
         if silent and self.peers.relaying:
             roster = self.peers.roster
             loads = {w: max(0.0, w.told + w.own) / w.model.slots for w in roster}
@@ -533,7 +536,9 @@
         elif silent:
             self.out.append(pk.Tell(Peers.SUMS))
         self.peers.relaying = silent
-        self.agenda.at(now + self.view_gap * (1 if silent else 2), self._on_beat, None)
+        gap, soon = RELAYS * self.view_gap, now + self.view_gap / 2
+        turn = soon + gap - (soon - self.s.position % RELAYS * self.view_gap) % gap
+        self.agenda.at(turn if silent else now + gap, self._on_beat, None)
 
     def _ask(self, _: None, now: float) -> None:
         if not self.subscribed:
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -137,6 +137,30 @@
         return taken
 
 
+class Lag:
+    """How long the word of a start takes, where nothing holds it up: as RFC 6298 reckons round trips.
+
+    What has to wait in a queue takes longer than the way and a handshake; how long those take is not told.
+    """
+
+    __slots__ = ("_deviation", "_mean")
+
+    def __init__(self) -> None:
+        self._mean = self._deviation = -1.0
+
+    def heard(self, took: float) -> None:
+        """So long it took."""
+        if self._mean < 0:
+            self._mean, self._deviation = took, took / 2
+        else:
+            self._deviation += (abs(took - self._mean) - self._deviation) / 4
+            self._mean += (took - self._mean) / 8
+
+    def usual(self, most: float) -> float:
+        """It rarely takes longer; ``most`` while nothing is known, and at most."""
+        return most if self._mean < 0 else min(most, self._mean + 4 * self._deviation)
+
+
 class Recent:
     """Amounts with their times, and what has come of them since a time."""
 
@@ -438,6 +462,7 @@
         self.span: defaultdict[int, float] = defaultdict(float)  # mean latency per size, by class
         self.usual_pace: defaultdict[int, float] = defaultdict(float)  # the same as a geometric mean
         self.log_t = 0.0  # log T
+        self.lags: defaultdict[int, Lag] = defaultdict(Lag)  # by zone
         self.mean_span = 0.0  # mean latency of all classes
         self.usual = 0.0  # mean of the known scores: that of a worker with N = 0
         self.ejected = 0  # ready workers on trial
