Read once more: one reckoning of votes and promises, and a test of copies that can fail

Leases._take reckoned what _secured does, and the choice between votes and promises stood twice: _secured takes either now, _given makes the choice, unowned() writes the mark of a request for a promise. Telling.position and two tables of the farewells' test were never read. The test of copies never met a far host in its last part, so its bound of 150 ms held of nothing; it plays near and far by themselves now. Behaviour is unchanged.

--- a/heronlug/cluster/leases.py
+++ b/heronlug/cluster/leases.py
@@ -30,6 +30,11 @@
 FREES = 3  # times that a vote is freed again after the first: the word of it may be lost
 
 
+def unowned(fence: Fence) -> Fence:
+    """What a request that only wants a promise has in place of a fence that was freed."""
+    return Fence(fence.number, 0)
+
+
 class Stage(Enum):
     """Where one member stands with a duty."""
 
@@ -148,7 +153,7 @@
             self._ask(duty, self._voters(duty.name, now), now)
         elif duty.stage is Stage.HOLDING or duty.stage is Stage.OFFERING:
             voters = self._voters(duty.name, now)
-            if self._secured(duty, voters) - now < self._renewal():
+            if self._secured(duty.granted, voters) - now < self._renewal():
                 self._ask(duty, voters, now)
             if duty.stage is Stage.OFFERING:
                 duty.tries += 1
@@ -162,9 +167,13 @@
             else:
                 self._send(duty.heir, Done(duty.key, duty.fence))
 
-    def _secured(self, duty: Duty, voters: dict[int, str]) -> float:
-        """How long every voter's grant holds, our own with them."""
-        return min(duty.granted.get(voter, -inf) for voter in [*voters, self.tag])
+    def _secured(self, given: dict[int, float], voters: dict[int, str]) -> float:
+        """How long what every voter has given holds, our own with them."""
+        return min(given.get(voter, -inf) for voter in [*voters, self.tag])
+
+    def _given(self, duty: Duty, sounding: bool) -> tuple[dict[int, float], float]:
+        """What is given for a request, promises or votes, and how long that holds from when it was sent."""
+        return (duty.promises, self._span * PROMISE) if sounding else (duty.granted, self._span)
 
     def _renewal(self) -> float:
         """With less left than this, a lease is renewed."""
@@ -182,7 +191,7 @@
         """Ask those whose grant runs out first; our own vote is given like any other."""
         holding = duty.stage is not Stage.ASKING and now < duty.until
         sounding = duty.stage is Stage.ASKING and duty.freed == NO_FENCE and not duty.taking
-        freed = duty.fence if holding else Fence(duty.fence.number, 0) if sounding else duty.freed
+        freed = duty.fence if holding else unowned(duty.fence) if sounding else duty.freed
         self._number = (self._number + 1) & 0xFFFFFFFF
         duty.asked[self._number] = now, sounding
         for number in list(duty.asked)[:-NUMBERS]:
@@ -192,9 +201,8 @@
         if isinstance(answer, Deny):
             self._denied(duty, answer, now)
             return
-        given, span, enough = duty.granted, self._span, self._renewal()
-        if sounding:
-            given, span, enough = duty.promises, self._span * PROMISE, self._span * PROMISE / 2
+        given, span = self._given(duty, sounding)
+        enough = span / 2 if sounding else self._renewal()
         given[self.tag] = now + span
         for voter in voters:
             if given.get(voter, -inf) - now < enough:
@@ -206,13 +214,13 @@
 
     def _take(self, duty: Duty, voters: dict[int, str], now: float) -> None:
         """All have promised: they are asked for their votes."""
-        if all(duty.promises.get(voter, -inf) > now for voter in [*voters, self.tag]):
+        if self._secured(duty.promises, voters) > now:
             duty.taking = True
             self._ask(duty, voters, now)
 
     def _reckon(self, duty: Duty, voters: dict[int, str], now: float) -> None:
         """A lease holds as long as every voter's grant; what was secured once stays so."""
-        until = self._secured(duty, voters)
+        until = self._secured(duty.granted, voters)
         if until <= now:
             return
         duty.until = max(duty.until, until)
@@ -245,7 +253,7 @@
             self._send(sender, self._vote(duty, part, now))
         elif isinstance(part, Grant) and part.fence == duty.fence and part.number in duty.asked:
             asked, sounding = duty.asked[part.number]
-            given, span = (duty.promises, self._span * PROMISE) if sounding else (duty.granted, self._span)
+            given, span = self._given(duty, sounding)
             given[sender] = max(asked + span, given.get(sender, -inf))
             if sounding and duty.stage is Stage.ASKING and not duty.taking:
                 self._take(duty, self._voters(duty.name, now), now)
@@ -284,7 +292,7 @@
                 return Deny(duty.key, vote.highest, ask.number)
             if now < vote.promised_until and ask.fence < vote.promised:
                 return Deny(duty.key, vote.promised, ask.number)
-        if ask.freed == Fence(ask.fence.number, 0):  # a promise is all that it wants
+        if ask.freed == unowned(ask.fence):  # a promise is all that it wants
             vote.promised, vote.promised_until = ask.fence, now + self.terms.lease * PROMISE
             return Grant(duty.key, ask.fence, ask.number)
         vote.fence, vote.until = ask.fence, now + self.terms.lease
--- a/heronlug/telling/telling.py
+++ b/heronlug/telling/telling.py
@@ -15,9 +15,9 @@
 class Telling:
     """Who is at work, and whether those that hear us know that we part."""
 
-    def __init__(self, count: int, position: int) -> None:
-        """``count`` dispatchers, of which this is the one at ``position``."""
-        self.others, self.position = count - 1, position
+    def __init__(self, count: int) -> None:
+        """One of ``count`` dispatchers."""
+        self._others = count - 1
         self.farewell = Farewell()
         self.sent: Counter[str] = Counter()  # datagrams by kind, one for each that it goes to
         self._heard_at: dict[int, float] = {}
@@ -48,20 +48,20 @@
             content = LEAVING + content
         if len(content) > MAX_CONTENT:
             return b""
-        self.sent["sums" if peer == ALL else "counts"] += self.receivers(peer)
+        self.sent["sums" if peer == ALL else "counts"] += self._receivers(peer)
         return content
 
     def leave(self, now: float) -> list[int]:
         """We part: whom to tell ``LEAVING`` now.  To be asked again and again, until the process ends."""
         self.farewell.begin()
         due = self.farewell.due(now)
-        self.sent["farewells"] += sum(map(self.receivers, due))
+        self.sent["farewells"] += sum(map(self._receivers, due))
         return due
 
     def stay(self) -> None:
         """We do not part after all."""
         self.farewell.over()
 
-    def receivers(self, peer: int) -> int:
+    def _receivers(self, peer: int) -> int:
         """How many a datagram goes to."""
-        return self.others if peer == ALL else 1
+        return self._others if peer == ALL else 1
--- a/heronlug/wire/peers.py
+++ b/heronlug/wire/peers.py
@@ -22,7 +22,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._clock = clock
-        self.telling = Telling(len(peers), position)
+        self.telling = Telling(len(peers))
         self._addresses = [http.split_address(peer) for peer in peers]
         self._numbers = {address: number for number, address in enumerate(self._addresses)}
         self._everyone = http.split_address(everyone) if everyone else None
--- a/tests/telling/test_farewell.py
+++ b/tests/telling/test_farewell.py
@@ -1,6 +1,5 @@
 """What a planned stop costs in datagrams, counted, and that who relies on it hears of it."""
 
-from collections import Counter
 from random import Random
 
 import pytest
@@ -22,11 +21,9 @@
     def __init__(self, count: int, loss: float = 0.0, seed: int = 1) -> None:
         self.now, self.loss, self.rng = 1000.0, loss, Random(seed)
         self.relays = range(min(2, count)) if count > 9 else range(0)
-        self.tellings = [Telling(count, n) for n in range(count)]
+        self.tellings = [Telling(count) for _ in range(count)]
         self.deadlines = Deadlines(lambda: self.now)
-        self.partings: dict[int, Parting] = {}
         self.left: set[int] = set()
-        self.received: Counter[bytes] = Counter()
         for number in range(count):
             self.deadlines.at(self.now + self.rng.uniform(0, GAP), self.work, number)
 
@@ -49,13 +46,12 @@
     def send(self, number: int, data: bytes, peer: int) -> None:
         for other in range(len(self.tellings)) if peer == ALL else [peer]:
             if other != number and other not in self.left and self.rng.random() >= self.loss:
-                self.received[data[:1]] += data == LEAVING
                 self.tellings[other].heard(number, data, self.now)
 
     def stop(self, number: int) -> None:
         """SIGTERM; a job that runs on keeps it there to the last."""
         telling = self.tellings[number]
-        self.partings[number] = parting = Parting(
+        parting = Parting(
             self.deadlines, 20_000.0, lambda: int(self.deadlines.clock() < parting.answer_by), lambda: 0.0,
             lambda: telling.serving(self.now), lambda: self.leave(number), telling.stay, lambda: None, lambda: None,
             lambda: self.left.add(number),
@@ -121,7 +117,7 @@
 
 
 def test_what_is_told_while_parting_carries_the_mark_and_a_drain_taken_back_ends_it() -> None:
-    one, other = Telling(2, 0), Telling(2, 1)
+    one, other = Telling(2), Telling(2)
     other.heard(0, one.tell(b"c1", ALL, 0.0), 0.0)
     assert one.leave(10.0) == [ALL] and one.leave(30.0) == [] and one.leave(60.0) == [ALL]
     marked = one.tell(b"c2", ALL, 100.0)
@@ -135,6 +131,6 @@
 
 
 def test_who_has_told_nothing_lately_tells_no_farewell() -> None:
-    telling = Telling(200, 50)
+    telling = Telling(200)
     telling.tell(b"c", 0, 0.0)
     assert telling.leave(HEARD) == [] and not telling.sent["farewells"]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -212,28 +212,24 @@
 
 
 def test_copy_waits_for_the_way_and_the_handshake_of_its_zone_as_others_have_shown_them() -> None:
-    """Risk: told of a start 135 to 173 ms after the write on a new connection, 39 of 100 jobs got a copy at 62 ms."""
-    host = Host(with_settings(tells_start=True), workers=0)
-    host.listed(ListKind.CACHED, (WorkerEntry(1, zone=0), WorkerEntry(2, zone=1), WorkerEntry(3, zone=1)))
-    waits: dict[int, list[float]] = {0: [], 1: []}
-    for turn in range(24):
-        job, began = host.job(0), host.now
-        worker = host.sent[job][0]
-        zone = host.entry[worker].zone
-        if turn < 16:  # as long as the way takes, and no copy meanwhile
-            host.until(host.now + (150.0 if zone else 2.0))
-            assert host.sent[job] == [worker]
-            host.give(Note(job, 0, worker, NoteKind.STARTED))
-        else:
-            while len(host.sent[job]) == 1 and host.now < began + 1000:
+    """Risk: told of a start 135 to 173 ms after the write on a new connection, 40 of 100 jobs got a copy at 62 ms."""
+    waits = {}
+    for zone, way in ((0, 2.0), (1, 150.0)):
+        host = Host(with_settings(tells_start=True), workers=0)
+        host.listed(ListKind.CACHED, tuple(WorkerEntry(i, zone=zone) for i in (1, 2, 3)))
+        for turn in range(12):
+            job, began = host.job(0), host.now
+            while turn == 11 and len(host.sent[job]) == 1 and host.now < began + 1000:
                 host.until(host.now + 2)
-            waits[zone].append(host.now - began)
-            host.give(Note(job, 1, host.sent[job][1], NoteKind.STARTED))
-            host.end(job, 0, Outcome.CANCELLED)
-        attempt = len(host.sent[job]) - 1
-        host.end(job, attempt, Outcome.SERVED)
-        host.until(host.now + 1500)
-    assert waits[0] and max(waits[0]) < 60 < 150 < min(waits[1] or [151])
+            if turn == 11:
+                waits[zone] = host.now - began
+                break
+            host.until(host.now + way)  # as long as the way takes, and no copy meanwhile
+            assert len(host.sent[job]) == 1
+            host.give(Note(job, 0, host.sent[job][0], NoteKind.STARTED))
+            host.end(job, 0, Outcome.SERVED)
+            host.until(host.now + 1500)
+    assert waits[0] < 60 < 150 < waits[1] < SETTINGS.dial_timeout + 60
 
 
 def test_near_workers_come_first_as_long_as_they_have_room() -> None:
