A rig of many processes with faults between them: relays, a register that queues, one history

heronlug/rig: a TOML script starts N processes of the program, a register stand-in with a cost a call, a queue and a bound on waiting, runners (the emulator's hosts behind sockets), clients, and a relay for each pair over TCP and UDP: cut both ways or one way, silent, refused, a backlog that is full, reset, delay, loss, a trickle, half of an answer. kill, stop, start, term, hup; runners die, come back cold, are listed otherwise.

Nothing of it is imported by run.

--- a/heronlug/load/http.py
+++ b/heronlug/load/http.py
@@ -42,6 +42,7 @@
         """Send a job."""
         assert self.transport is not None
         self.job, self._parser = job, httptools.HttpResponseParser(self)
+        self.load.handed(job, self.door)
         lane, body = job.due.lane, f"{job.due.work:.3f}".encode()
         left = max(1, round(lane.deadline_ms - (self.load.now() - job.due.at)))
         head = (
@@ -110,6 +111,9 @@
                 connection.transport.abort()
         await asyncio.sleep(0)
 
+    def handed(self, job: Job, door: int) -> None:
+        """A job goes to a dispatcher."""
+
     def ended(self, job: Job, how: str) -> None:
         """A job is over; its time counts from when it was due."""
         self.out -= 1
@@ -154,7 +158,8 @@
             except OSError:
                 continue
             self._all.add(connection)
-            connection.hand(job)
-            return
+            if connection.transport is not None:  # it may have gone again meanwhile
+                connection.hand(job)
+                return
         self._open -= 1
         self.ended(job, "lost")
--- /dev/null
+++ b/heronlug/rig/processes.py
@@ -0,0 +1,145 @@
+"""Processes of the program: their files, their starts and ends, and what they say of themselves."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+from jinja2 import Template
+
+from heronlug.rig.script import Script
+
+FILE = Template("""\
+log_level = "info"
+[serve]
+name = "{{ name }}"
+listen = "127.0.0.1:{{ door }}"
+operators = "127.0.0.1:{{ operators }}"
+discovery = "{{ discovery }}"
+position = {{ position }}
+peers = [{% for address in peers %}"{{ address }}", {% endfor %}]
+sockets = 1024
+memory_mb = 256
+[site]
+dispatchers = {{ s.dispatchers.count }}
+zones = [{% for hall in s.halls %}"{{ hall }}", {% endfor %}]
+kinds = ["m1"]
+cold_from = {{ s.runners.cold_from }}
+warm_after_ms = {{ s.runners.warm_after_ms }}
+tip_multiple = {{ s.runners.tip_multiple }}
+overload_for_ms = {{ s.runners.overload_for_ms }}
+{% for lane in s.classes or [none] %}
+[[site.class]]
+name = "{{ lane.name if lane else 'job' }}"
+effect = "{{ lane.effect if lane else 'repeatable' }}"
+aim_ms = {{ lane.aim_ms if lane else 500 }}
+deadline_ms = {{ lane.deadline_ms if lane else 5000 }}
+worth = {{ lane.worth if lane else 1 }}
+{% if lane and lane.effect == "by_key" %}repeat_window_ms = {{ lane.deadline_ms }}{% endif %}
+{% endfor %}
+{% if s.dispatchers.cluster %}
+[cluster]
+name = "{{ name }}"
+listen = "127.0.0.1:{{ member }}"
+advertise = "127.0.0.1:{{ advertised }}"
+seeds = [{% for seed in seeds %}"127.0.0.1:{{ seed }}", {% endfor %}]
+key_files = ["key"]
+[cluster.register]
+share = "{{ s.dispatchers.cluster }}"
+{% endif %}
+{{ more }}
+""")
+
+
+class Process:
+    """One dispatcher: its file, and at most one process of it."""
+
+    def __init__(self, name: str, folder: Path, operators: int, source: Path | None = None) -> None:
+        """``source`` is the folder of another version of the program, in place of this one."""
+        self.name, self.folder, self.operators, self.source = name, folder, operators, source
+        self.program: subprocess.Popen[bytes] | None = None
+        self.wanted = False  # it should run
+        self.killed = False  # its last end was ours
+        self.starts = 0
+        self.ended: list[int] = []  # statuses of ends that no step brought about
+
+    @property
+    def runs(self) -> bool:
+        """Whether there is a process."""
+        return self.program is not None and self.program.poll() is None
+
+    def start(self) -> None:
+        """Start it."""
+        if self.runs:
+            return
+        self.wanted, self.killed = True, False
+        self.starts += 1
+        private = self.folder / f"{self.name}.tmp{self.starts}"
+        private.mkdir()
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.program = subprocess.Popen(
+                [sys.executable, "-m", "heronlug", "serve", str(self.folder / f"{self.name}.toml")],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=self.source,
+                env={**os.environ, "TMPDIR": str(private), "HERONLUG_CONTROL": str(private / "control")},
+            )  # fmt: skip
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal; after SIGKILL and SIGTERM it is not wanted any more."""
+        if self.program is None or not self.runs:
+            return
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.wanted, self.killed = False, number is signal.SIGKILL
+        self.program.send_signal(number)
+        if number is signal.SIGKILL:
+            self.program.wait()
+
+    def look(self) -> bool:
+        """Whether it has ended though it should run; such an end is noted once."""
+        if not self.wanted or self.program is None or self.program.poll() is None:
+            return False
+        self.wanted = False
+        self.ended.append(self.program.returncode)
+        return True
+
+    async def figures(self) -> dict[str, float]:
+        """What an operator reads; nothing where it does not answer."""
+        try:
+            async with asyncio.timeout(2):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.operators)
+                writer.write(b"GET /stats HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n")
+                text = (await reader.read()).decode()
+                writer.close()
+        except (OSError, TimeoutError):
+            return {}
+        lines = text.partition("\r\n\r\n")[2].splitlines()
+        pairs = [line.rsplit(" ", 1) for line in lines if line[:1] not in ("#", "")]
+        return {name: float(value) for name, value in pairs}
+
+    def logged(self, event: str = "") -> list[dict[str, Any]]:
+        """The lines of its log, of one event or of all."""
+        path = self.folder / f"{self.name}.log"
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        read = [orjson.loads(line) for line in lines if line[:1] == b"{" and line[-1:] == b"}"]
+        return [line for line in read if not event or line["event"] == event]
+
+    def faults(self) -> list[str]:
+        """What no log may hold."""
+        text = (self.folder / f"{self.name}.log").read_text(errors="replace") if self.starts else ""
+        return [line for line in text.splitlines() if '"exception"' in line or "Traceback" in line]
+
+
+def write_file(
+    process: Process, script: Script, *, door: int, discovery: str, peers: list[str], member: int, advertised: int,
+    seeds: list[int],
+) -> None:  # fmt: skip
+    """The operators' file of a dispatcher."""
+    position = int(process.name[1:])
+    more = script.dispatchers.more.replace("{name}", process.name).replace("{folder}", str(process.folder))
+    text = FILE.render(s=script, name=process.name, door=door, operators=process.operators, position=position,
+                       discovery=discovery, peers=peers, member=member, advertised=advertised, seeds=seeds,
+                       more=more)  # fmt: skip
+    (process.folder / f"{process.name}.toml").write_text(text)
--- /dev/null
+++ b/heronlug/rig/rig.py
@@ -0,0 +1,498 @@
+"""Plays a script: starts everything, does the steps, watches, and judges."""
+
+import asyncio
+import shutil
+import signal
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from heronlug.load.http import HttpLoad, Job
+from heronlug.load.plan import Due
+from heronlug.load.tally import Tally
+from heronlug.rig.history import History
+from heronlug.rig.paths import Path as Between
+from heronlug.rig.paths import Paths
+from heronlug.rig.processes import Process, write_file
+from heronlug.rig.runners import Runners, lanes_of
+from heronlug.rig.script import LASTING, PROCESS, Script, Step, choose
+from heronlug.rules import Answered, Called, Checker, Ended, Listed, Started, Stopped, Taken, Violation
+from heronlug.standin.register import Call, Register
+
+LOOK = 0.02  # s between two looks at the processes
+LISTED_LOOK = 0.25  # and at their figures, while it is waited for their lists
+LISTED_WITHIN = 60.0
+STOP_WITHIN = 15.0
+LOW_PORT, PORTS = 12_000, 18_000  # below the ports of outgoing connections
+STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
+
+
+@dataclass
+class Verdict:
+    """What came of a run."""
+
+    name: str
+    violations: list[Violation] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # what was expected and is not so
+    figures: dict[str, Any] = field(default_factory=dict)
+    steps: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether all rules and expectations were kept."""
+        return not self.violations and not self.faults
+
+    def text(self) -> str:
+        """For people."""
+        lines = [f"{self.name}: {'kept' if self.kept else 'BROKEN'}"]
+        lines += [f"  rule {v.rule}: {v.what}" for v in self.violations[:20]]
+        lines += [f"  {fault}" for fault in self.faults]
+        lines += [f"  {name}: {value}" for name, value in self.figures.items()]
+        return "\n".join(lines)
+
+
+class Clients(HttpLoad):
+    """Load whose jobs are told to the history."""
+
+    def __init__(self, rig: "Rig", addresses: list[tuple[str, int]], tallies: dict[str, Tally], seconds: float) -> None:
+        super().__init__(addresses, tallies, seconds)
+        self.rig = rig
+        self.at: dict[str, str] = {}  # who has a job
+
+    def handed(self, job: Job, door: int) -> None:
+        """A job goes to a dispatcher."""
+        now, name, lane = self.rig.history.now(), f"d{door}", job.due.lane
+        self.at[job.txn] = name
+        left = max(1.0, lane.deadline_ms - (self.now() - job.due.at))
+        self.rig.history.see(Taken(now, name, job.txn, lane.name, lane.effect == "once", now + left))
+
+    def ended(self, job: Job, how: str) -> None:
+        """A job is over."""
+        super().ended(job, how)
+        name, history = self.at.get(job.txn), self.rig.history
+        if name is None:
+            return
+        process = self.rig.processes[name]
+        if how != "lost":
+            history.see(Answered(history.now(), name, job.txn, how))
+        elif not process.wanted or not process.runs:
+            history.see(Ended(history.now(), name, job.txn))  # lost with its dispatcher
+            self.rig.lost_with += 1
+
+
+class Rig:
+    """One run of a script in a folder of its own."""
+
+    def __init__(
+        self, script: Script, folder: Path, events: Path | None = None, source: Path | None = None
+    ) -> None:
+        """``source`` is the folder of another version of the program, in place of this one."""
+        self.script, self.folder, self._source = script, folder, source
+        self.rng = Random(script.seed)
+        self.checker = Checker(slack=script.slack_ms, drain_grace=2500.0 + script.slack_ms)
+        self.history = History(self.checker, events)
+        self.paths = Paths(script.seed)
+        table = script.register
+        self.register = Register(table.call_ms, table.wait_most_ms, table.turned_ms, script.seed)
+        self.register.retry_after = table.retry_after_ms
+        self.register.told, self.register.wrote = self._called, self._wrote
+        self.register.address_of = self._address_of
+        self.runners = Runners(script, self.register, self.history, lambda txn: self.clients.at.get(txn, ""),
+                               self.paths.gone)  # fmt: skip
+        self.processes: dict[str, Process] = {}
+        self.clients: Clients
+        self.lost_with = 0  # jobs that ended with their dispatcher
+        self.listed_after: dict[str, float] = {}  # s from the beginning until a dispatcher had its list
+        self._doors: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._failed: list[str] = []
+        self._reads: set[str] = set()  # those that the register tells by itself
+
+    # -- the run
+
+    async def play(self) -> Verdict:
+        """The whole script; what cannot be started raises ``OSError``."""
+        try:
+            await self._open()
+            load = self._begin(self._load())
+            if self.script.begin == "listed":
+                await self.until(self._all_listed, LISTED_WITHIN)
+            self.history.began = self.history.now()
+            for step in self.script.step:
+                self._begin(self._do(step))
+            self._begin(self._watch_processes())
+            self._begin(self._watch_lists())
+            await asyncio.sleep(self.script.span_s)
+            await asyncio.wait_for(load, self._longest() + 5)
+            reading = self.reading()
+            listed = await self._lists()
+            return self._judge(reading, listed)
+        finally:
+            await self._close()
+
+    def reading(self) -> list[str]:
+        """The dispatchers that watch the register now, as it sees them."""
+        return self.register.watching()
+
+    async def until(self, what: Callable[[], Awaitable[bool]], seconds: float) -> bool:
+        """Whether something has come to be within this time."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while not await what():
+            if loop.time() > end:
+                return False
+            await asyncio.sleep(LISTED_LOOK)
+        return True
+
+    # -- start and end
+
+    async def _open(self) -> None:
+        script, count = self.script, self.script.dispatchers.count
+        (self.folder / "key").write_text("a key that is long enough")
+        names = [f"d{number}" for number in range(count)]
+        ports = _ports(4 * count)
+        operators = dict(zip(names, ports[count : 2 * count], strict=True))
+        self._doors = dict(zip(names, ports[:count], strict=True))
+        peers = dict(zip(names, ports[2 * count : 3 * count], strict=True))
+        members = dict(zip(names, ports[3 * count :], strict=True))
+        await self.runners.open()
+        relayed = "peers" in script.relays
+        seen_peers = await self.paths.udp(peers) if relayed and script.dispatchers.peers else peers
+        seen_members = await self.paths.udp(members) if relayed and script.dispatchers.cluster else members
+        for number, name in enumerate(names):
+            discovery = await self.register.open(caller=name)
+            where = f"127.0.0.1:{discovery}"
+            if "register" in script.relays:
+                where = self.paths.tcp(name, "register", lambda real=where: real)  # type: ignore[misc]
+            process = self.processes[name] = Process(name, self.folder, operators[name], self._source)
+            told = [f"127.0.0.1:{peers[o] if o == name else seen_peers[o]}" for o in names]
+            seeds = [seen_members[o] for o in names[: script.dispatchers.seeds] if o != name]
+            write_file(process, script, door=self._doors[name], discovery=where, member=members[name],
+                       peers=told if script.dispatchers.peers and count > 1 else [], advertised=seen_members[name],
+                       seeds=seeds)  # fmt: skip
+            if number % 20 == 19:
+                await asyncio.sleep(0)
+        if script.register.down:
+            self._down(True)
+        later = set(choose(script.dispatchers.later, script, Random(script.seed)))
+        self.history.began = self.history.now()
+        for name in names:
+            if name not in later:
+                self._start(name)
+                await asyncio.sleep(0)
+
+    async def _load(self) -> None:
+        lanes, rng, span = lanes_of(self.script), Random(self.script.seed), self.script.span_s * 1000
+        tallies = {name: Tally(lane) for name, lane in lanes.items()}
+        addresses = [("127.0.0.1", port) for port in self._doors.values()]
+        self.clients = Clients(self, addresses, tallies, self.script.span_s + 60)
+        if self.script.begin == "listed":
+            await self.until(self._all_listed, LISTED_WITHIN)
+        due = []
+        for lane in self.script.classes:
+            at = 0.0
+            while (at := at + rng.expovariate(lane.rate / 1000)) < span - lane.deadline_ms:
+                due.append(Due(at, lanes[lane.name], lane.work_ms * rng.uniform(0.5, 1.5)))
+        await self.clients.run(sorted(due, key=lambda each: each.at))
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for process in self.processes.values():
+            if process.runs:
+                process.signal(signal.SIGCONT)
+                process.signal(signal.SIGKILL)
+        self.paths.close()
+        self.register.close()
+        self.runners.close()
+        self.history.close()
+        await asyncio.sleep(0)
+
+    def _begin(self, work: Any) -> "asyncio.Task[None]":
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        return task
+
+    def _start(self, name: str) -> None:
+        self.history.see(Started(self.history.now(), name))
+        self.processes[name].start()
+
+    def _longest(self) -> float:
+        return max((lane.deadline_ms for lane in self.script.classes), default=0.0) / 1000
+
+    # -- what is seen
+
+    def _called(self, call: Call) -> None:
+        self.history.see(Called(self.history.now(), call.caller, call.whole, call.turned, call.waited))
+
+    def _wrote(self, caller: str, instances: list[dict[str, Any]], whole: bool) -> None:
+        """The register has told a dispatcher; who goes by another's list counts as told somewhat later."""
+        now = self.history.now()
+        for instance in instances:
+            self.history.see(Listed(now, caller, instance["instanceId"], STATES[instance["lifecycle"]]))
+
+    def _changed(self, name: str, state: str) -> None:
+        def told() -> None:
+            for process in self.processes:
+                self.history.see(Listed(self.history.now(), process, name, STATES[state]))
+
+        if self.script.dispatchers.cluster:
+            asyncio.get_running_loop().call_later(self.script.told_after_ms / 1000, told)
+
+    def _address_of(self, caller: str, name: str, address: str) -> str:
+        if "runners" not in self.script.relays or name not in self.runners.servers:
+            return address
+        return self.paths.tcp(caller, name, lambda: self.runners.address(name))
+
+    async def _watch_processes(self) -> None:
+        while True:
+            for name, process in self.processes.items():
+                if process.look():
+                    self._failed.append(f"{name} ended by itself with status {process.ended[-1]}")
+                    self.history.see(Stopped(self.history.now(), name, True))
+            await asyncio.sleep(LOOK)
+
+    async def _watch_lists(self) -> None:
+        """When each has its list, read off its figures until it has."""
+        while len(self.listed_after) < len(self.processes):
+            waiting = [p for n, p in self.processes.items() if n not in self.listed_after and p.runs]
+            for process in waiting:
+                if await self._has_list(process):
+                    self.listed_after[process.name] = (self.history.now() - self.history.began) / 1000
+            await asyncio.sleep(LISTED_LOOK)
+
+    async def _has_list(self, process: Process) -> bool:
+        wanted = sum(i["lifecycle"] != "left" for i in self.register.instances.values())
+        return bool((await process.figures()).get("svc_targets") == wanted)
+
+    async def _lists(self) -> dict[str, bool]:
+        """Of all that run, whether they have the whole list."""
+        running = [process for process in self.processes.values() if process.wanted and process.runs]
+        return {process.name: await self._has_list(process) for process in running}
+
+    async def _all_listed(self) -> bool:
+        running = [process for process in self.processes.values() if process.runs]
+        return bool(running) and all([await self._has_list(process) for process in running])
+
+    # -- steps
+
+    async def _do(self, step: Step) -> None:
+        began = self.history.began
+        await asyncio.sleep(max(0.0, step.at_s - (self.history.now() - began) / 1000))
+        who = choose(step.who, self.script, self.rng, self.reading())
+        for number, name in enumerate(who or [""]):
+            if number and step.every_s:
+                await asyncio.sleep(step.every_s)
+            self.history.step(f"{step.do} {name}".strip())
+            back = await self._act(step, name)
+            if step.for_s is not None and step.do in LASTING:
+                self._begin(self._later(step.for_s, f"end of {step.do} {name}".strip(), back))
+
+    async def _later(self, seconds: float, what: str, back: Callable[[], Any]) -> None:
+        await asyncio.sleep(seconds)
+        self.history.step(what)
+        done = back()
+        if asyncio.iscoroutine(done):
+            await done
+
+    async def _act(self, step: Step, name: str) -> Callable[[], Any]:
+        """Do it; returns what takes it back."""
+        if step.do in PROCESS:
+            return await self._process(step, name)
+        if name.startswith("r") and name != "register":
+            return await self._runner(step, name)
+        if step.do in ("down", "up", "hang", "speak", "anew", "costs", "turn"):
+            return self._register(step)
+        return self._between(step)
+
+    async def _process(self, step: Step, name: str) -> Callable[[], Any]:
+        process = self.processes[name]
+        if step.do == "start":
+            self._start(name)
+        elif step.do == "kill":
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+            self.history.see(Stopped(self.history.now(), name, True))
+        elif step.do == "term":
+            process.signal(signal.SIGTERM)
+            await asyncio.to_thread(_wait, process)
+            self.history.see(Stopped(self.history.now(), name, False))
+        else:
+            process.signal({"stop": signal.SIGSTOP, "go": signal.SIGCONT, "hup": signal.SIGHUP}[step.do])
+        if step.do == "kill":
+            return lambda: self._start(name)
+        return lambda: process.signal(signal.SIGCONT)
+
+    async def _runner(self, step: Step, name: str) -> Callable[[], Any]:
+        if step.do == "die":
+            self.runners.die(name)
+            return lambda: self.runners.back(name, step.cold)
+        if step.do == "back":
+            await self.runners.back(name, step.cold)
+        elif step.do == "slow":
+            self.runners.hosts[name].slow = step.factor
+        elif step.do == "list":
+            self.runners.list_as(name, step.state)
+            self._changed(name, step.state)
+        return lambda: setattr(self.runners.hosts[name], "slow", 1.0)
+
+    def _register(self, step: Step) -> Callable[[], Any]:
+        register = self.register
+        if step.do in ("down", "up"):
+            self._down(step.do == "down")
+            return lambda: self._down(False)
+        if step.do in ("hang", "speak"):
+            register.silent = step.do == "hang"
+            return lambda: setattr(register, "silent", False)
+        if step.do == "anew":
+            register.anew()
+        elif step.do == "costs":
+            register.call_ms = step.ms
+        else:
+            register.turn_share = step.share
+        return lambda: setattr(register, "turn_share", 0.0)
+
+    def _down(self, down: bool) -> None:
+        """The register's process ends, or is there again; dials are refused meanwhile."""
+        if down:
+            self.register.close()
+            self.paths.gone("register", True)
+        else:
+            self._begin(self._up())
+
+    async def _up(self) -> None:
+        for name in self.processes:
+            await self.register.open(caller=name)
+        self.paths.gone("register", False)
+
+    def _between(self, step: Step) -> Callable[[], Any]:
+        sources = choose(step.source, self.script, self.rng, self.reading())
+        targets = choose(step.target, self.script, self.rng, self.reading())
+        chosen = self.paths.choose(sources, targets)
+        for path, forward in chosen:
+            self._fault(step, path, forward, True)
+
+        def back() -> None:
+            for path, forward in chosen:
+                self._fault(step, path, forward, False)
+
+        return back
+
+    def _fault(self, step: Step, path: Between, forward: bool, on: bool) -> None:
+        ways = [path.out, path.back] if step.both else [path.out if forward else path.back]
+        if step.do == "heal":
+            path.refusing = path.full = path.silent = False
+            for way in (path.out, path.back):
+                way.heal()
+        elif step.do == "refuse":
+            path.refusing = on
+        elif step.do == "full":
+            path.full = on
+        elif step.do == "reset":
+            for link in list(path.links):
+                link.reset()
+        for way in ways:
+            if step.do in ("cut", "silent"):
+                way.held = on
+            elif step.do == "delay":
+                way.delay_ms = step.ms if on else 0.0
+            elif step.do == "loss":
+                way.loss = step.share if on else 0.0
+        if step.do in ("trickle", "half"):  # of what the target answers
+            setattr(path.back if forward else path.out, step.do, step.bytes if on else 0)
+        if step.do == "silent":
+            path.silent = on
+        path.changed()
+
+    # -- the verdict
+
+    def _judge(self, reading: list[str], listed: dict[str, bool]) -> Verdict:
+        expect, checker = self.script.expect, self.checker
+        verdict = Verdict(self.script.name, checker.finish(self.history.now()), list(self._failed))
+        verdict.steps = self.history.steps
+        dials = {host: rush.most for host, rush in checker.dial_rush.items()}
+        tallies = self.clients.tallies.values()
+        jobs = sum(tally.jobs for tally in tallies)
+        served = sum(tally.finals["on_time"] + tally.finals["late"] for tally in tallies)
+        after = sorted(self.listed_after.values())
+        figures = {
+            "calls": checker.calls["all"], "calls for the whole list": checker.calls["whole"],
+            "calls turned away": checker.calls["turned"], "most calls in 100 ms": checker.call_rush[0].most,
+            "most calls in 1 s": checker.call_rush[1].most, "reading in the end": len(reading),
+            "listed in the end": sum(listed.values()), "running in the end": len(listed),
+            "first and last listed after s": (round(after[0], 2), round(after[-1], 2)) if after else None,
+            "jobs": jobs, "served": served, "lost with their dispatcher": self.lost_with,
+            "most dials at a runner in 1 s": max(dials.values(), default=0), "dials": sum(checker.dials.values()),
+            "most of what a cold runner stands": round(checker.coldest, 2),
+        }  # fmt: skip
+        verdict.figures = figures
+        bounds = {
+            "calls": expect.calls_most, "most calls in 1 s": expect.calls_in_1s_most,
+            "most calls in 100 ms": expect.calls_in_100ms_most, "calls turned away": expect.turned_most,
+            "most dials at a runner in 1 s": expect.dials_in_1s_most,
+        }  # fmt: skip
+        for name, most in bounds.items():
+            if most is not None and figures[name] > most:
+                verdict.faults.append(f"{name}: {figures[name]}, at most {most:g} expected")
+        if expect.listed and not all(listed.values()):
+            without = [name for name, has in listed.items() if not has]
+            verdict.faults.append(f"without the whole list in the end: {', '.join(without)}")
+        if expect.reading is not None and not expect.reading[0] <= len(reading) <= expect.reading[1]:
+            verdict.faults.append(f"reading in the end: {', '.join(reading) or 'nobody'}; {expect.reading} expected")
+        counted = jobs - self.lost_with
+        if expect.served_least is not None and served < expect.served_least * counted:
+            verdict.faults.append(f"served: {served} of {counted}, at least {expect.served_least:g} of them expected")
+        for process in self.processes.values():
+            verdict.faults += [f"{process.name}: {line[:400]}" for line in process.faults()]
+        return verdict
+
+
+def play(
+    script: Script, folder: Path | None = None, events: Path | None = None, source: Path | None = None
+) -> Verdict:
+    """Play a script in a folder, or in one that is deleted afterwards; raises ``OSError``."""
+    where = folder or Path(tempfile.mkdtemp(prefix="heronlug-rig-"))
+    try:
+        return asyncio.run(_play(script, where, events, source))
+    finally:
+        if folder is None:
+            shutil.rmtree(where, ignore_errors=True)
+
+
+async def _play(script: Script, folder: Path, events: Path | None, source: Path | None) -> Verdict:
+    return await Rig(script, folder, events, source).play()
+
+
+def _ports(count: int) -> list[int]:
+    """Ports that nothing listens on now, all different and below those that the system gives by itself."""
+    found: list[int] = []
+    start = Random().randrange(PORTS)
+    for step in range(PORTS):
+        port = LOW_PORT + (start + step) % PORTS
+        if all(_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            found.append(port)
+            if len(found) == count:
+                return found
+    raise OSError("no free ports")
+
+
+def _free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
+def _wait(process: Process) -> None:
+    if process.program is not None:
+        try:
+            process.program.wait(STOP_WITHIN)
+        except Exception:
+            process.program.kill()
+            process.program.wait()
--- /dev/null
+++ b/heronlug/rig/runners.py
@@ -0,0 +1,116 @@
+"""The rig's runners: the emulator's hosts behind sockets, with what they see told to the history."""
+
+from collections.abc import Callable
+from typing import Any
+
+from heronlug.emulator.draws import Draws
+from heronlug.emulator.hosts import Host, Kind, Run, Warmth
+from heronlug.emulator.scenario import ClassTable
+from heronlug.rig.history import History
+from heronlug.rig.script import Script
+from heronlug.rules import Began, Dialled, Load, Sent
+from heronlug.standin.fleet import Server
+from heronlug.standin.live import LiveLine
+from heronlug.standin.register import Register
+
+KIND = "m1"
+
+
+def lanes_of(script: Script) -> dict[str, ClassTable]:
+    """The script's classes as the stand-ins know them."""
+    return {
+        lane.name: ClassTable(
+            lane.name, lane.effect, lane.aim_ms, lane.deadline_ms, {"dist": "uniform"}, lane.worth,
+        )
+        for lane in script.classes
+    }  # fmt: skip
+
+
+class Runners:
+    """All runners by name; the register lists them."""
+
+    def __init__(
+        self, script: Script, register: Register, history: History, sender: Callable[[str], str],
+        gone: Callable[[str, bool], None],
+    ) -> None:  # fmt: skip
+        """``sender`` knows the dispatcher that a request was handed to; ``gone`` hears of processes that end."""
+        self.script, self.register, self.history = script, register, history
+        self.lanes = lanes_of(script)
+        self.works: dict[str, Draws] = {}  # each job brings its own
+        self.line = LiveLine()
+        self.hosts: dict[str, Host] = {}
+        self.servers: dict[str, Server] = {}
+        self._sender, self._gone = sender, gone
+        table = script.runners
+        self._warmth = Warmth(table.cold_from, table.warm_after_ms, table.tip_multiple, table.overload_for_ms)
+
+    async def open(self) -> None:
+        """Start and list all of them; raises ``OSError``."""
+        table = self.script.runners
+        for number in range(table.count):
+            name = f"r{number}"
+            kind = Kind(KIND, table.slots, 1.0, table.queue)
+            host = self.hosts[name] = Host(name, kind, number % len(self.script.halls), self.line, self._warmth)
+            host.tipped, host.began = self._tipped, self._began
+            if table.cold:
+                host.start()
+            self.servers[name] = Server(self, host)
+            await self.servers[name].open()
+            self.list_as(name, "active")
+
+    def address(self, name: str) -> str:
+        """Where it really is."""
+        return f"127.0.0.1:{self.servers[name].port}"
+
+    def list_as(self, name: str, state: str) -> None:
+        """The register has it so."""
+        host = self.hosts[name]
+        started = round(self._unix(host.started_at)) if host.started_at else 0
+        self.register.put(name, hostPort=self.address(name), zone=self.script.halls[host.zone], machineType=KIND,
+                          lifecycle=state, startedAtMs=started)  # fmt: skip
+
+    def die(self, name: str) -> None:
+        """Its process ends."""
+        self.hosts[name].end()
+        self.servers[name].close()
+        self._gone(name, True)
+
+    async def back(self, name: str, cold: bool) -> None:
+        """A new process at the same address."""
+        host = self.hosts[name]
+        if cold:
+            host.start()
+        else:
+            host.up = True
+        self._gone(name, False)
+        await self.servers[name].open()
+        self.list_as(name, "active")
+
+    def close(self) -> None:
+        """End all."""
+        for server in self.servers.values():
+            server.close()
+
+    # -- what the sockets tell
+
+    def dialled(self, host: Host) -> None:
+        """A connection has come up."""
+        self.history.see(Dialled(self.history.now(), host.name))
+
+    def came(self, host: Host, txn: str) -> None:
+        """A whole request has come."""
+        self.history.see(Sent(self.history.now(), self._sender(txn), txn, host.name))
+
+    # -- inside
+
+    def _unix(self, at: float) -> float:
+        return self.history.now() - (self.line.now - at)
+
+    def _began(self, host: Host, run: Run) -> None:
+        request: Any = run.job
+        self.history.see(Began(self.history.now(), host.name, request.txn))
+
+    def _tipped(self, host: Host) -> None:
+        stands = self._warmth.tip_multiple * host.capacity()
+        self.history.see(Load(self.history.now(), host.name, host.inside / stands, host.cold))
+        self.die(host.name)
--- /dev/null
+++ b/heronlug/rig/script.py
@@ -0,0 +1,250 @@
+"""A rig's script: what is started, what befalls it and when, and what has to hold in the end.  TOML, by ``forms``.
+
+A party is named ``d0`` (a dispatcher), ``r0`` (a runner), ``register`` or ``clients``. A selector names parties:
+a name, a pattern (``d*``), ``hall:a``, ``hall:a/r*`` (of these the runners), ``share:0.7/d*`` (so many of them, drawn
+from the seed), ``but:d1`` (all dispatchers but these), ``reading`` (the dispatchers that watch the register at that
+moment).
+"""
+
+from fnmatch import fnmatchcase
+from math import inf
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, Struct, field
+
+from heronlug.forms import Fault, Faults, Source
+from heronlug.forms.decode import decode
+
+Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
+Count = Annotated[int, Meta(ge=0, le=1000, description="a whole number, 0 to 1000")]
+Millis = Annotated[float, Meta(ge=0, le=3_600_000, description="milliseconds, 0 to an hour")]
+Seconds = Annotated[float, Meta(ge=0, le=3600, description="seconds, 0 to an hour")]
+Share = Annotated[float, Meta(ge=0, le=1, description="a share, 0 to 1")]
+Most = Annotated[float, Meta(ge=0, le=1e9, description="a figure, 0 or more")]
+Names = Annotated[list[str], Meta(min_length=1, description="a list of names")]
+Flag = Annotated[bool, Meta(description="true or false")]
+
+PROCESS = ("kill", "stop", "go", "start", "term", "hup")  # of dispatchers
+BETWEEN = ("cut", "silent", "refuse", "full", "reset", "delay", "loss", "trickle", "half", "heal")  # of paths
+REGISTER = ("down", "up", "hang", "speak", "anew", "costs", "turn")  # of the register itself
+HOSTS = ("die", "back", "list", "slow")  # of runners
+DOING = (*PROCESS, *BETWEEN, *REGISTER, *HOSTS)
+LASTING = {  # what ``for_s`` takes back
+    "cut", "silent", "refuse", "full", "delay", "loss", "trickle", "half", "stop", "kill", "down", "hang", "turn",
+    "die", "slow",
+}  # fmt: skip
+
+
+class DispatchersTable(Struct, forbid_unknown_fields=True):
+    """The processes of the program."""
+
+    count: Annotated[int, Meta(ge=1, le=400, description="a whole number, 1 to 400")]
+    peers: Flag = True  # they tell each other over UDP, as on the platform
+    cluster: Annotated[Literal["", "list", "news"], Meta(description='"", "list" or "news"')] = ""
+    seeds: Annotated[int, Meta(ge=0, le=64, description="a whole number, 0 to 64")] = 3  # of the cluster
+    more: str = ""  # TOML that stands at the end of each one's file; {name} and {folder} are put in
+    later: list[str] = field(default_factory=list)  # selectors of those that a step starts
+
+
+class RegisterTable(Struct, forbid_unknown_fields=True):
+    """The node register: it works through calls one after another."""
+
+    call_ms: Millis = 0.0  # what a call costs it
+    wait_most_ms: Millis = 1000.0  # a call that would wait longer is turned away
+    turned_ms: Millis = 0.0  # what that costs it
+    retry_after_ms: Millis = 0.0  # told then; 0 for nothing
+    down: Flag = False  # at the start
+
+
+class RunnersTable(Struct, forbid_unknown_fields=True):
+    """Stand-in runners."""
+
+    count: Count = 4
+    slots: Annotated[int, Meta(ge=1, le=1024, description="a whole number, 1 to 1024")] = 4
+    queue: Annotated[int, Meta(ge=0, le=100_000, description="jobs, 0 or more")] = 64
+    cold: Flag = False  # all have just started when the clock begins
+    cold_from: Annotated[float, Meta(gt=0, le=1, description="a share, more than 0")] = 0.15
+    warm_after_ms: Millis = 20_000.0
+    tip_multiple: Annotated[float, Meta(ge=1, le=100, description="a factor, 1 to 100")] = 3.0
+    overload_for_ms: Millis = 3000.0
+
+
+class ClassTable(Struct, forbid_unknown_fields=True):
+    """A class of jobs."""
+
+    name: Text
+    rate: Annotated[float, Meta(gt=0, le=10_000, description="jobs a second, more than 0")]
+    effect: Annotated[
+        Literal["repeatable", "by_key", "once"], Meta(description='"repeatable", "by_key" or "once"')
+    ] = "repeatable"
+    work_ms: Millis = 50.0  # the mean; each job's is drawn from 0.5 to 1.5 times that
+    aim_ms: Millis = 1000.0
+    deadline_ms: Millis = 5000.0
+    worth: Most = 1.0
+
+
+class Step(Struct, forbid_unknown_fields=True, rename={"source": "from", "target": "to"}):
+    """One thing that happens."""
+
+    at_s: Seconds
+    do: Annotated[Literal[DOING], Meta(description="one of " + ", ".join(DOING))]  # type: ignore[valid-type]
+    who: list[str] = field(default_factory=list)  # whom it befalls
+    source: list[str] = field(default_factory=lambda: ["*"])  # of paths
+    target: list[str] = field(default_factory=lambda: ["*"])
+    both: Flag = True  # ways; false: only what goes from source to target
+    for_s: Seconds | None = None  # then it is taken back
+    every_s: Seconds = 0.0  # with several parties: one after another, so far apart
+    ms: Millis = 0.0  # of a delay, or of a call's cost
+    bytes: Annotated[int, Meta(ge=0, le=10_000_000, description="bytes, 0 or more")] = 0  # a second, or of an answer
+    share: Share = 0.0  # of a loss, of calls turned away
+    factor: Annotated[float, Meta(gt=0, le=1000, description="a factor, more than 0")] = 1.0
+    state: Annotated[
+        Literal["active", "leaving", "left"], Meta(description='"active", "leaving" or "left"')
+    ] = "active"
+    cold: Flag = True  # a runner that comes back
+
+
+class ExpectTable(Struct, forbid_unknown_fields=True):
+    """What has to hold beside the four rules.  What is absent is not asked for."""
+
+    calls_most: Most | None = None
+    calls_in_1s_most: Most | None = None
+    calls_in_100ms_most: Most | None = None
+    dials_in_1s_most: Most | None = None  # at any one runner
+    turned_most: Most | None = None
+    listed: Flag = False  # every dispatcher that lives has the whole list in the end
+    reading: list[int] | None = None  # at least and at most so many watch the register in the end
+    served_least: Share | None = None  # of the jobs whose clients did not lose their dispatcher
+    alive: Flag = True  # nobody ended that no step ended
+
+
+class Script(Struct, forbid_unknown_fields=True, rename={"classes": "class"}):
+    """A whole script.  The lists hold the forms above once it has been read."""
+
+    name: Text
+    span_s: Annotated[float, Meta(gt=0, le=3600, description="seconds, more than 0")]
+    dispatchers: Any
+    seed: Annotated[int, Meta(ge=0, le=2**31, description="a whole number, 0 or more")] = 1
+    begin: Annotated[Literal["start", "listed"], Meta(description='"start" or "listed"')] = "start"
+    halls: Names = field(default_factory=lambda: ["a"])
+    slack_ms: Millis = 1000.0  # granted to answers and to drains, for clocks and a busy machine
+    told_after_ms: Millis = 4000.0  # who does not read itself counts as told of a change after this
+    relays: Annotated[
+        list[Literal["register", "runners", "peers"]], Meta(description='of "register", "runners", "peers"')
+    ] = field(default_factory=lambda: ["register", "runners", "peers"])  # paths that go through a relay
+    register: Any = field(default_factory=dict)
+    runners: Any = field(default_factory=dict)
+    expect: Any = field(default_factory=dict)
+    classes: list[Any] = field(default_factory=list)
+    step: list[Any] = field(default_factory=list)
+
+    @property
+    def parties(self) -> list[str]:
+        """All that selectors may name."""
+        dispatchers = [f"d{number}" for number in range(self.dispatchers.count)]
+        return [*dispatchers, *(f"r{number}" for number in range(self.runners.count)), "register", "clients"]
+
+    def hall(self, party: str) -> str:
+        """Where a party stands; the register and the clients stand nowhere."""
+        return self.halls[int(party[1:]) % len(self.halls)] if party[1:].isdigit() else ""
+
+
+TABLES: dict[str, type[Struct]] = {
+    "dispatchers": DispatchersTable, "register": RegisterTable, "runners": RunnersTable, "expect": ExpectTable,
+}  # fmt: skip
+LISTS: dict[str, type[Struct]] = {"class": ClassTable, "step": Step}
+
+
+def load(path: Path) -> Script:
+    """Read a file; raises :class:`Faults` with all that is wrong."""
+    return parse(Source.read(path))
+
+
+def parse(source: Source) -> Script:
+    """The script of a file; raises :class:`Faults`."""
+    script, faults = decode(Script, source.table, source, ())
+    if script is None:
+        raise Faults(faults)
+    for key, kind in TABLES.items():
+        made, wrong = decode(kind, getattr(script, key), source, (key,))
+        setattr(script, key, made)
+        faults += wrong
+    for key, kind in LISTS.items():
+        attribute = "classes" if key == "class" else key
+        listed = []
+        for number, table in enumerate(getattr(script, attribute)):
+            made, wrong = decode(kind, table, source, (key, number))
+            listed.append(made)
+            faults += wrong
+        setattr(script, attribute, listed)
+    if not faults:
+        faults = _wrong(script, source)
+    if faults:
+        raise Faults(faults)
+    return script
+
+
+def _wrong(script: Script, source: Source) -> list[Fault]:
+    """What is wrong among the tables."""
+    faults = []
+    for number, step in enumerate(script.step):
+        at = ("step", number)
+        if step.at_s >= script.span_s:
+            faults.append(source.fault((*at, "at_s"), "after the end", f"less than {script.span_s:g}"))
+        if step.do in (*PROCESS, *HOSTS) and not step.who:
+            faults.append(source.fault((*at, "who"), "nobody", 'such as ["d0"]'))
+        if step.for_s is not None and step.do not in LASTING:
+            right = "no for_s; it can be taken back of " + ", ".join(sorted(LASTING))
+            faults.append(source.fault((*at, "for_s"), f"{step.do!r} is over at once", right))
+        if step.do in PROCESS and step.for_s is not None and step.do not in ("stop", "kill"):
+            faults.append(source.fault((*at, "for_s"), f"{step.do!r} is over at once", "no for_s"))
+        for key, selectors in (("who", step.who), ("from", step.source), ("to", step.target)):
+            for place, selector in enumerate(selectors):
+                if selector != "reading" and not choose([selector], script, Random(1), ["d0"]):
+                    wrong = f"{selector!r} names nobody"
+                    faults.append(source.fault((*at, key, place), wrong, "a party of the script"))
+    for place, selector in enumerate(script.dispatchers.later):
+        if not choose([selector], script, Random(1)):
+            faults.append(source.fault(("dispatchers", "later", place), f"{selector!r} names nobody", "such as d3"))
+    least_most = script.expect.reading
+    if least_most is not None and (len(least_most) != 2 or least_most[0] > least_most[1]):
+        faults.append(source.fault(("expect", "reading"), f"{least_most} is no span", "such as [1, 2]"))
+    if script.dispatchers.cluster and "runners" in script.relays and script.runners.count:
+        wrong = "with [dispatchers] cluster one list serves all, and so does one address of each runner"
+        faults.append(source.fault(("relays",), wrong, '["register", "peers"]'))
+    return faults
+
+
+def choose(selectors: list[str], script: Script, rng: Random, reading: list[str] | None = None) -> list[str]:
+    """The parties that selectors name, each once, in order."""
+    chosen: dict[str, None] = {}
+    for selector in selectors:
+        chosen.update(dict.fromkeys(_chosen(selector, script, rng, reading or [])))
+    return list(chosen)
+
+
+def _chosen(selector: str, script: Script, rng: Random, reading: list[str]) -> list[str]:
+    if selector == "reading":
+        return reading
+    head, colon, rest = selector.partition(":")
+    value, _, pattern = rest.partition("/")
+    if colon and head == "hall":
+        return [p for p in script.parties if script.hall(p) == value and fnmatchcase(p, pattern or "*")]
+    if colon and head == "share":
+        there = [p for p in script.parties if fnmatchcase(p, pattern or "d*")]
+        try:
+            count = round(float(value) * len(there))
+        except ValueError:
+            return []
+        return sorted(rng.sample(there, min(len(there), max(0, count))), key=there.index)
+    if colon and head == "but":
+        names = rest.split(",")
+        return [p for p in script.parties if p.startswith("d") and not any(fnmatchcase(p, n) for n in names)]
+    return [p for p in script.parties if fnmatchcase(p, selector)]
+
+
+def ends(step: Step) -> float:
+    """When a step is taken back."""
+    return step.at_s + step.for_s if step.for_s is not None else inf
--- a/heronlug/rules/__init__.py
+++ b/heronlug/rules/__init__.py
@@ -4,6 +4,8 @@
 from heronlug.rules.events import (
     Answered,
     Began,
+    Called,
+    Dialled,
     Ended,
     Event,
     Listed,
@@ -16,5 +18,5 @@
     write,
 )
 
-__all__ = ["Answered", "Began", "Checker", "Ended", "Event", "Listed", "Load", "Sent", "Started", "Stopped", "Taken",
-           "Violation", "read", "write"]  # fmt: skip
+__all__ = ["Answered", "Began", "Called", "Checker", "Dialled", "Ended", "Event", "Listed", "Load", "Sent", "Started",
+           "Stopped", "Taken", "Violation", "read", "write"]  # fmt: skip
--- a/heronlug/rules/checker.py
+++ b/heronlug/rules/checker.py
@@ -5,6 +5,8 @@
 3. A host that a dispatcher was told drains or is gone gets nothing new of it after the grace.
 4. No cold host is pushed over, by all dispatchers together.
 
+Beside these it counts what spares others: calls of the register and dials at hosts, the most in any window of time.
+
 A violation comes with the events that led to it. Memory is bounded by what is open and, for rule 2, by the jobs that
 must not run twice.
 """
@@ -13,7 +15,20 @@
 from math import inf
 from typing import NamedTuple
 
-from heronlug.rules.events import Answered, Began, Ended, Event, Listed, Load, Sent, Started, Stopped, Taken
+from heronlug.rules.events import (
+    Answered,
+    Began,
+    Called,
+    Dialled,
+    Ended,
+    Event,
+    Listed,
+    Load,
+    Sent,
+    Started,
+    Stopped,
+    Taken,
+)
 
 TRAIL = 12  # events kept for each open job, and for each host
 KEPT = 200  # violations kept whole; all are counted
@@ -28,6 +43,24 @@
     trail: tuple[Event, ...]  # the events that led there, the last last
 
 
+class Rush:
+    """The most that came within a window of time, of a kind of event."""
+
+    __slots__ = ("_last", "most", "span")
+
+    def __init__(self, span: float) -> None:
+        """``span`` in milliseconds."""
+        self.span, self.most = span, 0
+        self._last: deque[float] = deque()
+
+    def see(self, at: float) -> None:
+        """One more."""
+        self._last.append(at)
+        while self._last[0] <= at - self.span:
+            self._last.popleft()
+        self.most = max(self.most, len(self._last))
+
+
 class Open:
     """A job that is owed an answer."""
 
@@ -48,6 +81,10 @@
         self.counts: Counter[int] = Counter()  # by rule
         self.seen = 0
         self.coldest = 0.0  # the highest share of what a cold host stands
+        self.calls: Counter[str] = Counter()  # of the register: all, whole, turned
+        self.call_rush = Rush(100.0), Rush(1000.0)
+        self.dials: Counter[str] = Counter()  # by host
+        self.dial_rush: dict[str, Rush] = {}
         self._open: dict[tuple[str, str], Open] = {}
         self._over: dict[str, set[str]] = {}  # by dispatcher: jobs that have had their answer
         self._once: set[str] = set()
@@ -79,6 +116,13 @@
             self._over[event.dispatcher] = set()
             for key in [key for key in self._told_off if key[0] == event.dispatcher]:
                 del self._told_off[key]  # a new process is told anew
+        elif isinstance(event, Called):
+            self.calls.update(all=1, whole=int(event.whole), turned=int(event.turned))
+            for rush in self.call_rush:
+                rush.see(event.at)
+        elif isinstance(event, Dialled):
+            self.dials[event.host] += 1
+            self.dial_rush.setdefault(event.host, Rush(1000.0)).see(event.at)
         else:
             self._stopped(event)
 
--- a/heronlug/rules/events.py
+++ b/heronlug/rules/events.py
@@ -87,9 +87,27 @@
     fell: bool
 
 
-Event = Started | Stopped | Taken | Answered | Sent | Began | Ended | Listed | Load
+class Called(NamedTuple):
+    """The node register has been called by a dispatcher."""
+
+    at: float
+    dispatcher: str
+    whole: bool  # for the whole list
+    turned: bool  # away, since it had too many
+    waited: float  # ms until it was worked through
+
+
+class Dialled(NamedTuple):
+    """A connection to a host has come up, and is paid for there."""
+
+    at: float
+    host: str
+
+
+Event = Started | Stopped | Taken | Answered | Sent | Began | Ended | Listed | Load | Called | Dialled
 KINDS: dict[str, Any] = {
-    kind.__name__: kind for kind in (Started, Stopped, Taken, Answered, Sent, Began, Ended, Listed, Load)
+    kind.__name__: kind
+    for kind in (Started, Stopped, Taken, Answered, Sent, Began, Ended, Listed, Load, Called, Dialled)
 }
 
 
--- a/heronlug/standin/fleet.py
+++ b/heronlug/standin/fleet.py
@@ -7,17 +7,17 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 import orjson
 
 from heronlug.emulator.draws import Draws, distribution, stream
 from heronlug.emulator.hosts import Host, Kind, Run, Warmth
-from heronlug.emulator.scenario import Scenario
+from heronlug.emulator.scenario import ClassTable, Scenario
 from heronlug.emulator.troubles import Troubles
 from heronlug.interface import WorkerState
-from heronlug.rules import Began, Event, Load
+from heronlug.rules import Began, Dialled, Event, Load
 from heronlug.standin.live import LiveLine
 from heronlug.standin.register import Register
 from heronlug.wire.inventory import STATES
@@ -28,6 +28,20 @@
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+class Owner(Protocol):
+    """What a host's socket has to know of the fleet that it belongs to."""
+
+    lanes: dict[str, ClassTable]
+    works: dict[str, Draws]
+    line: LiveLine
+
+    def dialled(self, host: Host) -> None:
+        """A connection to it has come up."""
+
+    def came(self, host: Host, txn: str) -> None:
+        """A whole request has come to it."""
+
+
 class Fleet:
     """All hosts, by the names in the register."""
 
@@ -105,6 +119,13 @@
         if self._record is not None:
             self._record(event)
 
+    def dialled(self, host: Host) -> None:
+        """A connection to a host has come up."""
+        self.tell(Dialled(self.unix(self.line.now), host.name))
+
+    def came(self, host: Host, txn: str) -> None:
+        """Who sent it is not known here."""
+
     # -- inside
 
     def _do(self, work: Any) -> None:
@@ -159,7 +180,7 @@
 class Server:
     """One host's listening socket; the port stays the same for its next process."""
 
-    def __init__(self, fleet: Fleet, host: Host) -> None:
+    def __init__(self, fleet: Owner, host: Host) -> None:
         self.fleet, self.host = fleet, host
         self.port = 0
         self.connections: set[Connection] = set()
@@ -201,6 +222,7 @@
         """A dispatcher has dialled."""
         self._transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
+        self.server.fleet.dialled(self.server.host)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Gone: what waits or runs for it is dropped."""
@@ -245,6 +267,7 @@
         if lane is None or not self.txn:
             self._write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             return
+        fleet.came(host, self.txn)
         try:
             work = min(1e7, max(0.0, float(self._body)))
         except ValueError:
--- /dev/null
+++ b/tests/rig/test_rig.py
@@ -0,0 +1,95 @@
+"""The rig judges: a run that keeps the rules passes, one made to break a rule or an expectation does not."""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+from heronlug.forms import Faults, Source
+from heronlug.rig.rig import play
+from heronlug.rig.script import parse
+
+HEAD = """
+name = "x"
+span_s = {span}
+[dispatchers]
+count = 2
+peers = false
+"""
+CLASS = '[[class]]\nname = "job"\nrate = 20\nwork_ms = 20\ndeadline_ms = 2000\n'
+
+
+def script(text: str, span: float = 4):  # type: ignore[no-untyped-def]
+    return parse(Source.parse("x.toml", (HEAD.format(span=span) + text).encode()))
+
+
+def test_a_quiet_run_keeps_all_and_a_run_that_expects_too_much_does_not() -> None:
+    verdict = play(script(CLASS + "[expect]\nlisted = true\nreading = [2, 2]\nserved_least = 0.9\ncalls_most = 1\n"))
+    assert not verdict.violations and verdict.figures["jobs"] > 0
+    assert [fault.partition(":")[0] for fault in verdict.faults] == ["calls"]
+
+
+def test_a_cold_runner_that_is_pushed_over_is_told(tmp_path: Path) -> None:
+    """Jobs reach it past all dispatchers, as a dispatcher without its own bounds would send them."""
+    import asyncio
+    import socket
+
+    from heronlug.rig.rig import Rig
+
+    table = "[runners]\ncount = 1\nslots = 4\ncold = true\noverload_for_ms = 200\n" + CLASS
+
+    async def run() -> list[int]:
+        rig = Rig(script(table, 2), tmp_path)
+        playing = asyncio.create_task(rig.play())
+        while not rig.processes:
+            await asyncio.sleep(0.05)
+        socks = []
+        for number in range(8):
+            sock = socket.create_connection(("127.0.0.1", rig.runners.servers["r0"].port))
+            sock.sendall(b"POST /job HTTP/1.1\r\nX-Txn: t%d\r\nX-Lane: job\r\nContent-Length: 4\r\n\r\n9000" % number)
+            socks.append(sock)
+        verdict = await playing
+        for sock in socks:
+            sock.close()
+        return [violation.rule for violation in verdict.violations]
+
+    assert 4 in asyncio.run(run())
+
+
+def test_a_process_that_ends_by_itself_is_told(tmp_path: Path) -> None:
+    (tmp_path / "heronlug").mkdir()
+    (tmp_path / "heronlug" / "__init__.py").write_text("")
+    (tmp_path / "heronlug" / "__main__.py").write_text("raise SystemExit(3)")
+    verdict = play(script("", 1.5), source=tmp_path)
+    assert sorted(verdict.faults) == [f"d{number} ended by itself with status 3" for number in range(2)]
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "key"),
+    [
+        ("[[step]]\nat_s = 9\ndo = 'kill'\nwho = ['d0']\n", 8, "step.0.at_s"),
+        ("[[step]]\nat_s = 1\ndo = 'kill'\n", 7, "step.0.who"),
+        ("[[step]]\nat_s = 1\ndo = 'kill'\nwho = ['d7']\n", 10, "step.0.who.0"),
+        ("[[step]]\nat_s = 1\ndo = 'melt'\n", 9, "step.0.do"),
+        ("[[step]]\nat_s = 1\ndo = 'reset'\nfor_s = 1\n", 10, "step.0.for_s"),
+        ("[expect]\nreading = [3, 1]\n", 8, "expect.reading"),
+        ("[register]\ncallms = 3\n", 8, "register.callms"),
+    ],
+)
+def test_faults_of_a_script_are_told_with_their_line(text: str, line: int, key: str) -> None:
+    with pytest.raises(Faults) as caught:
+        script(text)
+    assert [(fault.line, fault.key) for fault in caught.value.faults] == [(line, key)], caught.value.faults
+
+
+def test_the_command_says_what_it_did_and_how_it_ended(tmp_path: Path) -> None:
+    import subprocess
+
+    path = tmp_path / "x.toml"
+    path.write_text(HEAD.format(span=2) + "[[step]]\nat_s = 1\ndo = 'kill'\nwho = ['d0']\n[expect]\ncalls_most = 0\n")
+    words = [sys.executable, "-m", "heronlug", "fleet", str(path), "--events", str(tmp_path / "events")]
+    done = subprocess.run(words, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 1 and "kill d0" in done.stdout and "x: BROKEN" in done.stdout, done
+    rules = subprocess.run([sys.executable, "-m", "heronlug", "rules", "check", str(tmp_path / "events")],
+                           capture_output=True, text=True, timeout=60)  # fmt: skip
+    assert rules.returncode == 0, rules
