Calls of the register keep to a pace, and a list may be kept over a restart

Need: at a start of 300 every dispatcher backed off for itself: 2,555 calls where 600 are needed, 1,794 of them turned away.

Seen: benchmarks/coldstart.py (new, on the rig) plays the issue's table. Excluded: the stand-in (it counts the same with in turns), the CPU of the start (300 processes are up within 10 s). At fault: the back-off in logic.py (0.3 to 5 s at random, whatever the number that call) and watches of 20 s, of which 300 take three quarters of what such a register bears.

heronlug/arrival/pacing.py, no I/O: rounds that all share, a place in each by position, as long as the register needs for all; told by [register] calls_per_s, or guessed. Weighed in a model: decorrelated and full jitter, random within the round, a rise with each refusal (rounds of many lengths do not fit together: 2.0 to 2.6 times the calls). Longer watches where many read. Patience grows with late answers; Retry-After counts. [register] keep: the list over a restart, checksum, age, register. Only where a whole file is served; on the platform the module alone says when, as before.

--- /dev/null
+++ b/benchmarks/coldstart.py
@@ -0,0 +1,179 @@
+"""Cold starts of many processes of the program, before and after in one run: ``python benchmarks/coldstart.py``.
+
+Each case is a script of the rig without relays: N processes start at once on this machine against a stand-in register
+that works through calls one after another and turns away what would wait over a second. ``--before FOLDER`` is a
+checkout of an earlier version of this program, played in turns with this one.
+"""
+
+import asyncio
+import resource
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+sys.path.insert(0, str(Path(__file__).parents[1]))
+
+from heronlug.cli.words import print_columns, print_json
+from heronlug.forms import Source
+from heronlug.rig.rig import Rig
+from heronlug.rig.script import parse
+
+MOST = 150.0  # s for a case
+COLUMNS = ("case", "version", "all there s", "calls", "whole", "turned away", "most in 100 ms", "most in 1 s",
+           "reading in the end", "least calls", "least s", "CPU s", "MB each")  # fmt: skip
+
+
+class Case(NamedTuple):
+    """One start, or one outage."""
+
+    name: str
+    count: int
+    call_ms: float
+    cluster: bool = False
+    down_s: float = 0.0  # the register goes down for so long once all are there; 0: it is the start that is measured
+    more: str = ""
+    settle_s: float = 0.0  # before the register goes down, or before the end is counted
+
+    def text(self) -> str:
+        """The script."""
+        more = self.more.replace("{count}", str(self.count)).replace("{call_ms}", str(self.call_ms))
+        return f"""
+name = "{self.name}"
+span_s = {MOST}
+relays = []
+[dispatchers]
+count = {self.count}
+peers = false
+cluster = "{'list' if self.cluster else ''}"
+more = '''
+{more}
+'''
+[register]
+call_ms = {self.call_ms}
+turned_ms = 1
+[runners]
+count = 4
+"""
+
+
+CASES = [
+    Case("start of 50", 50, 20.0),
+    Case("start of 100", 100, 50.0),
+    Case("start of 200", 200, 20.0),
+    Case("start of 300", 300, 50.0),
+    Case("100, back after 8 s", 100, 50.0, down_s=8.0),
+    Case("200, back after 6 s", 200, 20.0, down_s=6.0),
+    Case("300, back after 15 s", 300, 50.0, down_s=15.0),
+    Case("cluster, start of 100", 100, 50.0, cluster=True, settle_s=10.0),
+    Case("cluster of 100, back after 8 s", 100, 50.0, cluster=True, down_s=8.0, settle_s=10.0),
+]
+
+
+async def play(case: Case, source: Path | None) -> dict[str, Any]:
+    """One case with one version."""
+    script = parse(Source.parse("case.toml", case.text().encode()))
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(script, Path(folder), None, source)
+        playing = asyncio.create_task(rig.play())
+        began = time.monotonic()
+        cpu = _cpu(rig)
+
+        async def until(what: Any) -> float:
+            start = time.monotonic()
+            while time.monotonic() - start < MOST - 20 and not playing.done():
+                if what():
+                    break
+                await asyncio.sleep(0.02)
+            return time.monotonic() - start
+
+        def all_there() -> bool:
+            if case.cluster:
+                return len(rig.listed_after) == case.count
+            return len(rig.watched_after) == case.count
+
+        try:
+            while not rig.processes:
+                await asyncio.sleep(0.02)
+            await until(all_there)
+            after = max((rig.listed_after if case.cluster else rig.watched_after).values(), default=float("nan"))
+            if case.settle_s:
+                await asyncio.sleep(case.settle_s)
+            if case.down_s:
+                rig._down(True)
+                await asyncio.sleep(case.down_s)
+                rig.checker.calls.clear()
+                for rush in rig.checker.call_rush:
+                    rush.most = 0
+                rig._down(False)
+                wanted = 1 if case.cluster else case.count
+                after = await until(lambda: len(set(rig.reading())) >= wanted)
+                await asyncio.sleep(20.0 if case.cluster else 0.0)
+            calls = rig.checker.calls
+            memory = [_memory(p.program.pid) for p in rig.processes.values() if p.runs and p.program is not None]
+            least = 1 if case.cluster else case.count * (1 if case.down_s else 2)
+            return {
+                "all there s": round(after, 1), "calls": calls["all"], "whole": calls["whole"],
+                "turned away": calls["turned"], "most in 100 ms": rig.checker.call_rush[0].most,
+                "most in 1 s": rig.checker.call_rush[1].most, "reading in the end": len(set(rig.reading())),
+                "least calls": least, "least s": round(least * case.call_ms / 1000, 1),
+                "CPU s": round(_cpu(rig) - cpu, 1), "MB each": round(sum(memory) / len(memory), 1) if memory else 0.0,
+                "took s": round(time.monotonic() - began, 1),
+            }  # fmt: skip
+        finally:
+            playing.cancel()
+            await asyncio.gather(playing, return_exceptions=True)
+
+
+def _cpu(rig: Rig) -> float:
+    """Seconds of all processes that run, and of those that have ended."""
+    total = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent = total.ru_utime + total.ru_stime
+    for process in rig.processes.values():
+        if process.program is not None and process.runs:
+            try:
+                fields = Path(f"/proc/{process.program.pid}/stat").read_text().rpartition(")")[2].split()
+            except OSError:
+                continue
+            spent += (int(fields[11]) + int(fields[12])) / 100
+    return spent
+
+
+def _memory(pid: int) -> float:
+    """Private memory of a process in MB."""
+    try:
+        lines = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return sum(int(line.split()[1]) for line in lines if line.startswith("Private")) / 1024
+
+
+@click.command()
+@click.option("--before", type=click.Path(file_okay=False, path_type=Path), help="a checkout of an earlier version")
+@click.option("--only", multiple=True, help="cases whose names hold this")
+@click.option("--more", default="", help="TOML at the end of this version's files")
+@click.option("--json", "as_json", is_flag=True)
+def main(before: Path | None, only: tuple[str, ...], more: str, as_json: bool) -> None:
+    """Print the table."""
+    rows = []
+    for case in CASES:
+        if only and not any(text in case.name for text in only):
+            continue
+        for version, source in (("before", before), ("now", None)):
+            if version == "before" and before is None:
+                continue
+            played = case._replace(more=more if version == "now" else "")
+            figures = {"case": case.name, "version": version, **asyncio.run(play(played, source))}
+            rows.append(figures)
+            print(figures, flush=True)
+    if as_json:
+        print_json(rows)
+    else:
+        print_columns([COLUMNS, *([str(row[column]) for column in COLUMNS] for row in rows)])
+
+
+if __name__ == "__main__":
+    main()
--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -44,6 +44,7 @@
     peers_all: str | None = None
     inherited_fd: int | None = None  # the clients' listening socket, held by others too
     admin: tuple[str, int] | None = None  # where operators call; None is nowhere
+    paced: bool = False  # calls of the register keep to a pace; on the platform the module alone says when
 
 
 def _table(raw: Mapping[str, Any], key: str, where: str) -> dict[str, Any]:
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -38,6 +38,9 @@
     def cluster_view(self, what: str) -> list[dict[str, Any]]:
         """The members, or the duties; raises :class:`StateError` where there is no cluster."""
 
+    def use_register(self, terms: State) -> None:
+        """Read the register under these terms, from the start on."""
+
     def load_plugins(self, plugins: dict[str, tuple[bytes, int, int]]) -> Any:
         """Load plug-ins; raises ``ValueError``."""
 
@@ -77,6 +80,10 @@
             cluster_changes = self.state["cluster"] != desired["cluster"]
             if cluster_changes and self.state["cluster"]:
                 raise StateError("cluster: it changes with a restart alone; keys are read again by SIGHUP")
+            register = desired.get("register", {})  # a plan of a program of before has none
+            register_changes = self.state["register"] != register
+            if register_changes and self.state is not EMPTY:
+                raise StateError("register: it changes with a restart alone")
             plugins_change = self.state["plugins"] != desired["plugins"]
             faktory_changes = self.state["faktory"] != desired["faktory"]
             # all that can fail comes first and changes nothing that runs
@@ -93,6 +100,8 @@
                 if listener is not None:
                     self._parts.drop_faktory(listener)
                 raise StateError(" ".join(str(error).split())) from None
+            if register_changes:
+                self._parts.use_register(register)
             if plugins_change:
                 self._parts.use_plugins(loaded)
             if faktory_changes:
--- a/heronlug/life/site.py
+++ b/heronlug/life/site.py
@@ -3,6 +3,7 @@
 What it says becomes the object that the platform gives as JSON, so that there is one reading of that.
 """
 
+from dataclasses import replace
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -141,7 +142,8 @@
     if faults:
         return None, faults
     try:
-        return parse(_raw(serve, site, classes, hosts), source.path, watched=serve.discovery is not None), []
+        config = parse(_raw(serve, site, classes, hosts), source.path, watched=serve.discovery is not None)
+        return replace(config, paced=serve.discovery is not None), []
     except ConfigError as error:
         return None, [Fault(source.path, 0, "", str(error))]
 
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -8,6 +8,7 @@
 import traceback
 from dataclasses import replace
 from functools import partial
+from random import Random
 from typing import Any, cast
 
 import uvloop
@@ -111,6 +112,9 @@
         self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
         self.core.named = self.takeover.named
         self.member: Any = None  # our membership, where there is a cluster
+        self.keep: Any = None  # the file of the list, where one is kept
+        if config.paced:
+            self.use_register({})
         table = calls(self.leaving, self._takes_clients, self._cores, log, self._cluster_figures)
         self.admin = Admin(table, deadlines, log, self.turn)
         self.reload = Reload(
@@ -167,6 +171,8 @@
         await self.left.wait()
         if self.member is not None:
             await self.member.cluster.leave()
+        if self.keep is not None:
+            await self.keep.close()
         await self.takeover.handover.part()
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.takeover.handover.close()
@@ -229,6 +235,21 @@
         if server is not self._faktory_server:
             server.close()
 
+    def use_register(self, terms: dict[str, Any]) -> None:
+        """Keep to a pace, and keep the list; the code of both is loaded only here."""
+        from heronlug.arrival.pacing import Pacer
+        from heronlug.arrival.pacing import Terms as PaceTerms
+
+        config, settings = self.config, self.core.settings
+        cost = 1000 / terms["calls_per_s"] if terms.get("calls_per_s") else None
+        many = PaceTerms(settings.instances, settings.position, cost)
+        self.inventory.pace = Pacer(many, Random(config.seed or None).random)
+        if terms.get("keep"):
+            from heronlug.life.keep import Keep
+
+            self.keep = Keep(terms["keep"], terms["keep_for_s"] * 1000, lambda: self.inventory.address,
+                             self.takeover.listed, self.loop.deadlines, self.log)  # fmt: skip
+
     async def join_cluster(self, terms: dict[str, Any]) -> None:
         """Be a member; its code is loaded only here."""
         from heronlug.life.member import Member
@@ -332,6 +353,8 @@
     def _news(self, kind: ListKind, entries: list[HostEntry]) -> None:
         self.core.inventory(kind, entries)
         self.south.retire(self.core.hosts)
+        if self.keep is not None and kind is not ListKind.CACHED and entries:
+            self.keep.changed()
 
     def _moved(self, config: Config) -> None:
         """What a reload changes: where discovery is, or the hosts that a file lists."""
--- a/heronlug/life/state.py
+++ b/heronlug/life/state.py
@@ -33,13 +33,13 @@
 from heronlug.wire.http import split_address
 
 State = dict[str, Any]
-EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}, "cluster": {}}
+EMPTY: State = {"log_level": "info", "faktory": {}, "plugins": {}, "classes": {}, "cluster": {}, "register": {}}
 FAKTORY: dict[str, Any] = {
     "listen": "", "password": "", "beat_timeout_s": 60.0, "reserve_for_s": 1800.0, "remember_s": 86400.0,
     "max_known": 100_000, "max_connections": 200, "store": "",
 }  # fmt: skip
 PLUGIN: dict[str, Any] = {"name": "", "file": "", "fuel": 100_000, "memory_kb": 1024}
-KEYS = ("log_level", "faktory", "plugin", "class", "cluster")
+KEYS = ("log_level", "faktory", "plugin", "class", "cluster", "register")
 WHOLE = ("serve", "site", "host")  # what stands beside them in a file that is the whole configuration
 MAX_MODULE = 1024 * 1024
 
@@ -100,11 +100,17 @@
 
         cluster, wrong = schema.read(source)
         faults += wrong
+    register: State = {}
+    if "register" in table:
+        from heronlug.arrival import schema as arrival
+
+        register, wrong = arrival.read(source)
+        faults += wrong
     if faults:
         raise Faults(faults)
     return {
         "log_level": level, "faktory": faktory if faktory["listen"] else {}, "plugins": plugins, "classes": classes,
-        "cluster": cluster,
+        "cluster": cluster, "register": register,
     }  # fmt: skip
 
 
@@ -147,6 +153,7 @@
         ("faktory", {"listener": running["faktory"]}, {"listener": desired["faktory"]}),
         ("plugin", running["plugins"], desired["plugins"]),
         ("cluster", {"member": running["cluster"]}, {"member": desired["cluster"]}),
+        ("register", {"reading": running.get("register")}, {"reading": desired.get("register")}),
     ):
         for name in sorted({**old, **new}):
             before, after = old.get(name) or {}, new.get(name) or {}
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -37,6 +37,7 @@
     peers: Peers
     listener: Listener
     leaving: Parting
+    keep: Any
 
     @property
     def log(self) -> Callable[..., None]:
@@ -127,13 +128,16 @@
         """The list as last held, here or by the process before: perhaps old, and the module asks for a new one."""
         inventory, core = self._daemon.inventory, self._daemon.core
         entries: list[HostEntry] = []
-        for known in (self._table.get("known"), self._daemon.config.known):
+        keep = self._daemon.keep
+        kept = keep.load() if keep is not None and "known" not in self._table else None
+        for known in (self._table.get("known"), kept, self._daemon.config.known):
             if known is not None:
                 try:
                     inventory.version, _, entries = inventory.read(known)
                     break
                 except BadList as error:
                     self._daemon.log("bad_known_list", error=str(error))
+        inventory.listed = bool(entries)
         inventory.news(ListKind.CACHED, entries)
         if self._table:
             try:
@@ -155,15 +159,20 @@
         daemon = self._daemon
         sockets = {"listen": daemon.listener.fileno(), "peers": daemon.peers.fileno()}
         there = {name: fd for name, fd in sockets.items() if fd >= 0}
-        entries = [host.entry for host in daemon.core.hosts.values()]
         table = {
-            "known": write_list(daemon.inventory.version or 0, entries, daemon.config.zones, daemon.config.kinds),
+            "known": self.listed(),
             "learned": learned(daemon.core.dispatcher),
             "names": sorted(daemon.core.names),
             "sockets": list(there),
         }
         return table, list(there.values())
 
+    def listed(self) -> dict[str, Any]:
+        """The list as it is held now, in the register's form."""
+        daemon = self._daemon
+        entries = [host.entry for host in daemon.core.hosts.values()]
+        return write_list(daemon.inventory.version or 0, entries, daemon.config.zones, daemon.config.kinds)
+
     def give_way(self) -> None:
         """Another process serves: what is idle goes to it, what is running ends here."""
         self._share(2)
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -26,6 +26,7 @@
 LOOK = 0.02  # s between two looks at the processes
 LISTED_LOOK = 0.25  # and at their figures, while it is waited for their lists
 LISTED_WITHIN = 60.0
+LOOKED_AT = 16  # processes at once
 STOP_WITHIN = 15.0
 LOW_PORT, PORTS = 12_000, 18_000  # below the ports of outgoing connections
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
@@ -107,6 +108,9 @@
         self.clients: Clients
         self.lost_with = 0  # jobs that ended with their dispatcher
         self.listed_after: dict[str, float] = {}  # s from the beginning until a dispatcher had its list
+        self.watched_after: dict[str, float] = {}  # and until its first watch waited for news
+        self.register.watched = self._watched
+        self.spawned_after = 0.0  # s until the last process was started
         self._doors: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._failed: list[str] = []
@@ -121,7 +125,7 @@
             load = self._begin(self._load())
             if self.script.begin == "listed":
                 await self.until(self._all_listed, LISTED_WITHIN)
-            self.history.began = self.history.now()
+                self.history.began = self.history.now()
             for step in self.script.step:
                 self._begin(self._do(step))
             self._begin(self._watch_processes())
@@ -184,6 +188,7 @@
             if name not in later:
                 self._start(name)
                 await asyncio.sleep(0)
+        self.spawned_after = (self.history.now() - self.history.began) / 1000
 
     async def _load(self) -> None:
         lanes, rng, span = lanes_of(self.script), Random(self.script.seed), self.script.span_s * 1000
@@ -229,6 +234,9 @@
     def _called(self, call: Call) -> None:
         self.history.see(Called(self.history.now(), call.caller, call.whole, call.turned, call.waited))
 
+    def _watched(self, caller: str) -> None:
+        self.watched_after.setdefault(caller, (self.history.now() - self.history.began) / 1000)
+
     def _wrote(self, caller: str, instances: list[dict[str, Any]], whole: bool) -> None:
         """The register has told a dispatcher; who goes by another's list counts as told somewhat later."""
         now = self.history.now()
@@ -260,9 +268,11 @@
         """When each has its list, read off its figures until it has."""
         while len(self.listed_after) < len(self.processes):
             waiting = [p for n, p in self.processes.items() if n not in self.listed_after and p.runs]
-            for process in waiting:
-                if await self._has_list(process):
-                    self.listed_after[process.name] = (self.history.now() - self.history.began) / 1000
+            for at in range(0, len(waiting), LOOKED_AT):
+                some = waiting[at : at + LOOKED_AT]
+                for process, has in zip(some, await asyncio.gather(*map(self._has_list, some)), strict=True):
+                    if has:
+                        self.listed_after[process.name] = (self.history.now() - self.history.began) / 1000
             await asyncio.sleep(LISTED_LOOK)
 
     async def _has_list(self, process: Process) -> bool:
--- a/heronlug/standin/register.py
+++ b/heronlug/standin/register.py
@@ -45,6 +45,7 @@
         self.connections: set[Connection] = set()
         self.told: Callable[[Call], None] = lambda call: None
         self.wrote: Callable[[str, list[dict[str, Any]], bool], None] = lambda caller, instances, whole: None
+        self.watched: Callable[[str], None] = lambda caller: None
         self.address_of: Callable[[str, str, str], str] = lambda caller, name, address: address
         self._rng = Random(seed)
         self._free_at = 0.0
@@ -188,6 +189,7 @@
             self._say()
         elif self._owed:
             self.parked = True
+            self._register.watched(self.caller)
             self._timer = asyncio.get_running_loop().call_later(self._wait / 1000, self._say)
 
     def _say(self) -> None:
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 import orjson
@@ -17,10 +17,30 @@
 LATE = 4_000.0  # and is given up after so much more: discovery works through calls in turn
 LIST_WAIT = 3_000.0  # a call for the whole list does not wait for news, and is given up after this
 DIAL_WAIT = 1_000.0  # an address that neither answers nor refuses is given up after this
+DOWN, SLOW, TURNED_AWAY, BAD = "down", "slow", "turned away", "bad"  # how a call fails
 MAX_LIST = 8 * 1024 * 1024
 STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
 
+class Pace(Protocol):
+    """When to call: :class:`heronlug.arrival.pacing.Pacer`.  Without one a watch begins when the module asks for it."""
+
+    patience: float  # ms that an answer is waited for that does not wait for news
+
+    @property
+    def watch(self) -> float:
+        """ms that a watch waits for news."""
+
+    def begin(self, now: float, listed: bool) -> float:
+        """When the first call may go."""
+
+    def answered(self, took: float) -> None:
+        """A call that did not wait for news was answered."""
+
+    def failed(self, now: float, how: str, listed: bool, retry_after: float = 0.0) -> float:
+        """When the next may go after one that failed."""
+
+
 class BadList(ValueError):
     """An answer that is no list; what was held stays."""
 
@@ -96,6 +116,9 @@
         self.watch = watch
         self.transport: asyncio.Transport | None = None
         self.lost = False
+        self.at_once = False  # the answer is not kept for news
+        self.asked_at = 0.0
+        self.retry_after = 0.0
         self._parser: Any = None
         self._body: list[bytes] = []
         self._size = 0
@@ -113,11 +136,12 @@
         assert self.transport is not None
         self._parser, self._body, self._size = httptools.HttpResponseParser(self), [], 0
         target, version = "/registry/instances", self.watch.version
-        wait = 0.0 if self.watch.at_once else WAIT
+        pace = self.watch.pace
+        wait = 0.0 if self.watch.at_once else pace.watch if pace is not None else WAIT
         if version is not None:
             target += f"?after={version}&wait_ms={int(wait)}"
-        self.watch.at_once = False
-        self.watch.expect(self, LIST_WAIT if version is None else wait + LATE, "no answer in time")
+        self.watch.at_once, self.at_once, self.retry_after = False, version is None or not wait, 0.0
+        self.watch.asked(self, LIST_WAIT if version is None else wait + LATE)
         self.transport.write(http.request(b"GET", target.encode(), self.watch.address, [], b""))
 
     def data_received(self, data: bytes) -> None:
@@ -127,7 +151,7 @@
                 raise BadList("an answer that nobody asked for")
             self._parser.feed_data(data)
         except Exception as error:
-            self.watch.failed(self, repr(error.__context__ or error))
+            self.watch.failed(self, repr(error.__context__ or error), BAD)
         self.watch.turn()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -137,6 +161,14 @@
             self.watch.failed(self, f"connection lost: {exc}")
         self.watch.turn()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Who is turned away may be told when to come again."""
+        if name.lower() == b"retry-after":
+            try:
+                self.retry_after = max(0.0, min(60_000.0, 1000 * float(value)))
+            except ValueError:
+                self.retry_after = 0.0  # a date, or nonsense
+
     def on_body(self, body: bytes) -> None:
         """A piece of the answer."""
         self._size += len(body)
@@ -154,7 +186,7 @@
         if status == 200:
             self.watch.answered(self, b"".join(self._body))
         else:
-            self.watch.failed(self, f"status {status}")
+            self.watch.failed(self, f"status {status}", TURNED_AWAY if status in (429, 503) else BAD)
 
 
 class Inventory:
@@ -179,12 +211,28 @@
         self._fresh = False  # the first answer of a watch is told even when it brings nothing
         self._deadline: Key | None = None
         self._dial: asyncio.Task[None] | None = None
+        self.pace: Pace | None = None
+        self.listed = False  # there is a list to go by, if an old one
+        self._again: Key | None = None  # when the next call may go
+        self._begun = False
 
     def subscribe(self) -> None:
-        """Begin a watch, unless one is on, or there is nowhere to ask."""
-        if not self._watching and self.address:
-            self._watching = self._fresh = True
-            self._ask()
+        """Begin a watch, unless one is on, or there is nowhere to ask; with a pace, when that lets it."""
+        if self._watching or not self.address or self._again is not None:
+            return
+        now = self._deadlines.clock()
+        if self.pace is not None and not self._begun and (when := self.pace.begin(now, self.listed)) > now:
+            self._begun = True
+            self._again = self._deadlines.at(when, self._begin)
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
+        self._again = None
+        self._watching = self._fresh = self._begun = True
+        if self.pace is not None and not self.listed:
+            self.at_once = True  # a silent register is found out sooner
+        self._ask()
 
     @property
     def watching(self) -> bool:
@@ -206,17 +254,25 @@
             return
         self._drop()
         self.address, self.version = address, None
-        self._watching = self._fresh = True
-        self._ask()
+        self._begin()
+
+    def asked(self, call: _Call, wait: float) -> None:
+        """A call has gone out; one that is answered at once may take as long as the pace has patience."""
+        call.asked_at = self._deadlines.clock()
+        if self.pace is not None and call.at_once:
+            wait = max(wait, self.pace.patience)
+        self._expect(call, wait, "no answer in time", SLOW)
 
-    def expect(self, call: _Call, wait: float, why: str) -> None:
+    def _expect(self, call: _Call, wait: float, why: str, how: str) -> None:
         """A call has failed unless it comes further within this time."""
         self._deadlines.drop(self._deadline)
-        self._deadline = self._deadlines.after(wait, self.failed, call, why)
+        self._deadline = self._deadlines.after(wait, self.failed, call, why, how)
 
     def stop(self) -> None:
-        """Close the connection."""
+        """Close the connection, and call no more until the next :meth:`subscribe`."""
         self._watching = False
+        self._deadlines.drop(self._again)
+        self._again = None
         self._drop()
 
     def answered(self, call: _Call, body: bytes) -> None:
@@ -226,21 +282,27 @@
         try:
             version, whole, entries = self.read(orjson.loads(body))
         except ValueError as error:
-            self.failed(call, f"bad list: {error}")
+            self.failed(call, f"bad list: {error}", BAD)
             return
         self.version = version
-        fresh, self._fresh = self._fresh, False
+        fresh, self._fresh, self.listed = self._fresh, False, True
+        if self.pace is not None and call.at_once:
+            self.pace.answered(self._deadlines.clock() - call.asked_at)
         self._ask()
         if entries or whole or fresh:
             self._log("inventory", version=version, whole=whole, entries=len(entries))
             self.news(ListKind.FULL if whole else ListKind.CHANGES, entries)
 
-    def failed(self, call: _Call | None, why: str) -> None:
-        """A call has failed: the list held so far stays, and the module decides when to ask again."""
+    def failed(self, call: _Call | None, why: str, how: str = DOWN) -> None:
+        """A call has failed: the list held so far stays, and the module decides when to ask again, or the pace."""
         if call is not self.call or not self._watching:
             return
         self._watching = False
+        retry_after = call.retry_after if call is not None else 0.0
         self._drop()
+        if self.pace is not None:
+            when = self.pace.failed(self._deadlines.clock(), how, self.listed, retry_after)
+            self._again = self._deadlines.at(when, self._begin)
         self._log("inventory_failed", why=why)
         self.news(ListKind.FAILED, [])
 
@@ -249,12 +311,13 @@
             self.call.ask()
         else:
             call = self.call = _Call(self)
-            self.expect(call, DIAL_WAIT, "dial: no answer in time")
+            self._expect(call, DIAL_WAIT, "dial: no answer in time", DOWN)
             self._dial = asyncio.get_running_loop().create_task(self._connect(call))
 
     def _drop(self) -> None:
         self._deadlines.drop(self._deadline)
-        call, self.call = self.call, None
+        self._deadlines.drop(self._again)
+        call, self.call, self._again = self.call, None, None
         if call is not None and call.transport is not None:
             call.transport.abort()
         elif self._dial is not None:
--- /dev/null
+++ b/tests/arrival/test_pacing.py
@@ -0,0 +1,144 @@
+"""The pace of calls, against a register modelled in a few lines: it queues, and turns away what would wait too long."""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heronlug.arrival import pacing
+from heronlug.arrival.pacing import Pacer, Terms, Why
+
+BOUND = 1000.0  # ms that a call may wait in the register
+
+
+class Played(NamedTuple):
+    calls: list[float]  # their times
+    turned: int
+    last: float  # when the last had its watch
+    gaps: list[float]  # between a failure and the next call of the same dispatcher
+
+
+def play(
+    many: int, cost: float, *, told: bool = False, starts: float = 0.0, seed: int = 1, listed: bool = False,
+    down_until: float = 0.0, make: Callable[[Terms, Callable[[], float]], Pacer] = Pacer,
+) -> Played:  # fmt: skip
+    """All start within ``starts`` ms; each needs its list, unless it has one, and then a watch."""
+    rng, heap, order = Random(seed), list[tuple[float, int, int]](), 0
+    pacers = [make(Terms(many, n, cost if told else None), Random(seed * 7919 + n).random) for n in range(many)]
+    has, done, failed_at = [listed] * many, dict[int, float](), dict[int, float]()
+    calls, gaps, turned, free = list[float](), list[float](), 0, 0.0
+
+    def call_at(when: float, number: int) -> None:
+        nonlocal order
+        order += 1
+        heapq.heappush(heap, (when, order, number))
+
+    for number, pacer in enumerate(pacers):
+        at = rng.uniform(0, starts)
+        call_at(pacer.begin(at, listed), number)
+    while heap and len(done) < many:
+        now, _, number = heapq.heappop(heap)
+        if now > 3_600_000:
+            raise AssertionError("somebody starves")
+        if number in failed_at:
+            gaps.append(now - failed_at.pop(number))
+        if now < down_until:
+            failed_at[number] = now
+            call_at(pacers[number].failed(now, Why.DOWN, has[number]), number)
+            continue
+        calls.append(now)
+        wait = max(0.0, free - now)
+        if wait > BOUND:
+            turned, free, failed_at[number] = turned + 1, free + 1.0, now
+            call_at(pacers[number].failed(now, Why.TURNED_AWAY, has[number]), number)
+            continue
+        free = now + wait + cost
+        if has[number]:
+            done[number] = free  # a watch
+            continue
+        pacers[number].answered(wait + cost)
+        has[number] = True
+        call_at(free, number)  # at once: a watch goes on within 200 ms
+    return Played(calls, turned, max(done.values()), gaps)
+
+
+def most_in(times: list[float], span: float) -> int:
+    ordered, first, most = sorted(times), 0, 0
+    for last, at in enumerate(ordered):
+        while ordered[first] <= at - span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+@given(
+    many=st.integers(1, 60), cost=st.floats(1.0, 80.0), told=st.booleans(), starts=st.floats(0.0, 5000.0),
+    listed=st.booleans(), down=st.sampled_from([0.0, 3000.0, 20_000.0]), seed=st.integers(0, 10_000),
+)  # fmt: skip
+def test_whatever_the_order_everybody_gets_its_watch(
+    many: int, cost: float, told: bool, starts: float, listed: bool, down: float, seed: int
+) -> None:
+    played = play(many, cost, told=told, starts=starts, seed=seed, listed=listed, down_until=down)
+    assert all(gap >= pacing.SOONEST - 1e-6 for gap in played.gaps)
+    least = many * (1 if listed else 2) * cost
+    assert played.last <= starts + down + 6 * least + 6 * pacing.LONGEST
+
+
+@given(many=st.integers(20, 400), cost=st.floats(2.0, 60.0), starts=st.floats(0.0, 3000.0), seed=st.integers(0, 999))
+def test_where_the_cost_is_told_calls_of_any_second_stay_under_the_bound(
+    many: int, cost: float, starts: float, seed: int
+) -> None:
+    """First calls have a place each; each answer brings one call more, and places of two rounds may meet."""
+    played = play(many, cost, told=True, starts=starts, seed=seed)
+    assert most_in(played.calls, 1000.0) <= 2 * 1000.0 / cost + 4
+    assert played.turned <= 0.05 * 2 * many
+
+
+@pytest.mark.parametrize(("many", "cost"), [(100, 50.0), (300, 50.0), (1000, 20.0)])
+def test_a_guess_costs_less_than_calls_that_know_nothing_of_each_other(many: int, cost: float) -> None:
+    class Alone(Pacer):
+        """As it was: each waits for itself, at random, longer with each failure."""
+
+        def failed(self, now: float, why: str, listed: bool, retry_after: float = 0.0) -> float:
+            self.failures += 1
+            return now + 312.5 * 2.0 ** min(self.failures, 4) * (0.5 + 0.5 * self._draw())
+
+        def answered(self, took: float) -> None:
+            self.failures = 0
+
+    spread = many * 10.0
+    now = [play(many, cost, starts=spread, seed=seed) for seed in range(3)]
+    before = [play(many, cost, starts=spread, seed=seed, make=Alone) for seed in range(3)]
+    assert sum(p.turned for p in now) < 0.7 * sum(p.turned for p in before)
+
+
+def test_after_an_outage_everybody_comes_once() -> None:
+    played = play(200, 20.0, listed=True, down_until=30_000.0, starts=2000.0)
+    assert len(played.calls) <= 1.15 * 200 and played.turned <= 10
+
+
+def test_the_register_says_when_to_come_again() -> None:
+    pacer = Pacer(Terms(10, 3), lambda: 0.5)
+    assert pacer.failed(1000.0, Why.TURNED_AWAY, True, 5000.0) >= 6000.0
+
+
+def test_patience_grows_with_answers_that_come_late_and_falls_with_quick_ones() -> None:
+    pacer = Pacer(Terms(), lambda: 0.5)
+    for _ in range(9):
+        pacer.failed(0.0, Why.SLOW, False)
+    assert pacer.patience == pacing.PATIENCE_MOST
+    pacer.answered(5000.0)
+    assert pacer.patience == 10_000.0
+    pacer.answered(10.0)
+    assert pacer.patience == pacing.PATIENCE
+
+
+def test_watches_of_many_begin_anew_less_often() -> None:
+    assert Pacer(Terms(), lambda: 0.5).watch == pacing.WATCH
+    assert Pacer(Terms(300, 0, 50.0), lambda: 0.5).watch == pacing.WATCH_MOST
+    many = Pacer(Terms(500, 0, 20.0), lambda: 0.5)
+    assert 500 / (many.watch / 1000) * 20.0 <= 1000 * pacing.RENEWALS
