One reading of the register for all from the first second, and through its outages

Need: with [cluster] share = list a start of 100 made 260 to 313 calls of the register where 2 are enough, and after an outage of 8 s 283 to 434, with 73 of 100 reading for themselves 20 s later.

Seen in the logs of all members, by time (benchmarks/coldstart.py, the rig): members call before they have heard of each other, since only the owner of a lease may write the sheet and a lease needs 3 s; a reader whose watch fails stops its beats, so all the others take it for dead and call (wire/register.py _look and withdraw, HostView.wants_own). Excluded: loss (none there), the lease itself (held through the outage). A word of a beat goes by chance to five others and misses some while the lists of members grow: seen as members that hear nothing for over 1.5 s beside others that do.

Scouts by place in the duty's rank, told by a claim before their answer has come; who tries in vain goes on saying so, and the others look in turns, one a second over all. wire/register.py writes a second sheet under claims beside the owner's; sheets.py: whoever comes, or asks with the version it has, is told what is newer, if that was heard within 1.1 beats.

--- a/heronlug/cluster/hosts.py
+++ b/heronlug/cluster/hosts.py
@@ -1,9 +1,9 @@
 """Which hosts this dispatcher holds to be there, out of its own reading, the shared list and the verdicts of probes.
 
-Decides and does nothing: whether our own watch of the register has to be on, and what the core is to be told.
+Decides and does nothing: which list holds, and what the core is to be told. Whether our own watch of the register has
+to be on is decided in :mod:`heronlug.arrival.reading`.
 
-``share = "list"``: the owner of the duty reads the register for all. Another reads it itself as long as the shared list
-is stale, or is of an older version than what it has seen: so an owner that dies costs readings and no drain.
+``share = "list"``: one member reads the register for all.
 ``share = "news"``: all read; of the shared list counts only that a host which our own list names drains or has gone.
 ``share = "none"``: all read; only the verdicts of probes are shared.
 
@@ -36,13 +36,20 @@
     version: int = -1  # the register's; -1 for none
     known: bool = False
 
+    def take(self, version: int, entries: Iterable[HostEntry], gone: Iterable[str]) -> None:
+        """It has changed."""
+        self.known, self.version = True, version
+        for entry in entries:
+            self.hosts[entry.name] = entry
+        for name in gone:
+            self.hosts.pop(name, None)
+
 
 class HostView:
     """The hosts as the core is told of them."""
 
-    def __init__(self, share: str = "none", stale_after: float = 1500.0, panic_share: float = 0.5) -> None:
-        """``stale_after`` in milliseconds without a word of the owner of the shared list."""
-        self.share, self.stale_after, self.panic_share = share, stale_after, panic_share
+    def __init__(self, share: str = "none", panic_share: float = 0.5) -> None:
+        self.share, self.panic_share = share, panic_share
         self.own, self.shared = Listed(), Listed()
         self.source = Source.NONE
         self.watching = False  # our own watch is on, and what it says is as it was last told
@@ -54,12 +61,6 @@
 
     # -- our own watch
 
-    def wants_own(self, owner: bool, age: float) -> bool:
-        """Whether our own watch has to be on; ``age`` of the shared list in milliseconds."""
-        if owner or self.share != "list" or not self.shared.known or age > self.stale_after:
-            return True
-        return self.own.known and self.shared.version < self.own.version
-
     def use(self, own: bool) -> tuple[ListKind, list[HostEntry]] | None:
         """Go by our own list, or by the shared one; what the core is to be told, if anything changes."""
         self.watching = own
@@ -107,15 +108,16 @@
     def shared_news(self, version: int, entries: Iterable[HostEntry], gone: Iterable[str]) -> list[HostEntry]:
         """The shared list has changed; what the core is to be told as changes."""
         entries, gone = list(entries), list(gone)
-        self.shared.known, self.shared.version = True, version
-        for entry in entries:
-            self.shared.hosts[entry.name] = entry
-        for name in gone:
-            self.shared.hosts.pop(name, None)
+        self.shared.take(version, entries, gone)
         if self.source is not Source.SHARED and self.share != "news":
             return []
         return self._news({entry.name for entry in entries} | set(gone))[1]
 
+    def prefer(self, listed: Listed) -> list[HostEntry]:
+        """Of several shared lists this one counts from now on; what the core is to be told as changes."""
+        self.shared = listed
+        return self._news(None)[1] if self.source is Source.SHARED or self.share == "news" else []
+
     def verdicts(self, shard: str, down: Iterable[str], up: Iterable[str]) -> list[HostEntry]:
         """A shard's owner holds these hosts down, and these up again; what the core is to be told as changes."""
         touched = set()
--- a/heronlug/cluster/node.py
+++ b/heronlug/cluster/node.py
@@ -8,7 +8,7 @@
 from heronlug.cluster.leases import Leases
 from heronlug.cluster.membership import Membership
 from heronlug.cluster.model import Action, Fence, News, SendTo, Terms, WakeAt
-from heronlug.cluster.ownership import foremost, tag
+from heronlug.cluster.ownership import foremost, tag, weight
 from heronlug.cluster.sheets import Sheets
 
 FAREWELLS = 3  # times that a leave is told to everybody
@@ -35,6 +35,7 @@
             self.terms, rng, self._send_to, self._out.append,
             lambda: [member.tag for member in self.members.others()], self.may_act,
         )  # fmt: skip
+        self._claims: dict[str, Fence] = {}
         self._addresses: dict[int, str] = {}
         self._born: float | None = None
         self._last = inf  # when we last ran
@@ -90,7 +91,24 @@
 
     def may_act(self, duty: str, now: float) -> Fence | None:
         """The fence to act under, or None: to be asked again before each step that matters."""
-        return None if self.left else self.leases.may_act(tag(duty), now)
+        if self.left:
+            return None
+        return self._claims.get(duty) or self.leases.may_act(tag(duty), now)
+
+    def claim(self, sheet: str, now: float) -> Fence:
+        """A fence to write a sheet under that no lease guards: the last claim counts, and who hears of it gives way."""
+        seen = self.sheets.topics[tag(sheet)].version.fence.number
+        fence = self._claims[sheet] = Fence(max(int(now), seen + 1), tag(self.name))
+        return fence
+
+    def release(self, sheet: str) -> None:
+        """It is not claimed any more."""
+        self._claims.pop(sheet, None)
+
+    def place(self, duty: str) -> tuple[int, int]:
+        """How many of the others come before us in a duty's rank, and how many there are."""
+        ours, others = weight(duty, self.name), self.members.others()
+        return sum(weight(duty, member.name) > ours for member in others), len(others)
 
     # -- inside
 
--- a/heronlug/cluster/sheets.py
+++ b/heronlug/cluster/sheets.py
@@ -14,12 +14,15 @@
 from typing import NamedTuple
 
 from heronlug.cluster import trie
-from heronlug.cluster.codec import PULL_MOST, Announce, Part, Piece, Pull
+from heronlug.cluster.codec import PULL_MOST, Announce, Part, Piece, Pull, Sync
 from heronlug.cluster.model import NO_FENCE, Fence, Sheet, Terms
 from heronlug.cluster.ownership import tag
 
 WINDOW = 192  # nodes asked for at once
 LOOSE = 256  # pieces kept that nobody asked for yet: they may have overtaken their announcement
+OLD = 1.1  # beats that a sheet may be old and is still told to whoever comes or asks
+ANSWERED = 200.0  # ms after which what comes is no answer any more
+ASKED = 2  # others that are asked at once
 PUSHED = 12  # nodes sent along with an announcement; what changes more is pulled
 
 
@@ -36,8 +39,8 @@
 class Topic:
     """One sheet as it is known here."""
 
-    __slots__ = ("asked", "before", "brought", "fresh_at", "key", "missing", "name", "ours", "pushed", "root", "source",
-                 "version", "wanted")  # fmt: skip
+    __slots__ = ("asked", "asked_at", "before", "brought", "fresh_at", "key", "missing", "name", "ours", "pushed",
+                 "root", "source", "version", "wanted")  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name, self.key = name, tag(name)
@@ -49,6 +52,7 @@
         self.source = 0  # from whom
         self.missing: dict[int, int | None] = {}  # nodes of it that are not there, with their counterparts
         self.asked: dict[int, float] = {}  # until when an answer may come
+        self.asked_at = -inf  # when we last asked others for what is newer
         self.brought: list[int] = []  # nodes that have come for it
 
 
@@ -84,6 +88,22 @@
         topic = self.topics[tag(name)]
         return 0.0 if topic.ours is not None else now - topic.fresh_at
 
+    def ours(self, name: str) -> Fence | None:
+        """The fence that we write it under, until a later one is heard of."""
+        return self.topics[tag(name)].ours
+
+    def fence(self, name: str) -> Fence:
+        """The fence of the latest version that is known."""
+        return self.topics[tag(name)].version.fence
+
+    def ask(self, name: str, now: float) -> None:
+        """We have not heard of it lately: a few others, who see how old ours is, tell what is newer."""
+        topic, others = self.topics[tag(name)], self._others()
+        if topic.ours is None and others:
+            for whom in self._rng.sample(others, min(ASKED, len(others))):
+                topic.asked_at = now
+                self._send(whom, Announce(topic.key, topic.version.fence, topic.version.number, topic.root))
+
     def next(self) -> float:
         """When there is something to do."""
         times = [until for topic in self.topics.values() for until in topic.asked.values()]
@@ -178,9 +198,27 @@
                     self.counts["pieces_sent"] += 1
         elif isinstance(part, Piece):
             self._piece(part.data, now)
+        elif isinstance(part, Sync):
+            self._greet(sender, now)
+
+    def _greet(self, sender: int, now: float) -> None:
+        """Whoever comes hears what there is at once; what we have not heard of lately may be old, and is not told."""
+        for topic in self.topics.values():
+            self._answer(topic, sender, now)
+
+    def _answer(self, topic: Topic, sender: int, now: float) -> None:
+        if topic.version != NEVER and (topic.ours is not None or now - topic.fresh_at <= OLD * self.terms.beat):
+            self._send(sender, Announce(topic.key, topic.version.fence, topic.version.number, topic.root))
+
+    def _fresh(self, topic: Topic, now: float) -> float:
+        """When its writer was last heard: what was asked for may be as old as it may be told."""
+        asked = topic.version == NEVER or now - topic.asked_at < ANSWERED
+        return max(topic.fresh_at, now - OLD * self.terms.beat) if asked else now
 
     def _heard_of(self, topic: Topic, sender: int, part: Announce, now: float) -> None:
         version = Version(part.fence, part.number)
+        if version < topic.version:
+            self._answer(topic, sender, now)
         if version <= topic.version or (topic.wanted is not None and version <= _version(topic.wanted)):
             return
         if topic.ours is not None and part.fence > topic.ours:
@@ -191,7 +229,8 @@
             topic.wanted = None
             topic.missing.clear()
             topic.asked.clear()
-            topic.version, topic.fresh_at = version, now
+            topic.fresh_at = self._fresh(topic, now)
+            topic.version = version
             self._announce(topic, sender)
             return
         known = topic.wanted is not None and topic.wanted.root == part.root
@@ -261,7 +300,8 @@
         topic.asked.clear()
         changes = trie.difference(self.nodes, topic.root, part.root)
         topic.before, topic.root = topic.root, part.root
-        topic.version, topic.fresh_at = _version(part), now
+        topic.fresh_at = self._fresh(topic, now)
+        topic.version = _version(part)
         topic.pushed = tuple(topic.brought) if len(topic.brought) <= PUSHED else ()
         topic.brought.clear()
         self._announce(topic, topic.source)
--- a/heronlug/life/member.py
+++ b/heronlug/life/member.py
@@ -4,8 +4,10 @@
 """
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
+from heronlug.arrival.pacing import Pacer, Terms
 from heronlug.cluster import schema
 from heronlug.cluster.hosts import HostView
 from heronlug.interface import ListKind, WorkerState
@@ -28,10 +30,11 @@
         """``table`` is as the schema reads ``[cluster]``; raises ``OSError`` or ``ValueError``."""
         self.table, self._inventory, self._tell = table, inventory, tell
         sharing, probing = table["register"], table["probe"]
-        self.view = HostView(
-            sharing.get("share", "none"), sharing.get("stale_after_ms", 0.0), probing.get("panic_share", 1.0)
-        )
-        self.register = Register(self.view, inventory, self._news, deadlines, log, zones, kinds)
+        self.view = HostView(sharing.get("share", "none"), probing.get("panic_share", 1.0))
+        if sharing and sharing["share"] == "list" and inventory.pace is not None:
+            inventory.pace = Pacer(Terms(), Random().random)  # one reads, and calls with nobody else
+        self.register = Register(self.view, inventory, self._news, deadlines, log, zones, kinds,
+                                 sharing.get("stale_after_ms", 1500.0), len(table["seeds"]))  # fmt: skip
         self.probes = Probes(probing, self.view, self._news, deadlines, log, turn) if probing else None
         self.cluster = Cluster(table, deadlines, log, turn, self.register, self.probes)
         self._shares = bool(sharing or probing)
--- a/heronlug/wire/cluster.py
+++ b/heronlug/wire/cluster.py
@@ -13,7 +13,7 @@
 from heronlug.wire.http import split_address
 from heronlug.wire.probes import Probes
 from heronlug.wire.register import DUTY as REGISTER
-from heronlug.wire.register import Register
+from heronlug.wire.register import SCOUT, Register
 
 LEAVE_WAIT = 3000.0  # so long a planned leave may take
 STAND = 10_000.0  # verdicts of probes count so long after their prober was last heard of
@@ -32,7 +32,7 @@
         self._table, self._deadlines, self._log, self._turn = table, deadlines, log, turn
         self.register, self.probes = register, probes
         self.runs = Runs(table["duty"], self._may_act, deadlines, log, turn)
-        kept = [REGISTER] if register is not None and register.view.share != "none" else []
+        kept = [REGISTER] if register is not None and register.view.share != "none" else []  # duties
         kept += probes.names if probes is not None else []
         self.node = Node(
             table["name"], table["advertise"] or table["listen"], table["seeds"], [*self.runs.names, *kept],
@@ -138,6 +138,8 @@
             view = self.register.view
             counts["register_readings"] = ("counter", self.register.readings)
             counts["register_shared"] = ("gauge", int(view.source.value == "shared"))
+            counts["register_scouted"] = ("counter", self.register.scouted)
+            counts["register_reads"] = ("gauge", int(view.watching))
             counts["register_switches"] = ("counter", view.switches)
             counts["hosts_down"] = ("gauge", len(view.down))
             counts["probes_not_believed"] = ("gauge", int(view.panic))
@@ -220,8 +222,8 @@
                 self.probes.lost(action.duty)
 
     def _sheet(self, sheet: Sheet) -> None:
-        if sheet.topic == REGISTER and self.register is not None:
-            self.register.sheet(sheet.changes)
+        if sheet.topic in (REGISTER, SCOUT) and self.register is not None:
+            self.register.sheet(sheet.topic, sheet.changes)
         elif self.probes is not None:
             self.probes.sheet(sheet.topic, sheet.changes)
 
--- a/heronlug/wire/register.py
+++ b/heronlug/wire/register.py
@@ -1,16 +1,24 @@
-"""The node register, read by one dispatcher for all: our own watch and the shared sheet, put together for the core.
+"""The node register, read by one member for all: our own watch and the shared sheets, put together for the core.
 
-What follows from them is decided in :class:`heronlug.cluster.hosts.HostView`. The sheet's rows are ``h`` and a host's
-name, with the line of the register as msgpack; the row ``v`` has the register's version.
+Who reads is decided in :class:`heronlug.arrival.reading.Reading`, which list holds in
+:class:`heronlug.cluster.hosts.HostView`. There are two sheets of the same form. The duty's is written by the owner of
+the lease while its watch is on. The scouts' is written by whoever reads before there is an owner, or instead of one
+that cannot, under a claim: the last one counts. Rows are ``h`` and a host's name, with the line of the register as
+msgpack; ``v`` has the register's version, ``s`` is there while the writer's watch is not on, ``b`` says when the
+register's versions began anew.
 """
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
 
 import msgspec
 
+from heronlug.arrival.reading import Heard, Place, Reading, Role
 from heronlug.cluster import trie
-from heronlug.cluster.hosts import HostView
+from heronlug.cluster.hosts import HostView, Listed, Source
 from heronlug.cluster.model import Fence
 from heronlug.cluster.node import Node
 from heronlug.interface import ListKind, WorkerState
@@ -20,9 +28,11 @@
 from heronlug.wire.inventory import Inventory
 
 DUTY = "register"  # and the sheet's name
-VERSION = b"v"
-LOOK = 200.0  # so often is it looked whether the shared list is fresh, in ms
-TRUST = 3000.0  # the shared list has to have been fresh for so long before our own watch ends
+SCOUT = "register-scout"
+VERSION, STATE, ANEW = b"v", b"s", b"b"
+LOOK = 100.0  # so often is it decided who reads, in ms
+UNHEARD = 600.0  # without a word of any reader others are asked; a beat and a half
+UNHEARD_LONG = 5000.0  # then less often
 LARGE = 300  # rows that are built into a sheet beside the loop
 Line = tuple[str, int, str, str, int, float, float]  # address, state, zone, kind, cell, weight, started at
 pack, unpack = msgspec.msgpack.encode, msgspec.msgpack.decode
@@ -49,186 +59,352 @@
     )  # fmt: skip
 
 
+class Writer:
+    """One sheet as we write it."""
+
+    def __init__(
+        self, topic: str, node: Node, deadlines: Deadlines, flush: Callable[[], None], refused: Callable[[str], None]
+    ) -> None:
+        self.topic, self.fence = topic, None
+        self._node, self._deadlines, self._flush, self._refused = node, deadlines, flush, refused
+        self._published: trie.Rows = {}
+        self._said = False  # something has been written under this fence
+        self._wanted: trie.Rows | None = None  # what came while a sheet was being built
+        self._building: asyncio.Task[None] | None = None
+
+    fence: Fence | None
+
+    def begin(self, fence: Fence) -> None:
+        """Write from now on; what is known of the writer before is gone on with."""
+        self.fence, self._published, self._said = fence, self._node.sheets.rows(self.topic), False
+
+    def end(self) -> None:
+        """Write no more; what we wrote goes stale, unless somebody else writes already."""
+        if self.fence is not None and self._node.sheets.ours(self.topic) is not None:
+            self._node.sheets.withdraw(self.topic)
+        self.fence, self._published, self._wanted = None, {}, None
+        self._flush()
+
+    @property
+    def lost(self) -> bool:
+        """Whether somebody else has begun to write after us."""
+        return self.fence is not None and self._said and self._node.sheets.ours(self.topic) is None
+
+    def put(self, rows: trie.Rows) -> None:
+        """The rows are these now."""
+        if self.fence is None:
+            return
+        if self._building is not None:
+            self._wanted = rows
+            return
+        writing = self._node.sheets.ours(self.topic) is not None
+        if (writing and rows is self._published) or self._node.sheets.fence(self.topic) > self.fence:
+            return
+        changes: dict[bytes, bytes | None] = {k: v for k, v in rows.items() if self._published.get(k) != v}
+        changes.update((key, None) for key in self._published.keys() - rows.keys())
+        if writing and not changes:
+            self._published = rows
+            return
+        if len(changes) > LARGE:
+            self._building = asyncio.get_running_loop().create_task(self._build(self.fence, rows))
+            return
+        try:
+            self._node.sheets.publish(self.topic, self.fence, changes, self._deadlines.clock())
+        except ValueError as error:
+            self._refused(str(error))
+        else:
+            self._published, self._said = rows, True
+            self._flush()
+
+    def close(self) -> None:
+        """Build no more."""
+        if self._building is not None:
+            self._building.cancel()
+
+    async def _build(self, fence: Fence, rows: trie.Rows) -> None:
+        nodes: dict[int, bytes] = {}
+        try:
+            root = await beside(trie.build, rows, nodes)
+            if self.fence == fence:
+                self._node.sheets.publish_whole(self.topic, fence, root, nodes, self._deadlines.clock())
+                self._published, self._said = rows, True
+                self._flush()
+        except ValueError as error:
+            self._refused(str(error))
+        finally:
+            self._building = None
+        wanted, self._wanted = self._wanted, None
+        if wanted is not None:
+            self.put(wanted)
+
+
+@dataclass(slots=True)
+class Shared:
+    """One sheet as it is known here."""
+
+    listed: Listed = field(default_factory=Listed)
+    watched: bool = True  # by its writer
+    anew: float = 0.0  # when the register's versions began anew, Unix ms
+
+
 class Register:
     """Between the inventory and the core."""
 
     def __init__(
         self, view: HostView, inventory: Inventory, tell: Callable[[ListKind, list[HostEntry]], None],
-        deadlines: Deadlines, log: Callable[..., None], zones: list[str], kinds: list[str],
+        deadlines: Deadlines, log: Callable[..., None], zones: list[str], kinds: list[str], stale_after: float = 1500.0,
+        seeds: int = 0,
     ) -> None:  # fmt: skip
+        """``stale_after`` in milliseconds without a word of whoever reads for all; ``seeds`` is how many we know."""
         self.view = view
+        self.reading = Reading(stale_after, seeds, Random().random())
         self._inventory, self._tell, self._deadlines, self._log = inventory, tell, deadlines, log
         self._zones, self._kinds = zones, kinds
         self._node: Node | None = None
-        self._flush: Callable[[], None] = lambda: None  # after each publication
-        self._fence: Fence | None = None
-        self._published: trie.Rows = {}
-        self._building: asyncio.Task[None] | None = None
+        self._writers: dict[str, Writer] = {}
+        self._shared = {DUTY: Shared(), SCOUT: Shared()}
+        self._chosen = DUTY
+        view.prefer(self._shared[DUTY].listed)
+        self._owner: Fence | None = None
         self._look_at: Key | None = None
-        self._fresh_since: float | None = None
-        self._own_on = True  # our own watch is wanted; when it fails the module says when it begins again
+        self._read_at = -inf  # when our own watch last brought something
+        self._anew = 0.0
+        self._made: trie.Rows | None = None
+        self._ask_at = -inf
+        self._flush: Callable[[], None] = lambda: None
         self.readings = 0  # lists that our own watch has brought
+        self.scouted = 0  # times that we read without a lease
 
     def join(self, node: Node, flush: Callable[[], None]) -> None:
         """Read what others publish, and publish when it is our duty."""
         self._node, self._flush = node, flush
         if self.view.share != "none":
-            node.sheets.follow(DUTY)
-            self._look_at = self._deadlines.after(LOOK, self._look)
+            for topic in (DUTY, SCOUT):
+                node.sheets.follow(topic)
+                self._writers[topic] = Writer(topic, node, self._deadlines, flush, self._refused)
+            self._look_at = self._deadlines.after(0.0, self._look)
 
     def close(self) -> None:
         """Look no more."""
         self._deadlines.drop(self._look_at)
-        if self._building is not None:
-            self._building.cancel()
+        for writer in self._writers.values():
+            writer.close()
 
     # -- the core and the inventory
 
     def subscribe(self) -> None:
-        """The core wants a watch: ours goes on unless the shared list does."""
-        if self._wants_own():
+        """The core wants a watch: ours goes on where that is our part."""
+        if self._node is None or self.view.share != "list" or self.reading.role is Role.READ:
             self._watch()
 
     def own_news(self, kind: ListKind, entries: list[HostEntry]) -> None:
         """Our own watch has brought something."""
-        self.readings += kind is not ListKind.FAILED
+        before, now = self.view.own, self._deadlines.clock()
+        failed = kind is ListKind.FAILED
+        self.readings += not failed
+        if kind is ListKind.FULL and before.known and (self._inventory.version or 0) < before.version:
+            self._anew = now
+        if kind in (ListKind.FULL, ListKind.CHANGES):
+            self._read_at = now
         told = self.view.own_news(kind, self._inventory.version, entries)
-        if self._node is not None and self._fence is not None:
-            if kind is ListKind.FAILED:
-                self._node.sheets.withdraw(DUTY)
-                self._flush()
-            else:
-                self._publish({entry.name for entry in entries} if kind is ListKind.CHANGES else None)
+        self._made = None
+        self._write()
         if told is not None:
             self._tell(*told)
 
     # -- the duty
 
     def gained(self, fence: Fence) -> None:
-        """We read for all from now on; what is known of the owner before is gone on with."""
-        assert self._node is not None
-        self._fence, self._published = fence, self._node.sheets.rows(DUTY)
-        self._own_on = True
-        if self.view.watching:
-            self._publish(None)
-        else:
-            self._watch()
+        """We read for all from now on."""
+        self._owner = fence
+        self._writers[DUTY].begin(fence)
+        self._decide()
+        self._write()
 
     def lost(self) -> None:
-        """Another reads, from what we have published: that is the shared list for us too."""
-        self._fence = None
-        self._published = {}
-        if self._node is not None:
-            rows: dict[bytes, bytes | None] = dict(self._node.sheets.rows(DUTY))
-            for name in self.view.shared.hosts:
-                rows.setdefault(b"h" + name.encode(), None)
-            self.sheet(rows)
+        """Another reads, from what we have published: that is a shared list for us too."""
+        self._owner = None
+        self._writers[DUTY].end()
+        self._reread(DUTY)
 
-    # -- the sheet
+    # -- the sheets
 
-    def sheet(self, changes: dict[bytes, bytes | None]) -> None:
-        """The shared list has changed."""
-        assert self._node is not None
-        version, entries, gone = self.view.shared.version, [], []
+    def sheet(self, topic: str, changes: dict[bytes, bytes | None]) -> None:
+        """A shared list has changed."""
+        self._made = None
+        shared, entries, gone = self._shared[topic], [], []
+        version = shared.listed.version
         for key, value in changes.items():
             try:
                 if key == VERSION:
-                    version = unpack(value or b"\xff", type=int)
+                    version = unpack(value, type=int) if value is not None else -1
+                elif key == STATE:
+                    shared.watched = value is None
+                elif key == ANEW:
+                    shared.anew = unpack(value, type=float) if value is not None else 0.0
                 elif value is None:
                     gone.append(key[1:].decode())
                 else:
                     entries.append(entry_of(key, value, self._zones, self._kinds))
             except ValueError as error:  # msgspec's errors are ValueErrors too
-                self._log("bad_row", sheet=DUTY, key=key.hex(), error=str(error))
-        told = self.view.shared_news(version, entries, gone)
-        if told:
-            self._tell(ListKind.CHANGES, told)
+                self._log("bad_row", sheet=topic, key=key.hex(), error=str(error))
+        if topic == self._chosen:
+            told = self.view.shared_news(version, entries, gone)
+            shared.listed.known = version >= 0
+            if told:
+                self._tell(ListKind.CHANGES, told)
+        else:
+            shared.listed.take(version, entries, gone)
+            shared.listed.known = version >= 0
 
     # -- inside
 
-    def _wants_own(self) -> bool:
-        if self._node is None:
-            return True
-        age = self._node.sheets.age(DUTY, self._deadlines.clock()) if self.view.share != "none" else 0.0
-        return self.view.wants_own(self._fence is not None, age)
+    def _reread(self, topic: str) -> None:
+        """A sheet that we wrote is one that others write."""
+        assert self._node is not None
+        rows: dict[bytes, bytes | None] = dict(self._node.sheets.rows(topic))
+        for name in self._shared[topic].listed.hosts:
+            rows.setdefault(b"h" + name.encode(), None)
+        for key in (STATE, ANEW):
+            rows.setdefault(key, None)
+        self.sheet(topic, rows)
+
+    def _heard(self, topic: str) -> Heard | None:
+        """A sheet that somebody else writes."""
+        assert self._node is not None
+        sheets, shared, now = self._node.sheets, self._shared[topic], self._deadlines.clock()
+        if sheets.ours(topic) is not None:
+            return None
+        watched = shared.watched and shared.listed.known
+        own = self.view.own
+        behind = watched and own.known and shared.listed.version < own.version and shared.anew <= self._read_at
+        return Heard(sheets.age(topic, now), watched, behind)
 
     def _watch(self) -> None:
         if not self._inventory.watching:
             self._inventory.resume()
 
     def _look(self) -> None:
-        """Whether our own watch should be on."""
-        now = self._deadlines.clock()
-        self._look_at = self._deadlines.at(now + LOOK, self._look)
-        if self._wants_own():
-            self._fresh_since = None
-            if not self._own_on:
-                self._log("register_own", shared_version=self.view.shared.version, own_version=self.view.own.version)
-                self._own_on = True
-                self._watch()
+        """Who reads now, and what follows from it for us."""
+        self._look_at = self._deadlines.after(LOOK, self._look)
+        scout = self._writers[SCOUT]
+        if scout.lost:
+            scout.end()
+            self._reread(SCOUT)
+        self._decide()
+        self._write()
+
+    def _decide(self) -> None:
+        assert self._node is not None
+        if self.view.share != "list":
+            self._watch_if_due()
+            self._choose()
             return
-        self._fresh_since = now if self._fresh_since is None else self._fresh_since
-        if now - self._fresh_since >= TRUST and self._own_on:
-            self._own_on = False
-            told = self.view.use(own=False)
-            self._log("register_shared", version=self.view.shared.version, hosts=len(self.view.shared.hosts))
-            self._inventory.stop()
+        heard = {topic: self._heard(topic) for topic in (DUTY, SCOUT)}
+        self._ask(heard)
+        before = self.reading.role
+        place = Place(*self._node.place(DUTY))
+        role = self.reading.decide(
+            self._deadlines.clock(), self._owner is not None, place, [h for h in heard.values() if h is not None],
+            self.view.watching,
+        )  # fmt: skip
+        self._choose()
+        if role is Role.READ:
+            self._watch_if_due()
+        elif role is Role.FOLLOW or not self._inventory.watching:
+            self._inventory.stop()  # a call that is out in our turn may end; none is made after it
+        if role is Role.FOLLOW or (role is Role.WAIT and not self.view.own.known and self.view.shared.known):
+            told, self._made = self.view.use(own=False), None
             if told is not None:
+                self._log("register_shared", version=self.view.shared.version, hosts=len(self.view.shared.hosts))
                 self._tell(*told)
+        if role is Role.READ and before is not Role.READ:
+            cause = "owner" if self._owner is not None else "turn" if before is Role.WAIT else "nobody is heard"
+            self._log("register_own", cause=cause, place=place.rank, of=place.others + 1,
+                      shared_version=self.view.shared.version, own_version=self.view.own.version)  # fmt: skip
+        elif role is not before:
+            self._log("register_role", role=role.value)
 
-    def _publish(self, names: set[str] | None) -> None:
-        """Put what we read into the sheet: these hosts, or all that are other than what was published."""
+    def _ask(self, heard: dict[str, Heard | None]) -> None:
+        """Some others may have heard a reader that we have not: the word of it goes by chance."""
         assert self._node is not None
-        if self._fence is None or self._building is not None:
-            return  # what is being built is compared again when it is done
-        own, now = self.view.own, self._deadlines.clock()
-        changes: dict[bytes, bytes | None] = {}
-        if names is None:
-            rows = rows_of(own.hosts.values(), self._zones, self._kinds)
-            changes = {key: value for key, value in rows.items() if self._published.get(key) != value}
-            changes.update((key, None) for key in self._published.keys() - rows.keys() if key != VERSION)
-        else:
-            there = [own.hosts[name] for name in names if name in own.hosts]
-            changes.update(rows_of(there, self._zones, self._kinds))
-            changes.update((b"h" + name.encode(), None) for name in names if name not in own.hosts)
-        changes[VERSION] = pack(own.version)
-        if len(changes) > LARGE:
-            self._building = asyncio.get_running_loop().create_task(self._build(self._fence, changes))
-            return
-        try:
-            self._node.sheets.publish(DUTY, self._fence, changes, now)
-        except ValueError as error:
-            self._refused(error)
-        else:
-            self._put(changes)
+        age, now = min((h.age for h in heard.values() if h is not None), default=0.0), self._deadlines.clock()
+        if age > UNHEARD and now >= self._ask_at:
+            self._ask_at = now + (LOOK if age < UNHEARD_LONG or age == inf else 10 * LOOK)
+            for topic, one in heard.items():
+                if one is not None:
+                    self._node.sheets.ask(topic, now)
+            self._flush()
 
-    async def _build(self, fence: Fence, changes: dict[bytes, bytes | None]) -> None:
-        rows = {**self._published, **changes}
-        whole = {key: value for key, value in rows.items() if value is not None}
-        nodes: dict[int, bytes] = {}
-        try:
-            root = await beside(trie.build, whole, nodes)
-            if self._node is not None and self._fence == fence:
-                self._node.sheets.publish_whole(DUTY, fence, root, nodes, self._deadlines.clock())
-                self._put(changes)
-        except ValueError as error:
-            self._refused(error)
+    def _watch_if_due(self) -> None:
+        """Our own watch is wanted; after a failure the pace says when it begins again."""
+        if not self._inventory.watching:
+            self._inventory.resume()
+
+    def _choose(self) -> None:
+        """Which of the shared lists counts: one whose reader is heard, then the newer one."""
+        def worth(topic: str) -> tuple[bool, bool, int]:
+            heard, shared = self._heard(topic), self._shared[topic]
+            if heard is None or not shared.listed.known:
+                return False, False, -1
+            fresh = heard.age <= self.reading.stale_after and not heard.behind
+            return fresh and heard.watched, fresh, shared.listed.version
+
+        best = max((DUTY, SCOUT), key=worth)
+        if best != self._chosen and worth(best) > worth(self._chosen):
+            self._chosen = best
+            told = self.view.prefer(self._shared[best].listed)
+            if told:
+                self._tell(ListKind.CHANGES, told)
+
+    def _write(self) -> None:
+        """Say what we read, or that we try to."""
+        if self._node is None or not self._writers:
             return
-        finally:
-            self._building = None
-        self._publish(None)
+        duty, scout = self._writers[DUTY], self._writers[SCOUT]
+        reads, works = self.reading.role is Role.READ, self.view.watching
+        if self._owner is not None:
+            if works:
+                duty.put(self._rows())
+            elif self._node.sheets.ours(DUTY) is not None:
+                self._node.sheets.withdraw(DUTY)
+        if self.view.share != "list":
+            return
+        # a turn to look is no claim, before it has found something
+        claims = reads and (self._owner is None if works else not self._tried_by_another())
+        if claims and scout.fence is None:
+            self.scouted += 1
+            scout.begin(self._node.claim(SCOUT, self._deadlines.clock()))
+        if scout.fence is not None and not scout.lost:
+            if claims:
+                scout.put(self._rows())
+            elif not reads or works:
+                self._node.release(SCOUT)
+                scout.end()
 
-    def _put(self, changes: dict[bytes, bytes | None]) -> None:
-        for key, value in changes.items():
-            if value is None:
-                self._published.pop(key, None)
-            else:
-                self._published[key] = value
-        self._flush()
+    def _tried_by_another(self) -> bool:
+        heard = self._heard(SCOUT)
+        return heard is not None and heard.age <= self.reading.stale_after
 
-    def _refused(self, error: ValueError) -> None:
+    def _rows(self) -> trie.Rows:
+        """What we have read, or what we hold from others where we have not; made anew after each change."""
+        if self._made is not None:
+            return self._made
+        base = self.view.own if self.view.own.known or self.view.source is not Source.SHARED else self.view.shared
+        rows = rows_of(base.hosts.values(), self._zones, self._kinds)
+        if base.known:
+            rows[VERSION] = pack(base.version)
+        if self._anew:
+            rows[ANEW] = pack(self._anew)
+        if not self.view.watching:
+            rows[STATE] = b"\x01"
+        self._made = rows
+        return rows
+
+    def _refused(self, error: str) -> None:
         """A list that cannot be shared is shared by nobody: each reads it itself."""
-        self._log("register_not_shared", error=str(error))
+        self._log("register_not_shared", error=error)
         if self._node is not None:
-            self._node.sheets.withdraw(DUTY)
-            self._flush()
+            for topic in (DUTY, SCOUT):
+                if self._node.sheets.ours(topic) is not None:
+                    self._node.sheets.withdraw(topic)
--- /dev/null
+++ b/tests/arrival/test_broken.py
@@ -0,0 +1,37 @@
+"""Each mechanism, taken out of the program, is missed by the script that guards it."""
+
+import shutil
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from heronlug.rig.rig import play
+from heronlug.rig.script import load
+
+ROOT = Path(__file__).parents[2]
+BROKEN = {  # script: file, what stands there, what is put in its place, and a word of the fault that has to be told
+    "own-told": ("arrival/pacing.py", "if self.terms.cost is None or self.terms.many == 1:", "if True:",
+                 "calls turned away"),
+    "own-kept": ("arrival/kept.py", "at > now + AHEAD", "at < now + AHEAD", "served"),
+    "shared-outage": ("wire/register.py", "if claims and scout.fence is None:", "if claims and works:", "calls"),
+}  # fmt: skip
+
+
+def broken(folder: Path, file: str, stands: str, instead: str) -> Path:
+    shutil.copytree(ROOT / "heronlug", folder / "heronlug", ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / "heronlug" / file
+    text = path.read_text()
+    assert text.count(stands) == 1, f"{file} has changed: {stands}"
+    path.write_text(text.replace(stands, instead))
+    return folder
+
+
+def test_a_mechanism_that_is_taken_out_is_missed(tmp_path: Path) -> None:
+    def tried(name: str) -> list[str]:
+        file, stands, instead, _ = BROKEN[name]
+        script = load(ROOT / "scenarios" / "rig" / f"{name}.toml")
+        return play(script, source=broken(tmp_path / name, file, stands, instead)).faults
+
+    with ThreadPoolExecutor(len(BROKEN)) as pool:
+        found = dict(zip(BROKEN, pool.map(tried, BROKEN), strict=True))
+    for name, (*_, word) in BROKEN.items():
+        assert any(word in fault for fault in found[name]), (name, found[name])
--- /dev/null
+++ b/tests/arrival/test_reading.py
@@ -0,0 +1,203 @@
+"""Who reads for a cluster: members that decide alone, with losses, deaths and outages between them, in virtual time.
+
+The model is the least that the module stands on: a beat every 400 ms that each member hears or not, a register that
+answers a call after a while, refuses or says nothing, for all or for some.
+"""
+
+from math import inf
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heronlug.arrival import reading
+from heronlug.arrival.reading import Heard, Place, Reading, Role
+
+STALE, BEAT, LOOK = 1500.0, 400.0, 100.0
+ANSWER, RETRY = 150.0, 600.0
+
+
+class Member:
+    def __init__(self, number: int, starts: float, rng: Random) -> None:
+        self.number, self.starts, self.alive, self.standing = number, starts, True, False
+        self.reading = Reading(STALE, 3, rng.random())
+        self.works = self.said = False
+        self.call_ends: float | None = None
+        self.next_call = -inf
+        self.claim: float | None = None  # when it began to say so
+        self.heard_at, self.heard_watched = -inf, False  # the latest claim that it has heard
+        self.heard_claim = -inf
+        self.list_at = -inf  # when its list was last good
+
+
+class Cluster:
+    """Members by rank; the latest claim counts, and who hears of it gives way."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0, spread: float = 0.0) -> None:
+        self.rng, self.loss, self.now = Random(seed), loss, 0.0
+        self.members = [Member(n, self.rng.uniform(0, spread), self.rng) for n in range(count)]
+        self.down: set[int] = set()  # who cannot reach the register
+        self.parts: dict[int, int] = {}  # which part of a cut cluster each is in
+        self.calls: list[tuple[float, int]] = []
+
+    def together(self, a: Member, b: Member) -> bool:
+        return self.parts.get(a.number, 0) == self.parts.get(b.number, 0)
+
+    def up(self) -> list[Member]:
+        return [m for m in self.members if m.alive and not m.standing and m.starts <= self.now]
+
+    def run(self, span: float) -> None:
+        end = self.now + span
+        while self.now < end:
+            self.now += LOOK
+            for member in self.up():
+                self.step(member)
+            if self.now % BEAT < LOOK / 2:
+                for member in self.up():
+                    self.say(member)
+
+    def say(self, writer: Member) -> None:
+        """A beat, or a change, which is told at once."""
+        if writer.claim is not None:
+            for member in self.up():
+                if member is writer or not self.together(member, writer) or self.rng.random() < self.loss:
+                    continue
+                if member.claim is not None and writer.claim < member.claim:
+                    continue
+                member.claim = None
+                if writer.claim >= member.heard_claim:
+                    member.heard_claim, member.heard_at = writer.claim, self.now
+                    member.heard_watched = writer.works
+                    if writer.works:
+                        member.list_at = self.now
+
+    def step(self, member: Member) -> None:
+        if member.call_ends is not None and member.call_ends <= self.now:
+            member.call_ends = None
+            member.works = member.number not in self.down
+            member.next_call = self.now + RETRY
+        if member.works and member.number in self.down:
+            member.works, member.next_call = False, self.now + RETRY
+        if member.works:
+            member.list_at = self.now
+        others = [m for m in self.up() if m is not member and self.together(m, member)]
+        place = Place(sum(m.number < member.number for m in others), len(others))
+        heard = [Heard(self.now - member.heard_at, member.heard_watched, False)] if member.claim is None else []
+        role = member.reading.decide(self.now, False, place, heard, member.works)
+        if role is Role.READ and not member.works and member.call_ends is None and self.now >= member.next_call:
+            self.calls.append((self.now, member.number))
+            member.call_ends = self.now + ANSWER
+        if role is Role.FOLLOW:
+            member.works = False
+        before = member.claim, member.works
+        tried = member.claim is None and self.now - member.heard_at <= STALE
+        if role is Role.READ and member.claim is None and (member.works or not tried):
+            member.claim = self.now + member.number / 1e6
+        elif role is not Role.READ:
+            member.claim = None
+        if (member.claim, member.works) != before or (member.claim is not None and member.works is not member.said):
+            member.said = member.works
+            self.say(member)
+
+    def without(self, within: float = STALE) -> list[int]:
+        return [m.number for m in self.up() if self.now - m.list_at > within]
+
+
+@settings(max_examples=40)
+@given(count=st.integers(1, 40), seed=st.integers(0, 9999), loss=st.sampled_from([0.0, 0.1, 0.3]),
+       spread=st.sampled_from([0.0, 500.0, 4000.0]))  # fmt: skip
+def test_a_fleet_that_starts_has_its_list_soon_from_few_calls(
+    count: int, seed: int, loss: float, spread: float
+) -> None:
+    cluster = Cluster(count, seed, loss, spread)
+    cluster.run(spread + 3000)
+    assert not cluster.without()
+    if not loss:
+        assert len(cluster.calls) <= 6
+    cluster.run(10_000)
+    if not loss:
+        assert sum(m.works for m in cluster.up()) == 1
+
+
+@settings(max_examples=40)
+@given(seed=st.integers(0, 9999), loss=st.sampled_from([0.0, 0.3]), data=st.data())
+def test_readers_that_die_one_after_another_are_replaced(seed: int, loss: float, data: st.DataObject) -> None:
+    cluster = Cluster(12, seed, loss)
+    cluster.run(6000)
+    for _ in range(5):
+        for member in cluster.up():
+            if member.works and len(cluster.up()) > 1:
+                member.alive = False
+        cluster.run(data.draw(st.sampled_from([2500.0, 5000.0])))
+        assert not cluster.without(STALE + reading.LAST + (2 * BEAT + ANSWER if loss else 0.0))
+    assert cluster.up()
+
+
+@pytest.mark.parametrize("count", [1, 3, 40, 100])
+@pytest.mark.parametrize("outage", [3000.0, 20_000.0])
+def test_an_outage_is_looked_at_by_few_and_one_reads_again_soon(count: int, outage: float) -> None:
+    cluster = Cluster(count, 7)
+    cluster.run(8000)
+    cluster.down = set(range(count))
+    cluster.run(outage)
+    tried = [at for at, _ in cluster.calls if at > 8000]
+    # the reader tries again each 0.75 s here, and one other a second looks
+    assert len(tried) <= 2 + outage / (RETRY + ANSWER) + outage / reading.TURN
+    cluster.down, back, before = set(), cluster.now, len(cluster.calls)
+    cluster.run(2000)
+    assert not cluster.without()
+    cluster.run(18_000)
+    assert sum(m.works for m in cluster.up()) == 1
+    assert len(cluster.calls) - before <= 4, cluster.calls[before:]
+    assert cluster.now - back == pytest.approx(20_000)
+
+
+@settings(max_examples=40)
+@given(seed=st.integers(0, 9999), reach=st.integers(0, 11))
+def test_whoever_alone_can_reach_the_register_is_found(seed: int, reach: int) -> None:
+    cluster = Cluster(12, seed)
+    cluster.down = set(range(12)) - {reach}
+    cluster.run(3000 + 14 * reading.TURN)
+    assert not cluster.without()
+
+
+@settings(max_examples=40)
+@given(seed=st.integers(0, 9999), cut=st.integers(1, 11))
+def test_each_part_of_a_cut_cluster_has_a_reader_and_one_is_left_after_it(seed: int, cut: int) -> None:
+    cluster = Cluster(12, seed)
+    cluster.parts = {number: int(number < cut) for number in range(12)}
+    cluster.run(6000)
+    assert not cluster.without()
+    cluster.parts = {}
+    cluster.run(8000)
+    assert sum(m.works for m in cluster.up()) == 1 and not cluster.without()
+
+
+def test_a_reader_that_stands_still_is_replaced_and_gives_way_when_it_goes_on() -> None:
+    cluster = Cluster(8, 3)
+    cluster.run(6000)
+    (reader,) = [m for m in cluster.up() if m.works]
+    reader.standing = True
+    cluster.run(3000)
+    assert not cluster.without(STALE + reading.LAST)
+    reader.standing = False
+    cluster.run(6000)
+    assert sum(m.works for m in cluster.up()) == 1
+
+
+def test_a_list_that_is_behind_ours_is_not_followed() -> None:
+    part = Reading(STALE, 3, 0.0)
+    part.decide(0.0, False, Place(5, 9), [], False)
+    assert part.decide(100.0, False, Place(5, 9), [Heard(50.0, True, False)], False) is Role.FOLLOW
+    for step in range(60):
+        role = part.decide(200.0 + step * LOOK, False, Place(5, 9), [Heard(50.0, True, True)], False)
+    assert role is Role.READ
+
+
+def test_the_owner_of_the_lease_always_reads_and_who_reads_stays_until_another_is_trusted() -> None:
+    part = Reading(STALE, 3, 0.0)
+    assert part.decide(0.0, True, Place(9, 9), [Heard(0.0, True, False)], False) is Role.READ
+    assert part.decide(10.0, False, Place(9, 9), [Heard(0.0, True, False)], True) is Role.READ
+    assert part.decide(reading.TRUST - 1, False, Place(9, 9), [Heard(0.0, True, False)], True) is Role.READ
+    assert part.decide(reading.TRUST, False, Place(9, 9), [Heard(0.0, True, False)], True) is Role.FOLLOW
--- /dev/null
+++ b/tests/rig/test_scripts.py
@@ -0,0 +1,27 @@
+"""The scripts of scenarios/rig: several processes of the program with faults between them, each with its verdict.
+
+Some play at once, since most of their time is waiting; nothing is asserted on speed.
+"""
+
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from heronlug.rig.rig import Verdict, play
+from heronlug.rig.script import load
+
+FOLDER = Path(__file__).parents[2] / "scenarios" / "rig"
+SCRIPTS = sorted(FOLDER.glob("*.toml"))
+AT_ONCE = 4
+_pool = ThreadPoolExecutor(AT_ONCE)
+_verdicts: dict[Path, Future[Verdict]] = {}
+
+
+@pytest.mark.parametrize("path", SCRIPTS, ids=lambda path: path.stem)
+def test_a_script_keeps_the_rules_and_what_it_expects(path: Path) -> None:
+    if not _verdicts:
+        _verdicts.update({each: _pool.submit(play, load(each)) for each in SCRIPTS})
+    verdict = _verdicts[path].result(240)
+    assert verdict.kept, verdict.text()
+    assert verdict.figures["running in the end"] > 0
