--- a/heronlug/wire/register.py
+++ b/heronlug/wire/register.py
@@ -313,7 +313,10 @@
             self._watch_if_due()
         elif role is Role.FOLLOW or not self._inventory.watching:
             self._inventory.stop()  # a call that is out in our turn may end; none is made after it
-        if role is Role.FOLLOW or (role is Role.WAIT and not self.view.own.known and self.view.shared.known):
+        # who tries in vain, the owner too, goes by what somebody else reads, or holds, where that is no older
+        shared, own = self.view.shared, self.view.own
+        newer = shared.known and (not own.known or shared.version >= own.version)
+        if role is Role.FOLLOW or (newer and not self.view.watching and role is not Role.LISTEN):
             told, self._made = self.view.use(own=False), None
             if told is not None:
                 self._log("register_shared", version=self.view.shared.version, hosts=len(self.view.shared.hosts))
--- a/tests/cluster/test_register.py
+++ b/tests/cluster/test_register.py
@@ -26,6 +26,7 @@
 
 NAMES = "abc"
 PATIENCE = 30.0
+SETTLED = 2.0
 FILE = """
 [serve]
 name = "{name}"
@@ -61,6 +62,7 @@
         self.programs: dict[str, subprocess.Popen[bytes]] = {}
         (folder / "key").write_text("a key that is long enough")
         self.discovery = 0
+        self.seen: tuple[str | None, float] = None, 0.0
 
     async def open(self) -> None:
         self.discovery = await self.register.open()
@@ -123,6 +125,10 @@
     def reader(self) -> str | None:
         """Who reads for all, once the others go by what it says."""
         owner = self.owner("register")
+        if owner != self.seen[0]:
+            self.seen = owner, time.monotonic()
+        if time.monotonic() - self.seen[1] < SETTLED:
+            return None  # the first owner hands over to the one that should have the duty
         others = [name for name, program in self.programs.items() if name != owner and program.poll() is None]
         shared = all(self.figures(name).get("svc_cluster_register_shared") == 1 for name in others)
         return owner if shared else None
