A fleet that has served nothing yet uses its cold runners; the rig's ports stay its own

Seen: scenarios/rig/black-start.toml (16 dispatchers, 6 runners, all new): 0 of 610 jobs served, all held to their end. Excluded: the register (all listed after 0.6 s), dials (none made), the runners (nothing came). At fault: logic.py _score, which shares a cold worker's budget among as many dispatchers as jobs of the mean span fit in; before anything was served that mean was taken for 1 ms, so all 16 shared it, 79 to 236 ms each, where a job is held to take its class's aim, 500 ms and more: nobody ever sends, so nobody ever learns. Now the longest aim stands in until there is a mean. The parts of all together stay the same budget: the test in virtual time adds up what 4, 16 and 100 send; it fails without the change.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -48,8 +48,8 @@
         self.look = min(c.aim for c in settings.classes) / LOOKS_PER_AIM
         self.relayed = self.tell and 2 * (settings.instances - 1) > READS
         self.tell_gap = 0.0 if self.relayed else self.look * settings.instances / 2  # what each has to read
-        aims = sorted(c.aim for c in settings.classes)
-        self.view_gap = aims[len(aims) // 2 if self.relayed else -1] / VIEWS  # alike at all; mean runs differ
+        self.aims = sorted(c.aim for c in settings.classes)
+        self.view_gap = self.aims[len(self.aims) // 2 if self.relayed else -1] / VIEWS  # alike at all; mean runs differ
         if self.relayed:
             self.agenda.at(0.0, self._on_beat, None)
         self.scores = SCORES_PER_US * settings.cpu_per_request or SCORES
@@ -484,7 +484,7 @@
         warmth = self.s.cold_from + (1 - self.s.cold_from) * max(0.0, age) / self.s.warm_after
         # rule 4: our share of what it stands; so few share it that each one's part holds a job
         budget = COLD_MARGIN * self.s.tip_multiple * warmth * worker.model.slots * self.s.overload_for
-        users = min(self.s.instances, max(1, int(budget / (self.mean_span or 1.0))))
+        users = min(self.s.instances, max(1, int(budget / (self.mean_span or self.aims[-1]))))
         worker.budget = budget / users if (self.s.position - worker.id) % self.s.instances < users else 0.0
         return bound * warmth
 
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -1,10 +1,13 @@
 """Plays a script: starts everything, does the steps, watches, and judges."""
 
 import asyncio
+import itertools
+import os
 import shutil
 import signal
 import socket
 import tempfile
+import threading
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -28,7 +31,7 @@
 LISTED_WITHIN = 60.0
 LOOKED_AT = 16  # processes at once
 STOP_WITHIN = 15.0
-LOW_PORT, PORTS = 12_000, 18_000  # below the ports of outgoing connections
+LOW_PORT, PORTS = 12_000, 20_000  # below the ports of outgoing connections
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
@@ -158,17 +161,17 @@
         script, count = self.script, self.script.dispatchers.count
         (self.folder / "key").write_text("a key that is long enough")
         names = [f"d{number}" for number in range(count)]
-        ports = _ports(4 * count)
+        ports = _ports(5 * count)
         operators = dict(zip(names, ports[count : 2 * count], strict=True))
         self._doors = dict(zip(names, ports[:count], strict=True))
         peers = dict(zip(names, ports[2 * count : 3 * count], strict=True))
-        members = dict(zip(names, ports[3 * count :], strict=True))
-        await self.runners.open()
+        members = dict(zip(names, ports[3 * count : 4 * count], strict=True))
+        await self.runners.open(_ports(script.runners.count) if script.runners.count else [])
         relayed = "peers" in script.relays
         seen_peers = await self.paths.udp(peers) if relayed and script.dispatchers.peers else peers
         seen_members = await self.paths.udp(members) if relayed and script.dispatchers.cluster else members
         for number, name in enumerate(names):
-            discovery = await self.register.open(caller=name)
+            discovery = await self.register.open(port=ports[4 * count + number], caller=name)
             where = f"127.0.0.1:{discovery}"
             if "register" in script.relays:
                 where = self.paths.tcp(name, "register", lambda real=where: real)  # type: ignore[misc]
@@ -477,16 +480,21 @@
     return await Rig(script, folder, events, source).play()
 
 
+_turn = itertools.count(os.getpid() * 131)
+_lock = threading.Lock()
+
+
 def _ports(count: int) -> list[int]:
-    """Ports that nothing listens on now, all different and below those that the system gives by itself."""
+    """Ports that nothing listens on now, all different, of no other rig of this process, and below those that the
+    system gives by itself: what is closed for a while must find its port again."""
     found: list[int] = []
-    start = Random().randrange(PORTS)
-    for step in range(PORTS):
-        port = LOW_PORT + (start + step) % PORTS
-        if all(_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
-            found.append(port)
-            if len(found) == count:
-                return found
+    with _lock:
+        for _ in range(PORTS):
+            port = LOW_PORT + next(_turn) % PORTS
+            if all(_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+                found.append(port)
+                if len(found) == count:
+                    return found
     raise OSError("no free ports")
 
 
--- a/heronlug/rig/runners.py
+++ b/heronlug/rig/runners.py
@@ -44,8 +44,8 @@
         table = script.runners
         self._warmth = Warmth(table.cold_from, table.warm_after_ms, table.tip_multiple, table.overload_for_ms)
 
-    async def open(self) -> None:
-        """Start and list all of them; raises ``OSError``."""
+    async def open(self, ports: list[int]) -> None:
+        """Start and list all of them, each at a port of its own; raises ``OSError``."""
         table = self.script.runners
         for number in range(table.count):
             name = f"r{number}"
@@ -55,6 +55,7 @@
             if table.cold:
                 host.start()
             self.servers[name] = Server(self, host)
+            self.servers[name].port = ports[number]
             await self.servers[name].open()
             self.list_as(name, "active")
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -570,3 +570,20 @@
         host.end(left, 0, Outcome.CANCELLED)
         assert (worker.n > n + 0.3) == bool(learned)
         assert not learned or worker.mean < mean or not n
+
+
+def test_a_fleet_that_has_served_nothing_yet_uses_its_cold_workers_and_pushes_none_over() -> None:
+    """Risk: in a black start each one's part of a cold worker's budget holds no job, and nobody ever sends one."""
+    for count in (4, 16, 100):
+        settings = with_settings(instances=count, cold_from=0.15, report_fields=(), tells_start=True)
+        work: dict[int, float] = {}
+        for position in range(count):
+            host = Host(replace(settings, position=position), workers=0)
+            host.listed(ListKind.CACHED, entries(12, started_at=host.now - 1.0))
+            for lane in (0, 2) * 8:
+                job = host.job(lane)
+                for worker in host.sent.get(job, ()):
+                    work[worker] = work.get(worker, 0.0) + settings.classes[lane].aim
+        stands = settings.tip_multiple * 0.16 * 4.0 * settings.overload_for
+        assert len(work) >= 6, (count, work)  # of 12 workers
+        assert max(work.values()) <= stands, (count, work, stands)
