Black start: parts of a cold budget by the shortest aim; the emulator's register queues

Need: with the longest aim standing in for a mean that is not known yet, few share a cold runner, and at 200 dispatchers most have a part at none.

--- a/heronlug/emulator/dispatchers.py
+++ b/heronlug/emulator/dispatchers.py
@@ -1,8 +1,10 @@
 """An emulated dispatcher: the real core with the real decision module, and a network in place of sockets."""
 
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from heronlug import interface as pk
+from heronlug.arrival.pacing import Pacer, Terms, Why
 from heronlug.emulator.clients import Job
 from heronlug.emulator.hosts import Host, Run
 from heronlug.emulator.policies import OURS, POLICIES, Look
@@ -14,6 +16,7 @@
 if TYPE_CHECKING:
     from heronlug.emulator.world import World
 
+WATCH = 20_000.0  # ms that a watch waits for news
 PROGRESS = 1000.0  # ms between words of a job that runs
 MAX_COME_BACK = 2000.0
 
@@ -48,8 +51,15 @@
             self.core.dispatcher = POLICIES[world.scenario.policy](settings, seed, self._look)  # type: ignore[assignment]
         elif world.module is not None:
             self.core.dispatcher = world.module(settings, seed)
+        table = world.scenario.register
+        cost = table.call_ms if table.told and table.call_ms else None
+        terms = Terms(settings.instances, settings.position, cost)
+        self._pace = Pacer(terms, Random(seed).random) if world.scenario.dispatchers.paced else None
+        self._has = bool(self._known) or world.scenario.dispatchers.listed
+        self._begun = False
         world.tell(Started(world.line.now, self.name))
-        self._list(ListKind.CACHED, self._known or list(world.register.entries.values()))
+        known = self._known or (list(world.register.entries.values()) if self._has else [])
+        self._list(ListKind.CACHED, known)
 
     def kill(self) -> None:
         """The process is gone at once, and its clients see that."""
@@ -173,8 +183,33 @@
             self.world.tell(Listed(now, self.name, entry.name, entry.state.name.lower()))
         self.core.inventory(kind, entries)
 
+    @property
+    def watch_ms(self) -> float:
+        """How long a watch waits for news."""
+        return self._pace.watch if self._pace is not None else WATCH
+
+    def answered(self, took: float) -> None:
+        """The register has answered with the list."""
+        self._has = True
+        if self._pace is not None:
+            self._pace.answered(took)
+
+    def turned_away(self) -> None:
+        """It has not."""
+        if self._pace is not None:
+            self._call_at(self._pace.failed(self.deadlines.clock(), Why.TURNED_AWAY, self._has))
+        self._list(ListKind.FAILED, [])
+
     def _watch(self) -> None:
-        self.world.register.watch(self)
+        if self._pace is None:
+            self.world.register.watch(self)
+        elif not self._begun:
+            self._begun = True
+            self._call_at(self._pace.begin(self.deadlines.clock(), self._has))
+
+    def _call_at(self, when: float) -> None:
+        """The pace says when; what the module asks for meanwhile is this call."""
+        self.deadlines.at(when, self.world.register.watch, self)
 
     def _tell(self, content: bytes, peer: int) -> None:
         for other in self.world.dispatchers if peer < 0 else [self.world.dispatchers[peer]]:
--- a/heronlug/emulator/figures.py
+++ b/heronlug/emulator/figures.py
@@ -62,6 +62,10 @@
     told: int = 0  # datagrams between dispatchers
     little: tuple[float, float] = (0.0, 0.0)  # jobs in the system: their mean by time, and rate times mean stay
     violations: dict[int, int] = field(default_factory=dict)
+    calls: int = 0  # of the register, where they cost something
+    turned: int = 0  # of these, away
+    watched: float = float("nan")  # ms until the last dispatcher's first watch waited for news
+    unread: int = 0  # dispatchers that never came so far
     events: int = 0
     wall: float = 0.0  # s that the run took
 
@@ -102,6 +106,8 @@
             "fell": float(sum(host.fell for host in self.hosts)),
             "violations": float(sum(self.violations.values())),
             "told_per_job": self.told / jobs if jobs else 0.0,
+            "calls": float(self.calls), "turned": float(self.turned), "watched_ms": self.watched,
+            "unread": float(self.unread),
         }  # fmt: skip
         for lane in self.lanes:
             ended = lane.jobs or 1
--- a/heronlug/emulator/scenario.py
+++ b/heronlug/emulator/scenario.py
@@ -35,6 +35,9 @@
     attempts_cap: Annotated[int, Meta(ge=1, le=64, description="a whole number, 1 to 64")] = 6
     second_copies: bool = True
     may_tell: bool = True
+    paced: bool = False  # their calls of the register keep to a pace
+    listed: bool = True  # at the start each has a list, if an old one
+    over_s: When = 0.0  # within this all have started
 
 
 class Network(Struct, forbid_unknown_fields=True):
@@ -52,6 +55,9 @@
 
     lag_ms: Millis = 50.0
     sigma: Annotated[float, Meta(ge=0, le=3, description="0 to 3")] = 0.5
+    call_ms: Millis = 0.0  # what a call costs it; 0: it answers all at once
+    wait_most_ms: Millis = 1000.0  # a call that would wait longer is turned away
+    told: bool = False  # the dispatchers are told what a call costs
 
 
 class Safety(Struct, forbid_unknown_fields=True):
--- a/heronlug/emulator/world.py
+++ b/heronlug/emulator/world.py
@@ -57,7 +57,8 @@
         self._by_way: Draws = self._spread(scenario.network.sigma, "datagrams")
         self._losses = stream(self.seed, "losses")
         lag = self._spread(scenario.register.sigma, "register", scale=scenario.register.lag_ms)
-        self.register = Register(self.line, lag)
+        table = scenario.register
+        self.register = Register(self.line, lag, table.call_ms, table.wait_most_ms, self.tell)
         self.figures = Figures(
             scenario.name, scenario.policy, self.seed, (scenario.span_s - scenario.warm_up_s) * 1000,
             [Lane(lane.name, lane.worth) for lane in scenario.classes], np.zeros((2, int(scenario.span_s) + 1)),
@@ -74,8 +75,13 @@
     def run(self) -> Figures:
         """Play it to its end, and until all that came has been answered."""
         began = time.perf_counter()
+        starts = stream(self.seed, "starts")
         for dispatcher in self.dispatchers:
-            self._start(dispatcher)
+            if self.scenario.dispatchers.over_s:
+                when = float(starts.uniform(0.0, self.scenario.dispatchers.over_s * 1000))
+                self.line.at(when, self._start, dispatcher)
+            else:
+                self._start(dispatcher)
         self.clients.begin()
         span = self.scenario.span_s * 1000
         self.line.run(span)
@@ -90,6 +96,9 @@
             figures.hosts.append(HostFigures(host.name, host.kind.name, load, host.runs, host.fell, host.peak))
         self.checker.finish(self.line.now)
         figures.violations = dict(self.checker.counts)
+        figures.calls, figures.turned = self.register.calls, self.register.turned
+        figures.watched = max(self.register.watched_at.values(), default=float("nan"))
+        figures.unread = len(self.dispatchers) - len(self.register.watched_at) if figures.calls else 0
         figures.events = self.line.done
         figures.wall = time.perf_counter() - began
         return figures
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -484,7 +484,7 @@
         warmth = self.s.cold_from + (1 - self.s.cold_from) * max(0.0, age) / self.s.warm_after
         # rule 4: our share of what it stands; so few share it that each one's part holds a job
         budget = COLD_MARGIN * self.s.tip_multiple * warmth * worker.model.slots * self.s.overload_for
-        users = min(self.s.instances, max(1, int(budget / (self.mean_span or self.aims[-1]))))
+        users = min(self.s.instances, max(1, int(budget / (self.mean_span or self.aims[0]))))
         worker.budget = budget / users if (self.s.position - worker.id) % self.s.instances < users else 0.0
         return bound * warmth
 
