--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -48,8 +48,8 @@
         self.look = min(c.aim for c in settings.classes) / LOOKS_PER_AIM
         self.relayed = self.tell and 2 * (settings.instances - 1) > READS
         self.tell_gap = 0.0 if self.relayed else self.look * settings.instances / 2  # what each has to read
-        self.aims = sorted(c.aim for c in settings.classes)
-        self.view_gap = self.aims[len(self.aims) // 2 if self.relayed else -1] / VIEWS  # alike at all; mean runs differ
+        aims = self.aims = sorted(c.aim for c in settings.classes)
+        self.view_gap = aims[len(aims) // 2 if self.relayed else -1] / VIEWS  # alike at all; mean runs differ
         if self.relayed:
             self.agenda.at(0.0, self._on_beat, None)
         self.scores = SCORES_PER_US * settings.cpu_per_request or SCORES
