A cluster on the platform's own file keeps to a pace as well; all reading as a script

Read once more: where share = news, or a file without a pace, the look every 0.1 s would begin a watch again at once after each failure (wire/register.py _watch_if_due). A member that shares the register always has a pace now.

--- a/heronlug/life/member.py
+++ b/heronlug/life/member.py
@@ -31,8 +31,10 @@
         self.table, self._inventory, self._tell = table, inventory, tell
         sharing, probing = table["register"], table["probe"]
         self.view = HostView(sharing.get("share", "none"), probing.get("panic_share", 1.0))
-        if sharing and sharing["share"] == "list" and inventory.pace is not None:
-            inventory.pace = Pacer(Terms(), Random().random)  # one reads, and calls with nobody else
+        if sharing and (sharing["share"] == "list" or inventory.pace is None):
+            # one reads, and calls with nobody else; where all read, each has its place
+            many = Terms() if sharing["share"] == "list" else Terms(core.settings.instances, core.settings.position)
+            inventory.pace = Pacer(many, Random().random)
         self.register = Register(self.view, inventory, self._news, deadlines, log, zones, kinds,
                                  sharing.get("stale_after_ms", 1500.0), len(table["seeds"]))  # fmt: skip
         self.probes = Probes(probing, self.view, self._news, deadlines, log, turn) if probing else None
