--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -21,7 +21,7 @@
 from heronlug.rig.paths import Path as Between
 from heronlug.rig.paths import Paths
 from heronlug.rig.processes import Process, write_file
-from heronlug.rig.runners import Runners, lanes_of
+from heronlug.rig.runners import Runners, lanes_of, listening
 from heronlug.rig.script import LASTING, PROCESS, Script, Step, choose
 from heronlug.rules import Answered, Called, Checker, Ended, Listed, Started, Stopped, Taken, Violation
 from heronlug.standin.register import Call, Register
@@ -161,17 +161,20 @@
         script, count = self.script, self.script.dispatchers.count
         (self.folder / "key").write_text("a key that is long enough")
         names = [f"d{number}" for number in range(count)]
-        ports = _ports(5 * count)
+        ports = _ports(4 * count)
         operators = dict(zip(names, ports[count : 2 * count], strict=True))
         self._doors = dict(zip(names, ports[:count], strict=True))
         peers = dict(zip(names, ports[2 * count : 3 * count], strict=True))
-        members = dict(zip(names, ports[3 * count : 4 * count], strict=True))
-        await self.runners.open(_ports(script.runners.count) if script.runners.count else [])
+        members = dict(zip(names, ports[3 * count :], strict=True))
+        await self.runners.open(lambda: _ports(1)[0])
         relayed = "peers" in script.relays
         seen_peers = await self.paths.udp(peers) if relayed and script.dispatchers.peers else peers
         seen_members = await self.paths.udp(members) if relayed and script.dispatchers.cluster else members
         for number, name in enumerate(names):
-            discovery = await self.register.open(port=ports[4 * count + number], caller=name)
+            discovery = await listening(
+                lambda port, name=name: self.register.open(port=port, caller=name),  # type: ignore[misc]
+                lambda: _ports(1)[0],
+            )
             where = f"127.0.0.1:{discovery}"
             if "register" in script.relays:
                 where = self.paths.tcp(name, "register", lambda real=where: real)  # type: ignore[misc]
--- a/heronlug/rig/runners.py
+++ b/heronlug/rig/runners.py
@@ -1,7 +1,9 @@
 """The rig's runners: the emulator's hosts behind sockets, with what they see told to the history."""
 
-from collections.abc import Callable
-from typing import Any
+import errno
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, TypeVar
 
 from heronlug.emulator.draws import Draws
 from heronlug.emulator.hosts import Host, Kind, Run, Warmth
@@ -14,6 +16,8 @@
 from heronlug.standin.register import Register
 
 KIND = "m1"
+TRIES = 5
+Result = TypeVar("Result")
 
 
 def lanes_of(script: Script) -> dict[str, ClassTable]:
@@ -26,6 +30,17 @@
     }  # fmt: skip
 
 
+async def listening(opened: Callable[[int], Awaitable[Result]], port: Callable[[], int]) -> Result:
+    """Listen at a port; one that somebody has taken since it was found free is given up for another."""
+    for _ in range(TRIES):
+        try:
+            return await opened(port())
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+    return await opened(port())
+
+
 class Runners:
     """All runners by name; the register lists them."""
 
@@ -44,7 +59,7 @@
         table = script.runners
         self._warmth = Warmth(table.cold_from, table.warm_after_ms, table.tip_multiple, table.overload_for_ms)
 
-    async def open(self, ports: list[int]) -> None:
+    async def open(self, port: Callable[[], int]) -> None:
         """Start and list all of them, each at a port of its own; raises ``OSError``."""
         table = self.script.runners
         for number in range(table.count):
@@ -55,10 +70,13 @@
             if table.cold:
                 host.start()
             self.servers[name] = Server(self, host)
-            self.servers[name].port = ports[number]
-            await self.servers[name].open()
+            await listening(partial(self._listen, name), port)
             self.list_as(name, "active")
 
+    async def _listen(self, name: str, port: int) -> None:
+        self.servers[name].port = port
+        await self.servers[name].open()
+
     def address(self, name: str) -> str:
         """Where it really is."""
         return f"127.0.0.1:{self.servers[name].port}"
