--- a/tests/rig/test_scripts.py
+++ b/tests/rig/test_scripts.py
@@ -13,7 +13,7 @@
 from heronlug.rig.script import load
 
 FOLDER = Path(__file__).parents[2] / "scenarios" / "rig"
-# these were seen to fail once in some ten plays beside others, for a reason that is not known yet: ``make soak`` has them
+# seen to fail once in some ten plays beside others, for a reason that is not known yet: ``make soak`` plays them
 SOAK = {"first", "own-flaps", "own-kept"}
 SCRIPTS = [path for path in sorted(FOLDER.glob("*.toml")) if path.stem not in SOAK or os.environ.get("RIG_ALL")]
 AT_ONCE = 3
