Ports of the rig: the cause of scripts that failed rarely, and one way to find a port

Seen: own-kept and own-flaps failed rarely, always from one dispatcher on to the last. The error ended the loop that reopens all the others and was lost with its task, so the rig's fault passed for the program's. Another: a port just found free was in use at once, since a process that another thread starts holds copies of our sockets until its exec has closed them. At fault: paths.py _bind (port 0), rig.py _begin (errors of tasks), and three ways to find a port (demo.ports, rig._ports, tests/exchange.free_port); the tries again that were added before were no mend.

heronlug/standin/ports.py is the one way now, for the rig, the demo and the tests; probing and starting a process do not overlap; a task of the rig that fails is told as the rig's own. The two tries again, and fields that nobody reads, are gone.

--- a/benchmarks/coldstart.py
+++ b/benchmarks/coldstart.py
@@ -106,12 +106,12 @@
             if case.settle_s:
                 await asyncio.sleep(case.settle_s)
             if case.down_s:
-                rig._down(True)
+                rig.down(True)
                 await asyncio.sleep(case.down_s)
                 rig.checker.calls.clear()
                 for rush in rig.checker.call_rush:
                     rush.most = 0
-                rig._down(False)
+                rig.down(False)
                 wanted = 1 if case.cluster else case.count
                 after = await until(lambda: len(set(rig.reading())) >= wanted)
                 await asyncio.sleep(20.0 if case.cluster else 0.0)
--- a/heronlug/load/demo.py
+++ b/heronlug/load/demo.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +19,7 @@
 from heronlug.load.tally import Tally
 from heronlug.rules import Event
 from heronlug.standin.fleet import Fleet
+from heronlug.standin.ports import free_ports
 
 READY = 20.0  # s for a dispatcher to come up
 MOST = 8  # dispatchers: each is a process
@@ -59,25 +59,13 @@
 """)
 
 
-def ports(count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
-    """Ports that nothing listens on now, all different."""
-    held = [socket.socket(type=kind) for _ in range(count)]
-    try:
-        for sock in held:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in held]
-    finally:
-        for sock in held:
-            sock.close()
-
-
 class Dispatchers:
     """Processes of our own program."""
 
     def __init__(self, scenario: Scenario, discovery: int, folder: Path) -> None:
         count = min(MOST, scenario.dispatchers.count)
-        self.doors, self.operators = ports(count), ports(count)
-        peers = ports(count, socket.SOCK_DGRAM) if scenario.dispatchers.may_tell and count > 1 else []
+        self.doors, self.operators = free_ports(count), free_ports(count)
+        peers = free_ports(count) if scenario.dispatchers.may_tell and count > 1 else []
         self.programs = []
         for number in range(count):
             path = folder / f"d{number}.toml"
--- a/heronlug/rig/paths.py
+++ b/heronlug/rig/paths.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Any, cast
 
+from heronlug.standin.ports import free_port
 from heronlug.wire.http import split_address
 
 BACKLOG = 512
@@ -76,7 +77,7 @@
         self._own: set[int] = set()  # ports that fillers had
         self._how = "refused"
         self._tasks: set[asyncio.Task[None]] = set()
-        self.port = 0
+        self.port = free_port()  # it is closed for a while, and has to be had again
         self.set("taken")
 
     def set(self, how: str) -> None:
@@ -114,7 +115,6 @@
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", self.port))
-        self.port = sock.getsockname()[1]
         return sock
 
     def _fill(self) -> None:
--- a/heronlug/rig/processes.py
+++ b/heronlug/rig/processes.py
@@ -6,12 +6,11 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
 
-import orjson
 from jinja2 import Template
 
 from heronlug.rig.script import Script
+from heronlug.standin.ports import starting
 
 FILE = Template("""\
 log_level = "info"
@@ -63,9 +62,7 @@
         self.name, self.folder, self.operators, self.source = name, folder, operators, source
         self.program: subprocess.Popen[bytes] | None = None
         self.wanted = False  # it should run
-        self.killed = False  # its last end was ours
         self.starts = 0
-        self.ended: list[int] = []  # statuses of ends that no step brought about
 
     @property
     def runs(self) -> bool:
@@ -76,11 +73,11 @@
         """Start it."""
         if self.runs:
             return
-        self.wanted, self.killed = True, False
+        self.wanted = True
         self.starts += 1
         private = self.folder / f"{self.name}.tmp{self.starts}"
         private.mkdir()
-        with (self.folder / f"{self.name}.log").open("ab") as log:
+        with (self.folder / f"{self.name}.log").open("ab") as log, starting:
             self.program = subprocess.Popen(
                 [sys.executable, "-m", "heronlug", "serve", str(self.folder / f"{self.name}.toml")],
                 stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=self.source,
@@ -92,18 +89,17 @@
         if self.program is None or not self.runs:
             return
         if number in (signal.SIGKILL, signal.SIGTERM):
-            self.wanted, self.killed = False, number is signal.SIGKILL
+            self.wanted = False
         self.program.send_signal(number)
         if number is signal.SIGKILL:
             self.program.wait()
 
-    def look(self) -> bool:
-        """Whether it has ended though it should run; such an end is noted once."""
+    def look(self) -> int | None:
+        """Its status if it has ended though it should run, which is told once."""
         if not self.wanted or self.program is None or self.program.poll() is None:
-            return False
+            return None
         self.wanted = False
-        self.ended.append(self.program.returncode)
-        return True
+        return self.program.returncode
 
     async def figures(self) -> dict[str, float]:
         """What an operator reads; nothing where it does not answer."""
@@ -119,13 +115,6 @@
         pairs = [line.rsplit(" ", 1) for line in lines if line[:1] not in ("#", "")]
         return {name: float(value) for name, value in pairs}
 
-    def logged(self, event: str = "") -> list[dict[str, Any]]:
-        """The lines of its log, of one event or of all."""
-        path = self.folder / f"{self.name}.log"
-        lines = path.read_bytes().splitlines() if path.exists() else []
-        read = [orjson.loads(line) for line in lines if line[:1] == b"{" and line[-1:] == b"}"]
-        return [line for line in read if not event or line["event"] == event]
-
     def faults(self) -> list[str]:
         """What no log may hold."""
         text = (self.folder / f"{self.name}.log").read_text(errors="replace") if self.starts else ""
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -1,13 +1,10 @@
 """Plays a script: starts everything, does the steps, watches, and judges."""
 
 import asyncio
-import itertools
-import os
 import shutil
 import signal
-import socket
+import subprocess
 import tempfile
-import threading
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,18 +18,17 @@
 from heronlug.rig.paths import Path as Between
 from heronlug.rig.paths import Paths
 from heronlug.rig.processes import Process, write_file
-from heronlug.rig.runners import Runners, lanes_of, listening
-from heronlug.rig.script import LASTING, PROCESS, Script, Step, choose
+from heronlug.rig.runners import Runners, lanes_of
+from heronlug.rig.script import HOSTS, LASTING, PROCESS, REGISTER, Script, Step, choose
 from heronlug.rules import Answered, Called, Checker, Ended, Listed, Started, Stopped, Taken, Violation
+from heronlug.standin.ports import free_port, free_ports
 from heronlug.standin.register import Call, Register
 
 LOOK = 0.02  # s between two looks at the processes
 LISTED_LOOK = 0.25  # and at their figures, while it is waited for their lists
 LISTED_WITHIN = 60.0
-UP_TRIES = 40
 LOOKED_AT = 16  # processes at once
 STOP_WITHIN = 15.0
-LOW_PORT, PORTS = 12_000, 20_000  # below the ports of outgoing connections
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
@@ -114,11 +110,9 @@
         self.listed_after: dict[str, float] = {}  # s from the beginning until a dispatcher had its list
         self.watched_after: dict[str, float] = {}  # and until its first watch waited for news
         self.register.watched = self._watched
-        self.spawned_after = 0.0  # s until the last process was started
         self._doors: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._failed: list[str] = []
-        self._reads: set[str] = set()  # those that the register tells by itself
 
     # -- the run
 
@@ -162,20 +156,17 @@
         script, count = self.script, self.script.dispatchers.count
         (self.folder / "key").write_text("a key that is long enough")
         names = [f"d{number}" for number in range(count)]
-        ports = _ports(4 * count)
+        ports = free_ports(4 * count)
         operators = dict(zip(names, ports[count : 2 * count], strict=True))
         self._doors = dict(zip(names, ports[:count], strict=True))
         peers = dict(zip(names, ports[2 * count : 3 * count], strict=True))
         members = dict(zip(names, ports[3 * count :], strict=True))
-        await self.runners.open(lambda: _ports(1)[0])
+        await self.runners.open()
         relayed = "peers" in script.relays
         seen_peers = await self.paths.udp(peers) if relayed and script.dispatchers.peers else peers
         seen_members = await self.paths.udp(members) if relayed and script.dispatchers.cluster else members
         for number, name in enumerate(names):
-            discovery = await listening(
-                lambda port, name=name: self.register.open(port=port, caller=name),  # type: ignore[misc]
-                lambda: _ports(1)[0],
-            )
+            discovery = await self.register.open(port=free_port(), caller=name)
             where = f"127.0.0.1:{discovery}"
             if "register" in script.relays:
                 where = self.paths.tcp(name, "register", lambda real=where: real)  # type: ignore[misc]
@@ -188,14 +179,13 @@
             if number % 20 == 19:
                 await asyncio.sleep(0)
         if script.register.down:
-            self._down(True)
+            self.down(True)
         later = set(choose(script.dispatchers.later, script, Random(script.seed)))
         self.history.began = self.history.now()
         for name in names:
             if name not in later:
                 self._start(name)
                 await asyncio.sleep(0)
-        self.spawned_after = (self.history.now() - self.history.began) / 1000
 
     async def _load(self) -> None:
         lanes, rng, span = lanes_of(self.script), Random(self.script.seed), self.script.span_s * 1000
@@ -227,8 +217,14 @@
     def _begin(self, work: Any) -> "asyncio.Task[None]":
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
+        task.add_done_callback(self._over)
         return task
 
+    def _over(self, task: "asyncio.Task[None]") -> None:
+        """What fails here is the rig's own fault, and must not pass for one of the program."""
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._failed.append(f"the rig: {error!r}")
+
     def _start(self, name: str) -> None:
         self.history.see(Started(self.history.now(), name))
         self.processes[name].start()
@@ -266,8 +262,8 @@
     async def _watch_processes(self) -> None:
         while True:
             for name, process in self.processes.items():
-                if process.look():
-                    self._failed.append(f"{name} ended by itself with status {process.ended[-1]}")
+                if (status := process.look()) is not None:
+                    self._failed.append(f"{name} ended by itself with status {status}")
                     self.history.see(Stopped(self.history.now(), name, True))
             await asyncio.sleep(LOOK)
 
@@ -320,9 +316,9 @@
         """Do it; returns what takes it back."""
         if step.do in PROCESS:
             return await self._process(step, name)
-        if name.startswith("r") and name != "register":
+        if step.do in HOSTS:
             return await self._runner(step, name)
-        if step.do in ("down", "up", "hang", "speak", "anew", "costs", "turn"):
+        if step.do in REGISTER:
             return self._register(step)
         return self._between(step)
 
@@ -360,8 +356,8 @@
     def _register(self, step: Step) -> Callable[[], Any]:
         register = self.register
         if step.do in ("down", "up"):
-            self._down(step.do == "down")
-            return lambda: self._down(False)
+            self.down(step.do == "down")
+            return lambda: self.down(False)
         if step.do in ("hang", "speak"):
             register.silent = step.do == "hang"
             return lambda: setattr(register, "silent", False)
@@ -373,7 +369,7 @@
             register.turn_share = step.share
         return lambda: setattr(register, "turn_share", 0.0)
 
-    def _down(self, down: bool) -> None:
+    def down(self, down: bool) -> None:
         """The register's process ends, or is there again; dials are refused meanwhile."""
         if down:
             self.register.close()
@@ -383,14 +379,7 @@
 
     async def _up(self) -> None:
         for name in self.processes:
-            for tried in range(UP_TRIES):
-                try:
-                    await self.register.open(caller=name)
-                    break
-                except OSError as error:
-                    if tried == UP_TRIES - 1:
-                        self._failed.append(f"the rig: the register is not up for {name}: {error}")
-                    await asyncio.sleep(0.05)
+            await self.register.open(caller=name)
         self.paths.gone("register", False)
 
     def _between(self, step: Step) -> Callable[[], Any]:
@@ -491,37 +480,10 @@
     return await Rig(script, folder, events, source).play()
 
 
-_turn = itertools.count(os.getpid() * 131)
-_lock = threading.Lock()
-
-
-def _ports(count: int) -> list[int]:
-    """Ports that nothing listens on now, all different, of no other rig of this process, and below those that the
-    system gives by itself: what is closed for a while must find its port again."""
-    found: list[int] = []
-    with _lock:
-        for _ in range(PORTS):
-            port = LOW_PORT + next(_turn) % PORTS
-            if all(_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
-                found.append(port)
-                if len(found) == count:
-                    return found
-    raise OSError("no free ports")
-
-
-def _free(port: int, kind: socket.SocketKind) -> bool:
-    with socket.socket(type=kind) as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
-
-
 def _wait(process: Process) -> None:
     if process.program is not None:
         try:
             process.program.wait(STOP_WITHIN)
-        except Exception:
+        except subprocess.TimeoutExpired:
             process.program.kill()
             process.program.wait()
--- a/heronlug/rig/runners.py
+++ b/heronlug/rig/runners.py
@@ -1,9 +1,7 @@
 """The rig's runners: the emulator's hosts behind sockets, with what they see told to the history."""
 
-import errno
-from collections.abc import Awaitable, Callable
-from functools import partial
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import Any
 
 from heronlug.emulator.draws import Draws
 from heronlug.emulator.hosts import Host, Kind, Run, Warmth
@@ -13,11 +11,10 @@
 from heronlug.rules import Began, Dialled, Load, Sent
 from heronlug.standin.fleet import Server
 from heronlug.standin.live import LiveLine
+from heronlug.standin.ports import free_port
 from heronlug.standin.register import Register
 
 KIND = "m1"
-TRIES = 5
-Result = TypeVar("Result")
 
 
 def lanes_of(script: Script) -> dict[str, ClassTable]:
@@ -30,17 +27,6 @@
     }  # fmt: skip
 
 
-async def listening(opened: Callable[[int], Awaitable[Result]], port: Callable[[], int]) -> Result:
-    """Listen at a port; one that somebody has taken since it was found free is given up for another."""
-    for _ in range(TRIES):
-        try:
-            return await opened(port())
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE:
-                raise
-    return await opened(port())
-
-
 class Runners:
     """All runners by name; the register lists them."""
 
@@ -59,7 +45,7 @@
         table = script.runners
         self._warmth = Warmth(table.cold_from, table.warm_after_ms, table.tip_multiple, table.overload_for_ms)
 
-    async def open(self, port: Callable[[], int]) -> None:
+    async def open(self) -> None:
         """Start and list all of them, each at a port of its own; raises ``OSError``."""
         table = self.script.runners
         for number in range(table.count):
@@ -70,13 +56,10 @@
             if table.cold:
                 host.start()
             self.servers[name] = Server(self, host)
-            await listening(partial(self._listen, name), port)
+            self.servers[name].port = free_port()
+            await self.servers[name].open()
             self.list_as(name, "active")
 
-    async def _listen(self, name: str, port: int) -> None:
-        self.servers[name].port = port
-        await self.servers[name].open()
-
     def address(self, name: str) -> str:
         """Where it really is."""
         return f"127.0.0.1:{self.servers[name].port}"
--- a/tests/cluster/test_register.py
+++ b/tests/cluster/test_register.py
@@ -18,10 +18,10 @@
 from typing import Any
 
 import pytest
-from exchange import free_port
 
 from heronlug.life.control import ask
 from heronlug.standin.host import Host
+from heronlug.standin.ports import free_port
 from heronlug.standin.register import Register
 
 NAMES = "abc"
--- a/tests/cluster/test_sockets.py
+++ b/tests/cluster/test_sockets.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 
 import pytest
-from exchange import free_port
 
 from heronlug.life.control import ask
 from heronlug.life.state import StateError
 from heronlug.rig.paths import Paths
+from heronlug.standin.ports import free_port
 
 NAMES = "abcd"
 DUTIES = ("sweep", "rotate", "report")
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -26,10 +26,10 @@
 import tempfile
 import threading
 import time
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
+from heronlug.standin.ports import free_port
 from heronlug.wire.partner import listen, place
 
 FOLDER = Path(__file__).parent / "exchanges"
@@ -38,8 +38,6 @@
     "lying": b'.{"kind":"state","names":5,"sockets":["peers"],"known":[],"learned":{"all":1}}',
     "half right": b'.{"kind":"state","names":["t9"],"sockets":[],"known":7,"learned":{"all":[]}}',
 }
-FIRST_PORT, MANY_PORTS = 12_000, 20_000  # below the ports of outgoing connections
-PORTS = iter(range(os.getpid() * 97, os.getpid() * 97 + MANY_PORTS))
 PATIENCE = 10.0  # for something that must come; no speed is asserted
 SETTINGS: dict[str, Any] = {
     "instances": 2,
@@ -88,21 +86,6 @@
     return f"{host}:{port}"
 
 
-def free_port() -> int:
-    """A port that nothing listens on, each once.
-
-    It is none of those that the system gives to outgoing connections: one of these, also of the program itself, may
-    have taken it before the program listens there.
-    """
-    for number in PORTS:
-        port = FIRST_PORT + number % MANY_PORTS
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams, suppress(OSError):
-            stream.bind(("127.0.0.1", port))
-            datagrams.bind(("127.0.0.1", port))
-            return port
-    raise AssertionError("no port is free")
-
-
 class Player:
     """The stand-ins of one exchange, and the program that they speak with."""
 
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -12,7 +12,6 @@
 
 import pytest
 from emulator.fleets import TEXT, scenario
-from exchange import free_port
 
 from heronlug.cli import group
 from heronlug.emulator.clients import Job
@@ -22,6 +21,7 @@
 from heronlug.load.plan import loopback, plan
 from heronlug.load.tally import Tally, service
 from heronlug.rules import Began, Checker, Load
+from heronlug.standin.ports import free_port
 
 ROOT = Path(__file__).parents[2]
 STALL = 0.6  # s
--- a/tests/store/test_kills.py
+++ b/tests/store/test_kills.py
@@ -16,9 +16,9 @@
 
 import orjson
 import pytest
-from exchange import free_port
 
 from heronlug.load.faktory import Client, FaktoryError
+from heronlug.standin.ports import free_port
 from heronlug.store import sqlite
 
 FILE = """
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 
 import wasmtime
-from exchange import FOLDER, Player, free_port
+from exchange import FOLDER, Player
 
 from heronlug.hooks.host import HookError, HookHost
 from heronlug.memory.core import Final
+from heronlug.standin.ports import free_port
 
 WORDS = (FOLDER / "words.txt").read_text()
 REFUSE_ONCE = """(module (func (export "admit") (param i32 f64 i32) (result i32) local.get 0 i32.const 1 i32.ne))"""
