Read once more: one name for how a call fails, one watch, shared kinds of values

Ways a call fails stood as strings in wire/inventory.py and as an enum in arrival/pacing.py: one enum, arrival/why.py. wire/register.py had the same method twice and set what is known of a list in three places; which list is worth more was reckoned up to four times a look. Text and Share stood in four and two schemas: forms/kinds.py. Gone: a count, a field and a function that nobody read, a check of scripts that its neighbour had made already. The emulator takes the watch's length from the pace. No behaviour changes.

--- a/heronlug/arrival/kept.py
+++ b/heronlug/arrival/kept.py
@@ -19,7 +19,6 @@
 class Kept(NamedTuple):
     """What a file holds."""
 
-    register: str  # the address that the list came from
     at: float  # Unix ms of the writing
     table: dict[str, Any]  # the list in the register's own form, whole
 
@@ -52,7 +51,7 @@
         raise ValueError(f"it is from the future: written {(at - now) / 1000:.0f} s after now")
     if now - at > longest:
         raise ValueError(f"it is too old: written {(now - at) / 1000:.0f} s ago")
-    return Kept(register, float(at), found["list"])
+    return Kept(float(at), found["list"])
 
 
 class Writing:
--- a/heronlug/arrival/pacing.py
+++ b/heronlug/arrival/pacing.py
@@ -11,9 +11,10 @@
 """
 
 from collections.abc import Callable
-from enum import Enum
 from typing import NamedTuple
 
+from heronlug.arrival.why import Why
+
 GUESS = 20.0  # ms that a call is held to cost the register before anything is known
 RISE_AFTER = 3  # calls turned away in a row, and the guess doubles: rounds of few lengths, so that places fit together
 GUESS_MOST = 8 * GUESS
@@ -28,15 +29,6 @@
 PATIENCE_MOST = 12_000.0
 
 
-class Why(str, Enum):
-    """How a call failed."""
-
-    TURNED_AWAY = "turned away"
-    SLOW = "slow"  # no answer in time
-    DOWN = "down"  # refused, reset, or the dial never came up
-    BAD = "bad"  # an answer that is no list
-
-
 class Terms(NamedTuple):
     """What is known of those that call."""
 
@@ -53,7 +45,6 @@
         self.guess = terms.cost or GUESS
         self.patience = PATIENCE
         self.failures = 0  # in a row
-        self.turned_away = 0  # since the start
 
     @property
     def watch(self) -> float:
@@ -73,17 +64,15 @@
         if self.terms.cost is None:
             self.guess = min(self.guess, max(1.0, took))
 
-    def failed(self, now: float, why: str, listed: bool, retry_after: float = 0.0) -> float:
+    def failed(self, now: float, why: Why, listed: bool, retry_after: float = 0.0) -> float:
         """A call has failed; when the next may go.  ``listed``: there is a list, so that one call is enough."""
         self.failures += 1
-        if why == Why.SLOW:  # an answer that comes late is worth more than another call that comes late
+        if why is Why.SLOW:  # an answer that comes late is worth more than another call that comes late
             self.patience = min(PATIENCE_MOST, 2 * self.patience)
         span = self._round(listed)
-        if why == Why.TURNED_AWAY:
-            self.turned_away += 1
-            if self.terms.cost is None and self.failures % RISE_AFTER == 0:
-                self.guess = min(GUESS_MOST, 2 * self.guess)
-        if why == Why.DOWN or self.terms.many == 1:  # few that call: each waits longer the longer it lasts
+        if why is Why.TURNED_AWAY and self.terms.cost is None and self.failures % RISE_AFTER == 0:
+            self.guess = min(GUESS_MOST, 2 * self.guess)
+        if why is Why.DOWN or self.terms.many == 1:  # few that call: each waits longer the longer it lasts
             span = max(span, min(DOWN_LONGEST, SHORTEST * 2 ** min(self.failures - 1, 8)))
         return self._place(now + max(SOONEST, retry_after), span)
 
--- a/heronlug/cluster/hosts.py
+++ b/heronlug/cluster/hosts.py
@@ -38,7 +38,7 @@
 
     def take(self, version: int, entries: Iterable[HostEntry], gone: Iterable[str]) -> None:
         """It has changed."""
-        self.known, self.version = True, version
+        self.known, self.version = version >= 0, version
         for entry in entries:
             self.hosts[entry.name] = entry
         for name in gone:
--- a/heronlug/cluster/schema.py
+++ b/heronlug/cluster/schema.py
@@ -8,11 +8,11 @@
 
 from heronlug.forms import Fault, Source
 from heronlug.forms.decode import decode
+from heronlug.forms.kinds import Text
 from heronlug.wire.http import split_address
 
 AT = "cluster"
 LEAST_KEY = 16  # bytes
-Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
 Address = Annotated[str, Meta(min_length=1, description="an address such as 10.0.0.1:7946")]
 Seconds = Annotated[float, Meta(gt=0, le=86_400, description="seconds, more than 0 and at most a day")]
 
--- a/heronlug/emulator/dispatchers.py
+++ b/heronlug/emulator/dispatchers.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING, Any
 
 from heronlug import interface as pk
-from heronlug.arrival.pacing import Pacer, Terms, Why
+from heronlug.arrival.pacing import WATCH, Pacer, Terms
+from heronlug.arrival.why import Why
 from heronlug.emulator.clients import Job
 from heronlug.emulator.hosts import Host, Run
 from heronlug.emulator.policies import OURS, POLICIES, Look
@@ -16,7 +17,6 @@
 if TYPE_CHECKING:
     from heronlug.emulator.world import World
 
-WATCH = 20_000.0  # ms that a watch waits for news
 PROGRESS = 1000.0  # ms between words of a job that runs
 MAX_COME_BACK = 2000.0
 
--- a/heronlug/emulator/scenario.py
+++ b/heronlug/emulator/scenario.py
@@ -14,13 +14,12 @@
 from heronlug.emulator.policies import OURS, POLICIES
 from heronlug.forms import Fault, Faults, Source
 from heronlug.forms.decode import decode
+from heronlug.forms.kinds import Share, Text
 from heronlug.forms.source import Keys
 
-Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
 Seconds = Annotated[float, Meta(gt=0, le=1e6, description="seconds, more than 0")]
 When = Annotated[float, Meta(ge=0, le=1e6, description="seconds, 0 or more")]
 Millis = Annotated[float, Meta(ge=0, le=1e9, description="milliseconds, 0 or more")]
-Share = Annotated[float, Meta(ge=0, le=1, description="a share, 0 to 1")]
 Count = Annotated[int, Meta(ge=1, le=100_000, description="a whole number, 1 or more")]
 Rate = Annotated[float, Meta(gt=0, le=1e6, description="jobs a second, more than 0")]
 Names = Annotated[list[Text], Meta(min_length=1, description="a list of at least one name")]
--- a/heronlug/life/site.py
+++ b/heronlug/life/site.py
@@ -11,11 +11,11 @@
 
 from heronlug.forms import Fault, Source
 from heronlug.forms.decode import decode
+from heronlug.forms.kinds import Text
 from heronlug.forms.source import Keys
 from heronlug.life.config import Config, ConfigError, parse
 from heronlug.wire.http import split_address
 
-Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
 Address = Annotated[str, Meta(min_length=1, description="an address such as 127.0.0.1:8081")]
 Span = Annotated[float, Meta(gt=0, le=86_400_000, description="milliseconds, more than 0 and at most a day")]
 Wait = Annotated[float, Meta(ge=0, le=86_400_000, description="milliseconds, 0 to a day")]
--- a/heronlug/rig/script.py
+++ b/heronlug/rig/script.py
@@ -7,7 +7,6 @@
 """
 
 from fnmatch import fnmatchcase
-from math import inf
 from pathlib import Path
 from random import Random
 from typing import Annotated, Any, Literal
@@ -16,12 +15,11 @@
 
 from heronlug.forms import Fault, Faults, Source
 from heronlug.forms.decode import decode
+from heronlug.forms.kinds import Share, Text
 
-Text = Annotated[str, Meta(min_length=1, max_length=64, description="a text of 1 to 64 characters")]
 Count = Annotated[int, Meta(ge=0, le=1000, description="a whole number, 0 to 1000")]
 Millis = Annotated[float, Meta(ge=0, le=3_600_000, description="milliseconds, 0 to an hour")]
 Seconds = Annotated[float, Meta(ge=0, le=3600, description="seconds, 0 to an hour")]
-Share = Annotated[float, Meta(ge=0, le=1, description="a share, 0 to 1")]
 Most = Annotated[float, Meta(ge=0, le=1e9, description="a figure, 0 or more")]
 Names = Annotated[list[str], Meta(min_length=1, description="a list of names")]
 Flag = Annotated[bool, Meta(description="true or false")]
@@ -198,8 +196,6 @@
         if step.for_s is not None and step.do not in LASTING:
             right = "no for_s; it can be taken back of " + ", ".join(sorted(LASTING))
             faults.append(source.fault((*at, "for_s"), f"{step.do!r} is over at once", right))
-        if step.do in PROCESS and step.for_s is not None and step.do not in ("stop", "kill"):
-            faults.append(source.fault((*at, "for_s"), f"{step.do!r} is over at once", "no for_s"))
         for key, selectors in (("who", step.who), ("from", step.source), ("to", step.target)):
             for place, selector in enumerate(selectors):
                 if selector != "reading" and not choose([selector], script, Random(1), ["d0"]):
@@ -243,8 +239,3 @@
         names = rest.split(",")
         return [p for p in script.parties if p.startswith("d") and not any(fnmatchcase(p, n) for n in names)]
     return [p for p in script.parties if fnmatchcase(p, selector)]
-
-
-def ends(step: Step) -> float:
-    """When a step is taken back."""
-    return step.at_s + step.for_s if step.for_s is not None else inf
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -8,6 +8,7 @@
 import httptools
 import orjson
 
+from heronlug.arrival.why import Why
 from heronlug.interface import ListKind, WorkerState
 from heronlug.memory.core import HostEntry
 from heronlug.memory.deadlines import Deadlines, Key
@@ -17,7 +18,6 @@
 LATE = 4_000.0  # and is given up after so much more: discovery works through calls in turn
 LIST_WAIT = 3_000.0  # a call for the whole list does not wait for news, and is given up after this
 DIAL_WAIT = 1_000.0  # an address that neither answers nor refuses is given up after this
-DOWN, SLOW, TURNED_AWAY, BAD = "down", "slow", "turned away", "bad"  # how a call fails
 MAX_LIST = 8 * 1024 * 1024
 STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
@@ -37,7 +37,7 @@
     def answered(self, took: float) -> None:
         """A call that did not wait for news was answered."""
 
-    def failed(self, now: float, how: str, listed: bool, retry_after: float = 0.0) -> float:
+    def failed(self, now: float, how: Why, listed: bool, retry_after: float = 0.0) -> float:
         """When the next may go after one that failed."""
 
 
@@ -151,7 +151,7 @@
                 raise BadList("an answer that nobody asked for")
             self._parser.feed_data(data)
         except Exception as error:
-            self.watch.failed(self, repr(error.__context__ or error), BAD)
+            self.watch.failed(self, repr(error.__context__ or error), Why.BAD)
         self.watch.turn()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -186,7 +186,7 @@
         if status == 200:
             self.watch.answered(self, b"".join(self._body))
         else:
-            self.watch.failed(self, f"status {status}", TURNED_AWAY if status in (429, 503) else BAD)
+            self.watch.failed(self, f"status {status}", Why.TURNED_AWAY if status in (429, 503) else Why.BAD)
 
 
 class Inventory:
@@ -261,9 +261,9 @@
         call.asked_at = self._deadlines.clock()
         if self.pace is not None and call.at_once:
             wait = max(wait, self.pace.patience)
-        self._expect(call, wait, "no answer in time", SLOW)
+        self._expect(call, wait, "no answer in time", Why.SLOW)
 
-    def _expect(self, call: _Call, wait: float, why: str, how: str) -> None:
+    def _expect(self, call: _Call, wait: float, why: str, how: Why) -> None:
         """A call has failed unless it comes further within this time."""
         self._deadlines.drop(self._deadline)
         self._deadline = self._deadlines.after(wait, self.failed, call, why, how)
@@ -282,7 +282,7 @@
         try:
             version, whole, entries = self.read(orjson.loads(body))
         except ValueError as error:
-            self.failed(call, f"bad list: {error}", BAD)
+            self.failed(call, f"bad list: {error}", Why.BAD)
             return
         self.version = version
         fresh, self._fresh, self.listed = self._fresh, False, True
@@ -293,7 +293,7 @@
             self._log("inventory", version=version, whole=whole, entries=len(entries))
             self.news(ListKind.FULL if whole else ListKind.CHANGES, entries)
 
-    def failed(self, call: _Call | None, why: str, how: str = DOWN) -> None:
+    def failed(self, call: _Call | None, why: str, how: Why = Why.DOWN) -> None:
         """A call has failed: the list held so far stays, and the module decides when to ask again, or the pace."""
         if call is not self.call or not self._watching:
             return
@@ -311,7 +311,7 @@
             self.call.ask()
         else:
             call = self.call = _Call(self)
-            self._expect(call, DIAL_WAIT, "dial: no answer in time", DOWN)
+            self._expect(call, DIAL_WAIT, "dial: no answer in time", Why.DOWN)
             self._dial = asyncio.get_running_loop().create_task(self._connect(call))
 
     def _drop(self) -> None:
--- a/heronlug/wire/register.py
+++ b/heronlug/wire/register.py
@@ -65,15 +65,14 @@
     def __init__(
         self, topic: str, node: Node, deadlines: Deadlines, flush: Callable[[], None], refused: Callable[[str], None]
     ) -> None:
-        self.topic, self.fence = topic, None
+        self.topic = topic
+        self.fence: Fence | None = None
         self._node, self._deadlines, self._flush, self._refused = node, deadlines, flush, refused
         self._published: trie.Rows = {}
         self._said = False  # something has been written under this fence
         self._wanted: trie.Rows | None = None  # what came while a sheet was being built
         self._building: asyncio.Task[None] | None = None
 
-    fence: Fence | None
-
     def begin(self, fence: Fence) -> None:
         """Write from now on; what is known of the writer before is gone on with."""
         self.fence, self._published, self._said = fence, self._node.sheets.rows(self.topic), False
@@ -248,14 +247,10 @@
                     entries.append(entry_of(key, value, self._zones, self._kinds))
             except ValueError as error:  # msgspec's errors are ValueErrors too
                 self._log("bad_row", sheet=topic, key=key.hex(), error=str(error))
-        if topic == self._chosen:
-            told = self.view.shared_news(version, entries, gone)
-            shared.listed.known = version >= 0
-            if told:
-                self._tell(ListKind.CHANGES, told)
-        else:
+        if topic != self._chosen:
             shared.listed.take(version, entries, gone)
-            shared.listed.known = version >= 0
+        elif told := self.view.shared_news(version, entries, gone):
+            self._tell(ListKind.CHANGES, told)
 
     # -- inside
 
@@ -281,6 +276,7 @@
         return Heard(sheets.age(topic, now), watched, behind)
 
     def _watch(self) -> None:
+        """Our own watch is wanted; after a failure the pace says when it begins again."""
         if not self._inventory.watching:
             self._inventory.resume()
 
@@ -297,7 +293,7 @@
     def _decide(self) -> None:
         assert self._node is not None
         if self.view.share != "list":
-            self._watch_if_due()
+            self._watch()
             self._choose()
             return
         heard = {topic: self._heard(topic) for topic in (DUTY, SCOUT)}
@@ -310,7 +306,7 @@
         )  # fmt: skip
         self._choose()
         if role is Role.READ:
-            self._watch_if_due()
+            self._watch()
         elif role is Role.FOLLOW or not self._inventory.watching:
             self._inventory.stop()  # a call that is out in our turn may end; none is made after it
         # who tries in vain, the owner too, goes by what somebody else reads, or holds, where that is no older
@@ -339,13 +335,9 @@
                     self._node.sheets.ask(topic, now)
             self._flush()
 
-    def _watch_if_due(self) -> None:
-        """Our own watch is wanted; after a failure the pace says when it begins again."""
-        if not self._inventory.watching:
-            self._inventory.resume()
-
     def _choose(self) -> None:
         """Which of the shared lists counts: one whose reader is heard, then the newer one."""
+
         def worth(topic: str) -> tuple[bool, bool, int]:
             heard, shared = self._heard(topic), self._shared[topic]
             if heard is None or not shared.listed.known:
@@ -353,8 +345,9 @@
             fresh = heard.age <= self.reading.stale_after and not heard.behind
             return fresh and heard.watched, fresh, shared.listed.version
 
-        best = max((DUTY, SCOUT), key=worth)
-        if best != self._chosen and worth(best) > worth(self._chosen):
+        worths = {topic: worth(topic) for topic in (DUTY, SCOUT)}
+        best = max(worths, key=lambda topic: worths[topic])
+        if worths[best] > worths[self._chosen]:
             self._chosen = best
             told = self.view.prefer(self._shared[best].listed)
             if told:
--- a/tests/arrival/test_pacing.py
+++ b/tests/arrival/test_pacing.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from heronlug.arrival import pacing
-from heronlug.arrival.pacing import Pacer, Terms, Why
+from heronlug.arrival.pacing import Pacer, Terms
+from heronlug.arrival.why import Why
 
 BOUND = 1000.0  # ms that a call may wait in the register
 
@@ -103,7 +104,7 @@
     class Alone(Pacer):
         """As it was: each waits for itself, at random, longer with each failure."""
 
-        def failed(self, now: float, why: str, listed: bool, retry_after: float = 0.0) -> float:
+        def failed(self, now: float, why: Why, listed: bool, retry_after: float = 0.0) -> float:
             self.failures += 1
             return now + 312.5 * 2.0 ** min(self.failures, 4) * (0.5 + 0.5 * self._draw())
 
