heronlug halls: see, leave, hold and release a hall by hand; an upgrade keeps its state

Change: `heronlug halls [--json]`, `halls leave|return|release HALL [--for S]` through the control socket; the bound of half of all hosts holds for orders too. What is decided goes over to the next process of an upgrade with the rest of what was learned; tables of before are still read.

--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -9,6 +9,7 @@
 from heronlug.cli.cluster import cluster
 from heronlug.cli.emulate import emulate, experiment, rules
 from heronlug.cli.fleet import fleet
+from heronlug.cli.halls import halls
 from heronlug.cli.inspect import check, limits
 from heronlug.cli.load import demo, load, stand_in
 from heronlug.cli.serve import serve, try_
@@ -29,7 +30,8 @@
 
 
 for command in (
-    serve, check, plan, apply, limits, cluster, store, try_, emulate, experiment, rules, load, stand_in, demo, fleet,
+    serve, check, plan, apply, limits, cluster, halls, store, try_, emulate, experiment, rules, load, stand_in, demo,
+    fleet,
 ):  # fmt: skip
     group.add_command(command)
 
--- a/heronlug/halls/offers.py
+++ b/heronlug/halls/offers.py
@@ -16,7 +16,7 @@
 
 from heronlug import interface as pk
 from heronlug.halls.evidence import Seen, elsewhere, ratio, tallies
-from heronlug.halls.table import Hall, Phase, View
+from heronlug.halls.table import STAGES, Hall, Phase, View
 from heronlug.records import Peers, Worker
 
 LOOK = 100.0  # ms between two looks
@@ -75,6 +75,63 @@
         """The marked host that is ours to try: one of a left hall, of which few are tried at a time, comes first."""
         return next((w for w in [*self._ours, *mine] if peers.digit(w.id) == MARK and not w.closed), None)
 
+    # -- for people
+
+    def rows(self, state: Any, now: float) -> dict[int, dict[str, Any]]:
+        """Each hall that has hosts, by number."""
+        by_hall: dict[int, list[Worker]] = {}
+        for worker in state.peers.roster:
+            by_hall.setdefault(worker.zone, []).append(worker)
+        decides = "here" if not state.relayed or self._decides(state, now) else "whoever sums up"
+        rows = {}
+        for number, workers in by_hall.items():
+            hall = self.halls.get(number, Hall())
+            tried = [worker for worker in workers if worker.ended_at >= now - LATELY]
+            rows[number] = {
+                "state": hall.phase.value, "hosts": len(workers),
+                "offered": sum(not worker.closed or worker.trying for worker in workers),
+                "stage": hall.stage + 1 if hall.phase is Phase.RETURNING else None,
+                "tried": len(tried), "failed": sum(worker.bad for worker in tried), "falls": hall.falls,
+                "for_s": round((now - hall.since) / 1000) if hall.since else None, "cause": hall.cause or None,
+                "decided": "by hand" if now < hall.held else decides,
+            }  # fmt: skip
+        return rows
+
+    def order(self, state: Any, number: int, phase: Phase | None, until: float, now: float) -> None:
+        """An operator has a hall left or well until then, or with no phase lets what is seen decide.
+
+        Raises ``ValueError`` where more hosts would be left than may be.
+        """
+        hall = self.halls.setdefault(number, Hall())
+        if phase is Phase.LEFT:
+            away = {n for n, each in self.halls.items() if each.phase is Phase.LEFT} | {number}
+            left = sum(worker.zone in away for worker in state.peers.roster)
+            if left > MOST * len(state.peers.roster):
+                raise ValueError(f"{left} of {len(state.peers.roster)} hosts would be left, more than {MOST:.0%}")
+        if phase is None:
+            hall.let_go(now)
+        else:
+            hall.hold(phase, until, now)
+            self.changes.append((number, replace(hall)))
+        self.look(state, now)
+
+    def table(self) -> list[list[Any]]:
+        """For another process of this dispatcher: plain figures."""
+        return [
+            [number, hall.phase.value, hall.since, hall.stage, hall.falls, hall.held if hall.held < 1e300 else -1.0]
+            for number, hall in self.halls.items()
+        ]
+
+    def take_up(self, table: list[list[Any]]) -> None:
+        """Go on with what another process has decided; raises ``ValueError`` and changes nothing."""
+        taken = {}
+        for number, phase, since, stage, falls, held in table:
+            if not 0 <= int(stage) < len(STAGES):
+                raise ValueError(f"stage {stage}")
+            held = float("inf") if held == -1.0 else float(held)
+            taken[int(number)] = Hall(Phase(phase), float(since), int(stage), int(falls), held, "taken up")
+        self.halls.update(taken)
+
     # -- the state
 
     def _decides(self, state: Any, now: float) -> bool:
@@ -118,8 +175,10 @@
         """Read it off the marks."""
         for number, workers in by_hall.items():
             hall = self.halls.setdefault(number, Hall())
-            if hall.held:
+            if now < hall.held:
                 continue
+            if hall.held:
+                hall.let_go(now)
             marked = sum(state.peers.digit(worker.id) == MARK for worker in workers)
             was = hall.phase
             # who returns does so in stages: marks that go all at once are of one that sums up and knows nothing yet
@@ -135,7 +194,7 @@
             if phase is not was:
                 hall.phase, hall.since, hall.cause = phase, now, f"{marked} of {len(workers)} marked"
                 hall.falls += was is Phase.RETURNING and phase is Phase.LEFT
-                self.changes.append((number, Hall(phase, now, 0, hall.falls, False, hall.cause)))
+                self.changes.append((number, replace(hall)))
 
     # -- what it means
 
@@ -152,7 +211,7 @@
                 shut.update(w.id for w in ranked if state.peers.digit(w.id) == MARK)
             else:
                 shut.update(w.id for w in ranked[ceil(hall.offered * len(ranked)) :])
-            if hall.phase is Phase.LEFT and not hall.held:
+            if hall.phase is Phase.LEFT and now >= hall.held:
                 self._ours += self._trials(state, ranked, now)
         shut -= {worker.id for worker in self._ours}
         left = {n for n, hall in self.halls.items() if hall.phase is Phase.LEFT}
--- a/heronlug/halls/table.py
+++ b/heronlug/halls/table.py
@@ -54,7 +54,7 @@
     since: float = 0.0  # when the phase or the stage began
     stage: int = 0
     falls: int = 0
-    held: bool = False  # by an operator
+    held: float = 0.0  # until then an operator has it so; 0 for not at all
     cause: str = ""
     marked_at: float = 0.0  # where others decide: when they last told of it
 
@@ -72,8 +72,10 @@
 
     def look(self, view: View, now: float) -> bool:
         """What follows from what is seen; True where that has changed."""
-        if self.held:
+        if now < self.held:
             return False
+        if self.held:
+            self.let_go(now)
         if self.phase is Phase.WELL:
             if self.falls and now - self.since > CALM:
                 self.falls = 0
@@ -99,14 +101,14 @@
             return self._to(Phase.WELL, now, "it has returned")
         return False
 
-    def hold(self, phase: Phase, now: float) -> None:
-        """An operator has it left or well, until :meth:`let_go`."""
-        self.held = True
+    def hold(self, phase: Phase, until: float, now: float) -> None:
+        """An operator has it left or well, until then or until :meth:`let_go`."""
+        self.held = until
         self._to(phase, now, "by hand")
 
     def let_go(self, now: float) -> None:
         """What is seen decides again: who was held left returns in stages."""
-        self.held = False
+        self.held = 0.0
         if self.phase is Phase.LEFT:
             self.since = now - self.wait
 
--- a/heronlug/learned.py
+++ b/heronlug/learned.py
@@ -20,6 +20,7 @@
         "span": sorted(state.span.items()),
         "usual_pace": sorted(state.usual_pace.items()),
         "retries": state.retries.level,
+        "halls": state.halls.table(),
         "kinds": [[kind, *(getattr(model, name) for name in KIND)] for kind, model in state.kinds.items()],
         "workers": [
             [w.id, w.started_at, w.own, w.recent.items(), *(getattr(w, name) for name in WORKER)]
@@ -69,10 +70,12 @@
             if worker is not None and worker.started_at == started_at and len(values) == len(WORKER):
                 items = [(_figure(at), _figure(amount)) for at, amount in recent]
                 workers.append((worker, _figure(own), items, [_figure(value) for value in values]))
+        halls = [[int(number), str(phase), *map(_figure, rest)] for number, phase, *rest in table.get("halls", ())]
         if any(len(values) != len(KIND) for _, values in kinds):
             raise ValueError("a kind of another shape")
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(repr(error)) from None
+    state.halls.take_up(halls)
     for name, value in every.items():
         setattr(state, name, type(getattr(state, name))(value))
     state.span.update(spans[0])
--- a/heronlug/life/control.py
+++ b/heronlug/life/control.py
@@ -38,6 +38,9 @@
     def cluster_view(self, what: str) -> list[dict[str, Any]]:
         """The members, or the duties; raises :class:`StateError` where there is no cluster."""
 
+    def halls(self, asked: dict[str, Any]) -> list[dict[str, Any]]:
+        """The halls, after an order for one of them; raises :class:`StateError`."""
+
     def use_register(self, terms: State) -> None:
         """Read the register under these terms, from the start on."""
 
@@ -133,6 +136,10 @@
         """The members or the duties of the cluster."""
         return self._parts.cluster_view(what)
 
+    def halls(self, asked: dict[str, Any]) -> list[dict[str, Any]]:
+        """The halls, after an order for one of them."""
+        return self._parts.halls(asked)
+
     async def broken(self, classes: State) -> list[tuple[str, str, str, str]]:
         """The rules that limits would break."""
         return await beside(self._parts.broken_limits, classes) if classes else []
@@ -180,6 +187,8 @@
                 answer = {"state": self._running.state}
             elif asked["ask"] in ("members", "duties"):
                 answer = {asked["ask"]: self._running.view(asked["ask"])}
+            elif asked["ask"] in ("halls", "hall"):
+                answer = {"halls": self._running.halls(asked)}
             elif asked["ask"] == "check":
                 answer = {"broken": await self._running.broken(asked["classes"])}
             elif asked["ask"] == "apply":
--- /dev/null
+++ b/heronlug/life/halls.py
@@ -0,0 +1,41 @@
+"""What operators see of the halls, and what they order: how names and words become calls on the decisions."""
+
+from typing import Any
+
+from heronlug.halls.table import Phase
+from heronlug.life.state import StateError
+from heronlug.memory.core import Core
+
+LONGEST = 7 * 86_400.0  # s that an order may hold
+ORDERS = {"leave": Phase.LEFT, "return": Phase.WELL}
+
+
+def _named(number: int, zones: list[str]) -> str:
+    return zones[number] if number < len(zones) else f"no. {number}"
+
+
+def view(core: Core, zones: list[str]) -> list[dict[str, Any]]:
+    """All halls that have hosts, for people; raises :class:`StateError` where halls are not looked at."""
+    if not core.settings.halls:
+        raise StateError("halls are not left as one here: [site] leave_halls is false")
+    rows = core.dispatcher.halls.rows(core.dispatcher, core.deadlines.clock())
+    return [{"hall": _named(number, zones), **row} for number, row in sorted(rows.items())]
+
+
+def order(core: Core, zones: list[str], asked: dict[str, Any]) -> list[dict[str, Any]]:
+    """Leave a hall, return to it, or decide by what is seen again; raises :class:`StateError` and changes nothing."""
+    view(core, zones)
+    what, name, seconds = asked["do"], asked["hall"], asked.get("for_s")
+    if name not in zones:
+        raise StateError(f"hall {name!r}: none is called so; there are {', '.join(zones)}")
+    if what not in (*ORDERS, "release"):
+        raise StateError(f"{what!r} is no order for a hall")
+    if seconds is not None and not 0 < float(seconds) <= LONGEST:
+        raise StateError(f"--for {seconds}: more than 0 and at most {LONGEST:g} seconds")
+    now, number = core.deadlines.clock(), zones.index(name)
+    until = now + 1000.0 * float(seconds) if seconds is not None else float("inf")
+    try:
+        core.dispatcher.halls.order(core.dispatcher, number, ORDERS.get(what), until, now)
+    except ValueError as error:
+        raise StateError(f"hall {name}: {error}") from None
+    return view(core, zones)
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from heronlug.interface import JobClass, ListKind
-from heronlug.life import control
+from heronlug.life import control, halls
 from heronlug.life.config import Config
 from heronlug.life.control import Running
 from heronlug.life.files import Files
@@ -268,6 +268,14 @@
         view: list[dict[str, Any]] = cluster.members() if what == "members" else cluster.duties()
         return view
 
+    def halls(self, asked: dict[str, Any]) -> list[dict[str, Any]]:
+        """The halls, after an order for one of them."""
+        if asked["ask"] == "hall":
+            rows = halls.order(self.core, self.config.zones, asked)
+            self.log("hall_ordered", hall=asked["hall"], do=asked["do"], for_s=asked.get("for_s"))
+            return rows
+        return halls.view(self.core, self.config.zones)
+
     def _cluster_figures(self) -> str:
         return str(self.member.cluster.figures()) if self.member is not None else ""
 
@@ -323,7 +331,7 @@
         front = Faktory(terms, self.loop.deadlines, self.log, self.turn, open_store(terms.store, self.log, self.turn))
         settings = replace(
             self.core.settings, instances=1, position=0, may_tell=False, list_pushed=True, report_fields=(),
-            retry_share=1e3, retry_burst=1e6,  # workers pull: no storm; the cap of attempts holds
+            halls=False, retry_share=1e3, retry_burst=1e6,  # workers pull: no storm; the cap of attempts holds
         )  # fmt: skip
         front.core = Core(
             settings, self.config.seed ^ 1, front, self.loop.deadlines, log=self.log,
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -455,6 +455,8 @@
 class State:
     """What a dispatcher holds, before anything has happened."""
 
+    halls: Any  # what its host decides of whole halls, see heronlug.halls
+
     def __init__(self) -> None:
         self.retries = Bucket(0.0, 0.0)  # as the settings grant
         self.out: list[pk.Action] = []  # what is to be done about this event
--- a/tests/halls/test_offers.py
+++ b/tests/halls/test_offers.py
@@ -100,3 +100,24 @@
     at_once = Played(scenario(4))
     monkeypatch.undo()
     assert at_once.between(BACK, BACK + 3000) > 1.5 * Played(scenario(4)).between(BACK, BACK + 3000)
+
+
+def test_what_is_decided_goes_over_to_another_process_and_orders_have_their_bounds() -> None:
+    played = Played(scenario(4, span_s=14))
+    one = played.world.dispatchers[0].core.dispatcher
+    halls, now = one.halls, 14_000.0
+    assert halls.rows(one, now)[1]["state"] == "left"
+    other = offers.Halls(one)
+    other.take_up(halls.table())
+    assert other.halls[1].phase is Phase.LEFT and other.halls[1].since == halls.halls[1].since
+    with pytest.raises(ValueError, match="lost"):
+        other.take_up([[0, "lost", 0.0, 0, 0, 0.0]])
+    halls.order(one, 0, Phase.LEFT, now + 1000.0, now)
+    rows = halls.rows(one, now)
+    assert (rows[0]["offered"], rows[0]["decided"], rows[2]["offered"]) == (0, "by hand", 6)
+    with pytest.raises(ValueError, match="18 of 24 hosts would be left"):
+        halls.order(one, 2, Phase.LEFT, now + 1000.0, now)
+    halls.order(one, 1, Phase.WELL, now + 1000.0, now)
+    assert halls.rows(one, now)[1]["offered"] == 6
+    halls.order(one, 0, None, 0.0, now)
+    assert halls.rows(one, now)[0]["decided"] == "here"
--- a/tests/halls/test_table.py
+++ b/tests/halls/test_table.py
@@ -83,11 +83,10 @@
         hall.look(View(50.0, 20, False), at * 100.0)
     assert hall.offered == 1.0
     assert hall.phase.value == "doubtful"
-    hall.hold(Phase.LEFT, 5000.0)
+    hall.hold(Phase.LEFT, 90_000.0, 5000.0)
     for at in range(51, 900):
         assert not hall.look(SOUND, at * 100.0)
     assert hall.offered == 0.0
-    hall.let_go(90_000.0)
     assert until(hall, Phase.RETURNING, SOUND, 90_000.0) <= 90_200.0  # in stages, as after a failure
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -62,8 +62,9 @@
         new = Host(SETTINGS, seed=2, workers=4)
         before = table(new)
         wrong: list[Any] = [None, [], {}, {**whole, "all": whole["all"][1:]}, {**whole, "retries": "many"}]
-        wrong += [{key: value for key, value in whole.items() if key != name} for name in whole]
+        wrong += [{key: value for key, value in whole.items() if key != name} for name in whole if name != "halls"]
         wrong += [{**whole, "workers": [[1, 0.0, 1, [], *["x"] * 8]]}, {**whole, "kinds": [[0, 1.0]]}]
+        wrong += [{**whole, "halls": [[0, phase, 1.0, stage, 0, 0.0]]} for phase, stage in (("lost", 0), ("left", 9))]
         for each in wrong:
             with self.assertRaises(ValueError):
                 new.dispatcher.resume(each, new.now)
