--- a/heronlug/halls/offers.py
+++ b/heronlug/halls/offers.py
@@ -26,10 +26,22 @@
 TRIALS = 4  # hosts of a left hall that are tried in a term, by all dispatchers together
 MARKED = 0.8  # share of a hall's hosts that are marked: it is left
 GRACE = 3000.0  # ms that a left hall stays left when its marks have gone all at once
+SILENCE = 2.25  # periods of progress, as in the module
+STILL_TOLD = 1000.0  # ms between two times that a host which stands still is told of
+UNHEARD = 1.25  # periods of progress without a word, in a left hall, after which a job is taken back
+BACK_AT_ONCE = 2  # at one look
 KEPT = 64  # changes that are remembered
 MARK = 15  # the digit of a host that gets no ordinary work
 
 
+def _seen(worker: Worker) -> Seen:
+    return Seen(worker.zone, worker.bad)
+
+
+def _lately(worker: Worker, since: float) -> bool:
+    return worker.ended_at >= since
+
+
 class Halls:
     """All halls, as one dispatcher has them."""
 
@@ -52,6 +64,8 @@
     def _tick(self, state: Any, now: float) -> None:
         told = len(self.changes)
         self.look(state, now)
+        self._tell_silence(state, now)
+        self._take_back(state, now)
         for number, hall in self.changes[told:]:
             state.out.append(pk.Log(f"hall {number} {hall.phase.value}: {hall.cause}"))
         del self.changes[:-KEPT]
@@ -144,20 +158,17 @@
 
     def _decide(self, state: Any, by_hall: dict[int, list[Worker]], count: int, now: float) -> None:
         fresh = now - LATELY
-        found = tallies(
-            Seen(worker.zone, worker.bad)
-            for workers in by_hall.values() for worker in workers if worker.ended_at >= fresh
-        )  # fmt: skip
+        found = tallies(_seen(worker) for workers in by_hall.values() for worker in workers if _lately(worker, fresh))
         away = sum(len(by_hall.get(n, ())) for n, hall in self.halls.items() if hall.phase is Phase.LEFT)
         order = sorted(by_hall, key=lambda n: -found[n].bad if n in found else 0)
         for number in order:
             hall, workers = self.halls.setdefault(number, Hall()), by_hall[number]
             if hall.phase is Phase.RETURNING:
-                seen = [w for w in workers if not w.closed and w.ended_at >= max(fresh, w.eased_at)]
+                seen = [w for w in workers if not w.closed and _lately(w, max(fresh, w.eased_at))]
             else:
-                seen = [w for w in workers if w.ended_at >= fresh]
+                seen = [w for w in workers if _lately(w, fresh)]
             usual = elsewhere(found, number)
-            tally = tallies(Seen(number, w.bad) for w in seen).get(number)
+            tally = tallies(map(_seen, seen)).get(number)
             since = [w for w in workers if w.ended_at > hall.since]
             view = View(
                 ratio=ratio(tally, usual) if tally is not None else 0.0, bad=tally.bad if tally is not None else 0,
@@ -226,6 +237,37 @@
         if opened:
             state._rank(now)  # what they bear is little again
 
+    def _tell_silence(self, state: Any, now: float) -> None:
+        """A host that stands still counts as an end that was bad, here and for all who are told of ends.
+
+        So does one that has had a job of ours for as long without a word, where hosts tell of a start.
+        """
+        since = now - SILENCE * self._s.progress_every if self._s.tells_start and self._s.progress_every else -1.0
+        waits = [f for f in state.flights.values() if f.out and f.waiting]
+        mute = {f.worker.id for f in waits if max(f.sent, f.worker.heard) <= since}
+        for worker in state.peers.roster:
+            silent = (worker.still and worker.flights) or worker.id in mute
+            if silent and now - worker.ended_at >= STILL_TOLD:
+                worker.ended(True, now)
+                state.peers.ended[worker.id] = Peers.ENDED_BADLY
+                state.peers.changed[worker.id] = worker
+
+    def _take_back(self, state: Any, now: float) -> None:
+        """Jobs that may run twice are taken back from a left hall that tells nothing of them: a few at each look."""
+        if not self._s.may_cancel:
+            return
+        quiet = now - UNHEARD * max(self._s.progress_every, self._s.dial_timeout)
+        away = {number for number, hall in self.halls.items() if hall.phase is Phase.LEFT}
+        there = [
+            flight for flight in state.flights.values()
+            if flight.worker.zone in away and flight.out and flight.heard <= quiet and not flight.worker.trying
+            and flight.job.lane.effect is pk.Effect.REPEATABLE and state.jobs.get(flight.job.id) is flight.job
+            and sum(other.out for other in flight.job.attempts) == 1 and len(flight.job.attempts) < flight.job.cap
+        ] if away else []  # fmt: skip
+        there.sort(key=lambda flight: flight.sent)
+        for flight in there[:BACK_AT_ONCE]:
+            state.out.append(pk.Cancel(flight.job.id, flight.job.attempts.index(flight)))
+
     def _trials(self, state: Any, ranked: list[Worker], now: float) -> list[Worker]:
         """The hosts that are ours to try in this term: each of a few is one dispatcher's."""
         term, every = int(now / TERM), self._s.instances
--- a/tests/halls/test_offers.py
+++ b/tests/halls/test_offers.py
@@ -88,6 +88,17 @@
     assert sum(played.figures.violations.values()) == 0
 
 
+def test_a_hall_that_falls_silent_is_left_and_jobs_that_may_run_twice_are_taken_back() -> None:
+    trouble = [{"what": "pause", "at_s": 10, "for_s": 12, "zone": "b", "share": 1.0}]
+    on, off = (Played(scenario(4, trouble=trouble, **{"dispatchers.halls": halls})) for halls in (True, False))
+    assert all(DIES < at < DIES + 6000 for at in on.left()), on.left()
+    for dispatcher in on.world.dispatchers:
+        assert dispatcher.core.dispatcher.halls.halls[1].phase in (Phase.WELL, Phase.RETURNING)
+    assert on.between(DIES + 6000, BACK) < off.between(DIES + 6000, BACK)
+    assert on.figures.service > off.figures.service
+    assert sum(on.figures.violations.values()) == 0
+
+
 def test_without_the_bound_on_trials_or_the_easing_the_figures_show_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each mechanism taken out: what the first test asks for does not hold."""
     few = Played(scenario(4)).between(DIES + 1000, BACK)
