--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -529,7 +529,7 @@
             spare = max(SUSPECTS, 1 - sum(loads.values()) / max(1, len(loads)))  # the others can do its work
             worst = sorted(roster, key=lambda w: w.health)[: int(spare * len(roster))]
             bad = {w for w in worst if w.health < (WELL if self.peers.digit(w.id) == SUSPECT else ILL)}
-            digits = [SUSPECT if w in bad or w.marked else min(SUSPECT - 1, round(8 * loads[w])) for w in roster]
+            digits = [SUSPECT if w in bad or w.marked else min(SUSPECT - 1, round(8 * loads[w])) for w in loads]
             for content in self.peers.sums(digits):
                 self.out.append(pk.Tell(content))
                 self.peers.read(content)
