--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -525,11 +525,11 @@
         silent = self.s.position < RELAYS or now - heard > (2 * SILENT + self.s.position) * self.view_gap
         if silent and self.peers.relaying:
             roster = self.peers.roster
-            loads = {w: max(0.0, w.told + w.own) / w.model.slots for w in roster}
-            spare = max(SUSPECTS, 1 - sum(loads.values()) / max(1, len(loads)))  # the others can do its work
+            load = {w: max(0.0, w.told + w.own) / w.model.slots for w in roster}
+            spare = max(SUSPECTS, 1 - sum(load.values()) / max(1, len(load)))  # the others can do its work
             worst = sorted(roster, key=lambda w: w.health)[: int(spare * len(roster))]
             bad = {w for w in worst if w.health < (WELL if self.peers.digit(w.id) == SUSPECT else ILL)}
-            digits = [SUSPECT if w in bad or w.marked else min(SUSPECT - 1, round(8 * loads[w])) for w in loads]
+            digits = [SUSPECT if w in bad or w.marked else min(SUSPECT - 1, round(8 * load[w])) for w in load]
             for content in self.peers.sums(digits):
                 self.out.append(pk.Tell(content))
                 self.peers.read(content)
