--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -63,11 +63,12 @@
         super().__init__(addresses, tallies, seconds)
         self.rig = rig
         self.at: dict[str, str] = {}  # who has a job
+        self.lives: dict[str, int] = {}  # which of its processes that was
 
     def handed(self, job: Job, door: int) -> None:
         """A job goes to a dispatcher."""
         now, name, lane = self.rig.history.now(), f"d{door}", job.due.lane
-        self.at[job.txn] = name
+        self.at[job.txn], self.lives[job.txn] = name, self.rig.processes[name].starts
         left = max(1.0, lane.deadline_ms - (self.now() - job.due.at))
         self.rig.history.see(Taken(now, name, job.txn, lane.name, lane.effect == "once", now + left))
 
@@ -78,6 +79,8 @@
         if name is None:
             return
         process = self.rig.processes[name]
+        if how != "lost" and self.rig.killed.get(name, 0) >= self.lives[job.txn]:
+            return  # it was on its way when its dispatcher was killed, and the history has the job as over with that
         if how != "lost":
             history.see(Answered(history.now(), name, job.txn, how))
         elif not process.wanted or not process.runs:
@@ -106,6 +109,7 @@
                                self.paths.gone)  # fmt: skip
         self.processes: dict[str, Process] = {}
         self.clients: Clients
+        self.killed: dict[str, int] = {}  # how often a dispatcher had been started when it was last killed
         self.lost_with = 0  # jobs that ended with their dispatcher
         self.listed_after: dict[str, float] = {}  # s from the beginning until a dispatcher had its list
         self.watched_after: dict[str, float] = {}  # and until its first watch waited for news
@@ -265,6 +269,7 @@
             for name, process in self.processes.items():
                 if (status := process.look()) is not None:
                     self._failed.append(f"{name} ended by itself with status {status}")
+                    self.killed[name] = process.starts
                     self.history.see(Stopped(self.history.now(), name, True))
             await asyncio.sleep(LOOK)
 
@@ -330,6 +335,7 @@
         elif step.do == "kill":
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
+            self.killed[name] = process.starts
             self.history.see(Stopped(self.history.now(), name, True))
         elif step.do == "term":
             process.signal(signal.SIGTERM)
