Read once more: one name for what halls, module and command line share

Seen in the diff: the sums' digit and the periods of silence stood in the module and again in halls/offers.py; hosts were put by hall in two places, the left halls found in four, a held order's end looked at in two; `cluster` and `halls` printed rows with the same lines; the rig kept beside its processes which of their lives was killed; a method of arrival/parts.py had one caller; wrappers stayed from an earlier form. Change: SUSPECT and QUIET in records.py, Hall.is_held, Halls._left, _by_hall, words.print_rows and JSON, Process.killed. An order for a hall no longer makes rows to see whether halls are looked at.

--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -58,19 +58,14 @@
 
     # -- whose part
 
-    def users(self, worker: Worker, warmth: float, job: float) -> tuple[int, float]:
-        """Into how many parts what a cold worker stands within the span is divided, and how much each is."""
-        budget = MARGIN * self._s.tip_multiple * warmth * worker.model.slots * self._s.overload_for
-        users = min(self._s.instances, max(1, int(budget / (HOLD * job if self._lends else job))))
-        return users, budget / users
-
     def share(self, worker: Worker, warmth: float, job: float, now: float) -> float:
-        """Our part of it; 0 for none."""
+        """Our part of what a cold worker stands within the span; 0 for none."""
         if self._born < 0:
             self._born = now
-        users, part = self.users(worker, warmth, job)
+        budget = MARGIN * self._s.tip_multiple * warmth * worker.model.slots * self._s.overload_for
+        users = min(self._s.instances, max(1, int(budget / (HOLD * job if self._lends else job))))
         worker.users = users
-        return part if (self._s.position - worker.id) % self._s.instances < users else 0.0
+        return budget / users if (self._s.position - worker.id) % self._s.instances < users else 0.0
 
     # -- what may go out
 
--- a/heronlug/cli/cluster.py
+++ b/heronlug/cli/cluster.py
@@ -1,14 +1,10 @@
 """``cluster members`` and ``cluster duties``: what a running member sees."""
 
-from typing import Any
-
 import click
 
-from heronlug.cli.words import SOCKET, print_columns, print_json
+from heronlug.cli.words import JSON, SOCKET, print_rows
 from heronlug.life.control import ask
 
-JSON = click.option("--json", "as_json", is_flag=True, help="a JSON list")
-
 
 @click.group()
 def cluster() -> None:
@@ -16,11 +12,7 @@
 
 
 def _show(control: str, what: str, as_json: bool) -> None:
-    rows: list[dict[str, Any]] = ask(control, {"ask": what})[what]
-    if as_json:
-        print_json(rows)
-    elif rows:
-        print_columns([list(rows[0]), *(["-" if v is None else str(v) for v in row.values()] for row in rows)])
+    print_rows(ask(control, {"ask": what})[what], as_json)
 
 
 @cluster.command()
--- a/heronlug/cli/halls.py
+++ b/heronlug/cli/halls.py
@@ -1,23 +1,13 @@
 """``halls``: what a running dispatcher knows of each hall; ``halls leave|return|release``: an operator's word."""
 
-from typing import Any
-
 import click
 
-from heronlug.cli.words import SOCKET, print_columns, print_json
+from heronlug.cli.words import JSON, SOCKET, print_rows
 from heronlug.life.control import ask
 
-JSON = click.option("--json", "as_json", is_flag=True, help="a JSON list")
 FOR = click.option("--for", "seconds", type=float, help="seconds, then what is seen decides again; else until told")
 
 
-def _show(rows: list[dict[str, Any]], as_json: bool) -> None:
-    if as_json:
-        print_json(rows)
-    elif rows:
-        print_columns([list(rows[0]), *(["-" if v is None else str(v) for v in row.values()] for row in rows)])
-
-
 @click.group(invoke_without_command=True)
 @JSON
 @SOCKET
@@ -25,11 +15,11 @@
 def halls(context: click.Context, as_json: bool, control: str) -> None:
     """The halls as the running dispatcher sees them: state, what is offered, evidence, who decides."""
     if context.invoked_subcommand is None:
-        _show(ask(control, {"ask": "halls"})["halls"], as_json)
+        print_rows(ask(control, {"ask": "halls"})["halls"], as_json)
 
 
 def _order(do: str, hall: str, seconds: float | None, as_json: bool, control: str) -> None:
-    _show(ask(control, {"ask": "hall", "do": do, "hall": hall, "for_s": seconds})["halls"], as_json)
+    print_rows(ask(control, {"ask": "hall", "do": do, "hall": hall, "for_s": seconds})["halls"], as_json)
 
 
 @halls.command()
--- a/heronlug/cli/words.py
+++ b/heronlug/cli/words.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 import click
 import orjson
@@ -10,6 +11,7 @@
 SOCKET = click.option(
     "--control", envvar="HERONLUG_CONTROL", default="", metavar="SOCKET", help="the running daemon's control socket"
 )
+JSON = click.option("--json", "as_json", is_flag=True, help="a JSON list")
 
 
 def print_json(value: object) -> None:
@@ -22,3 +24,11 @@
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     for line in lines:
         print("  ".join(word.ljust(width) for word, width in zip(line, widths, strict=True)).rstrip())
+
+
+def print_rows(rows: Sequence[dict[str, Any]], as_json: bool) -> None:
+    """Rows with the same keys: for programs, or for people under their names."""
+    if as_json:
+        print_json(rows)
+    elif rows:
+        print_columns([list(rows[0]), *(["-" if v is None else str(v) for v in row.values()] for row in rows)])
--- a/heronlug/halls/offers.py
+++ b/heronlug/halls/offers.py
@@ -15,9 +15,9 @@
 from typing import Any
 
 from heronlug import interface as pk
-from heronlug.halls.evidence import Seen, elsewhere, ratio, tallies
+from heronlug.halls.evidence import Seen, Tally, elsewhere, ratio, tallies
 from heronlug.halls.table import STAGES, Hall, Phase, View
-from heronlug.records import Peers, Worker
+from heronlug.records import QUIET, SUSPECT, Peers, Worker
 
 LOOK = 100.0  # ms between two looks
 LATELY = 3000.0  # ms that an end counts for
@@ -26,20 +26,17 @@
 TRIALS = 4  # hosts of a left hall that are tried in a term, by all dispatchers together
 MARKED = 0.8  # share of a hall's hosts that are marked: it is left
 GRACE = 3000.0  # ms that a left hall stays left when its marks have gone all at once
-SILENCE = 2.25  # periods of progress, as in the module
 STILL_TOLD = 1000.0  # ms between two times that a host which stands still is told of
 UNHEARD = 1.25  # periods of progress without a word, in a left hall, after which a job is taken back
 BACK_AT_ONCE = 2  # at one look
 KEPT = 64  # changes that are remembered
-MARK = 15  # the digit of a host that gets no ordinary work
 
 
-def _seen(worker: Worker) -> Seen:
-    return Seen(worker.zone, worker.bad)
-
-
-def _lately(worker: Worker, since: float) -> bool:
-    return worker.ended_at >= since
+def _by_hall(workers: list[Worker]) -> dict[int, list[Worker]]:
+    found: dict[int, list[Worker]] = {}
+    for worker in workers:
+        found.setdefault(worker.zone, []).append(worker)
+    return found
 
 
 class Halls:
@@ -73,32 +70,27 @@
 
     def look(self, state: Any, now: float) -> None:
         """Look at all hosts that are ready, and have each offered or not."""
-        ready: list[Worker] = state.peers.roster
-        by_hall: dict[int, list[Worker]] = {}
-        for worker in ready:
-            by_hall.setdefault(worker.zone, []).append(worker)
+        by_hall = _by_hall(state.peers.roster)
         if len(by_hall) < 2:
             return
-        if state.relayed and not self._decides(state, now):
-            self._follow(state, by_hall, now)
+        decides = self._decides(state, now)
+        if decides:
+            self._decide(by_hall, len(state.peers.roster), now)
         else:
-            self._decide(state, by_hall, len(ready), now)
-        self._offer(state, by_hall, now)
+            self._follow(state, by_hall, now)
+        self._offer(state, by_hall, not decides, now)
 
     def turn(self, mine: list[Worker], peers: Peers) -> Worker | None:
         """The marked host that is ours to try: one of a left hall, of which few are tried at a time, comes first."""
-        return next((w for w in [*self._ours, *mine] if peers.digit(w.id) == MARK and not w.closed), None)
+        return next((w for w in [*self._ours, *mine] if peers.digit(w.id) == SUSPECT and not w.closed), None)
 
     # -- for people
 
     def rows(self, state: Any, now: float) -> dict[int, dict[str, Any]]:
         """Each hall that has hosts, by number."""
-        by_hall: dict[int, list[Worker]] = {}
-        for worker in state.peers.roster:
-            by_hall.setdefault(worker.zone, []).append(worker)
-        decides = "here" if not state.relayed or self._decides(state, now) else "whoever sums up"
+        decides = "here" if self._decides(state, now) else "whoever sums up"
         rows = {}
-        for number, workers in by_hall.items():
+        for number, workers in _by_hall(state.peers.roster).items():
             hall = self.halls.get(number, Hall())
             tried = [worker for worker in workers if worker.ended_at >= now - LATELY]
             rows[number] = {
@@ -118,7 +110,7 @@
         """
         hall = self.halls.setdefault(number, Hall())
         if phase is Phase.LEFT:
-            away = {n for n, each in self.halls.items() if each.phase is Phase.LEFT} | {number}
+            away = self._left | {number}
             left = sum(worker.zone in away for worker in state.peers.roster)
             if left > MOST * len(state.peers.roster):
                 raise ValueError(f"{left} of {len(state.peers.roster)} hosts would be left, more than {MOST:.0%}")
@@ -148,32 +140,37 @@
 
     # -- the state
 
+    @property
+    def _left(self) -> set[int]:
+        return {number for number, hall in self.halls.items() if hall.phase is Phase.LEFT}
+
     def _decides(self, state: Any, now: float) -> bool:
-        """Whether we are the first of those that sum up, or hear none."""
+        """Whether there is nobody that sums up, we are the first of those, or hear none."""
+        if not state.relayed:
+            return True
         since = now - 2 * LATELY
         heard = [peer for peer, at in state.peers.relays.items() if at > since]
         if state.peers.relaying:
             return all(peer > self._s.position for peer in heard)
         return not heard
 
-    def _decide(self, state: Any, by_hall: dict[int, list[Worker]], count: int, now: float) -> None:
+    def _decide(self, by_hall: dict[int, list[Worker]], count: int, now: float) -> None:
         fresh = now - LATELY
-        found = tallies(_seen(worker) for workers in by_hall.values() for worker in workers if _lately(worker, fresh))
-        away = sum(len(by_hall.get(n, ())) for n, hall in self.halls.items() if hall.phase is Phase.LEFT)
+        found = tallies(Seen(n, w.bad) for n, workers in by_hall.items() for w in workers if w.ended_at >= fresh)
+        away = sum(len(by_hall.get(number, ())) for number in self._left)
         order = sorted(by_hall, key=lambda n: -found[n].bad if n in found else 0)
         for number in order:
             hall, workers = self.halls.setdefault(number, Hall()), by_hall[number]
             if hall.phase is Phase.RETURNING:
-                seen = [w for w in workers if not w.closed and _lately(w, max(fresh, w.eased_at))]
+                seen = [w for w in workers if not w.closed and w.ended_at >= max(fresh, w.eased_at)]
             else:
-                seen = [w for w in workers if _lately(w, fresh)]
-            usual = elsewhere(found, number)
-            tally = tallies(map(_seen, seen)).get(number)
+                seen = [w for w in workers if w.ended_at >= fresh]
+            tally = Tally(len(seen), sum(w.bad for w in seen))
             since = [w for w in workers if w.ended_at > hall.since]
             view = View(
-                ratio=ratio(tally, usual) if tally is not None else 0.0, bad=tally.bad if tally is not None else 0,
-                may_leave=away + len(workers) <= MOST * count, served=sum(not w.bad for w in since),
-                failed_at=max((w.ended_at for w in since if w.bad), default=0.0),
+                ratio=ratio(tally, elsewhere(found, number)), bad=tally.bad,
+                may_leave=away + len(workers) <= MOST * count,
+                served=sum(not w.bad for w in since), failed_at=max((w.ended_at for w in since if w.bad), default=0.0),
             )  # fmt: skip
             while hall.look(view, now):
                 self.changes.append((number, replace(hall)))
@@ -186,11 +183,9 @@
         """Read it off the marks."""
         for number, workers in by_hall.items():
             hall = self.halls.setdefault(number, Hall())
-            if now < hall.held:
+            if hall.is_held(now):
                 continue
-            if hall.held:
-                hall.let_go(now)
-            marked = sum(state.peers.digit(worker.id) == MARK for worker in workers)
+            marked = sum(state.peers.digit(worker.id) == SUSPECT for worker in workers)
             was = hall.phase
             # who returns does so in stages: marks that go all at once are of one that sums up and knows nothing yet
             gone = was is Phase.LEFT and not marked
@@ -209,8 +204,7 @@
 
     # -- what it means
 
-    def _offer(self, state: Any, by_hall: dict[int, list[Worker]], now: float) -> None:
-        following = state.relayed and not self._decides(state, now)
+    def _offer(self, state: Any, by_hall: dict[int, list[Worker]], following: bool, now: float) -> None:
         shut: set[int] = set()
         self._ours = []
         for number, workers in by_hall.items():
@@ -219,14 +213,13 @@
                 continue
             ranked = sorted(workers, key=lambda w: w.id)
             if following and hall.phase is Phase.RETURNING:
-                shut.update(w.id for w in ranked if state.peers.digit(w.id) == MARK)
+                shut.update(w.id for w in ranked if state.peers.digit(w.id) == SUSPECT)
             else:
                 shut.update(w.id for w in ranked[ceil(hall.offered * len(ranked)) :])
             if hall.phase is Phase.LEFT and now >= hall.held:
                 self._ours += self._trials(state, ranked, now)
         shut -= {worker.id for worker in self._ours}
-        left = {n for n, hall in self.halls.items() if hall.phase is Phase.LEFT}
-        opened = False
+        left, opened = self._left, False
         for worker in state.peers.roster:
             worker.closed = worker.id in shut
             worker.trying = worker.trying and not worker.closed
@@ -242,7 +235,7 @@
 
         So does one that has had a job of ours for as long without a word, where hosts tell of a start.
         """
-        since = now - SILENCE * self._s.progress_every if self._s.tells_start and self._s.progress_every else -1.0
+        since = now - QUIET * self._s.progress_every if self._s.tells_start and self._s.progress_every else -1.0
         waits = [f for f in state.flights.values() if f.out and f.waiting]
         mute = {f.worker.id for f in waits if max(f.sent, f.worker.heard) <= since}
         for worker in state.peers.roster:
@@ -257,13 +250,13 @@
         if not self._s.may_cancel:
             return
         quiet = now - UNHEARD * max(self._s.progress_every, self._s.dial_timeout)
-        away = {number for number, hall in self.halls.items() if hall.phase is Phase.LEFT}
+        left = self._left
         there = [
             flight for flight in state.flights.values()
-            if flight.worker.zone in away and flight.out and flight.heard <= quiet and not flight.worker.trying
+            if flight.worker.zone in left and flight.out and flight.heard <= quiet and not flight.worker.trying
             and flight.job.lane.effect is pk.Effect.REPEATABLE and state.jobs.get(flight.job.id) is flight.job
             and sum(other.out for other in flight.job.attempts) == 1 and len(flight.job.attempts) < flight.job.cap
-        ] if away else []  # fmt: skip
+        ] if left else []  # fmt: skip
         there.sort(key=lambda flight: flight.sent)
         for flight in there[:BACK_AT_ONCE]:
             state.out.append(pk.Cancel(flight.job.id, flight.job.attempts.index(flight)))
--- a/heronlug/halls/table.py
+++ b/heronlug/halls/table.py
@@ -72,10 +72,8 @@
 
     def look(self, view: View, now: float) -> bool:
         """What follows from what is seen; True where that has changed."""
-        if now < self.held:
+        if self.is_held(now):
             return False
-        if self.held:
-            self.let_go(now)
         if self.phase is Phase.WELL:
             if self.falls and now - self.since > CALM:
                 self.falls = 0
@@ -101,6 +99,12 @@
             return self._to(Phase.WELL, now, "it has returned")
         return False
 
+    def is_held(self, now: float) -> bool:
+        """Whether an operator has it so; when the time of that is over, what is seen decides again."""
+        if self.held and now >= self.held:
+            self.let_go(now)
+        return self.held > 0
+
     def hold(self, phase: Phase, until: float, now: float) -> None:
         """An operator has it left or well, until then or until :meth:`let_go`."""
         self.held = until
--- a/heronlug/life/halls.py
+++ b/heronlug/life/halls.py
@@ -14,17 +14,21 @@
     return zones[number] if number < len(zones) else f"no. {number}"
 
 
-def view(core: Core, zones: list[str]) -> list[dict[str, Any]]:
-    """All halls that have hosts, for people; raises :class:`StateError` where halls are not looked at."""
+def _looked_at(core: Core) -> None:
     if not core.settings.halls:
         raise StateError("halls are not left as one here: [site] leave_halls is false")
+
+
+def view(core: Core, zones: list[str]) -> list[dict[str, Any]]:
+    """All halls that have hosts, for people; raises :class:`StateError` where halls are not looked at."""
+    _looked_at(core)
     rows = core.dispatcher.halls.rows(core.dispatcher, core.deadlines.clock())
     return [{"hall": _named(number, zones), **row} for number, row in sorted(rows.items())]
 
 
 def order(core: Core, zones: list[str], asked: dict[str, Any]) -> list[dict[str, Any]]:
     """Leave a hall, return to it, or decide by what is seen again; raises :class:`StateError` and changes nothing."""
-    view(core, zones)
+    _looked_at(core)
     what, name, seconds = asked["do"], asked["hall"], asked.get("for_s")
     if name not in zones:
         raise StateError(f"hall {name!r}: none is called so; there are {', '.join(zones)}")
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -10,7 +10,7 @@
 from heronlug.arrival.parts import Parts
 from heronlug.halls.offers import Halls
 from heronlug.learned import flights, recall
-from heronlug.records import Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
+from heronlug.records import QUIET, SUSPECT, Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
 C1 = 0.3  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
@@ -27,9 +27,8 @@
 SCORES, SCORES_PER_US = 128, 3.2  # for an outcome at most; where CPU is short, a sixth of what a job may use
 LOOKS_PER_AIM = 16  # views are told, and held jobs looked at again, so often within the shortest aim
 
-SUSPECT, SUSPECTS = 15, 0.2  # in the sums, the digit of a worker that fails; at most this share are marked so
+SUSPECTS = 0.2  # at most this share of the workers, or what can be spared, is marked in the sums as failing
 ILL, WELL = 0.6, 0.8  # health below which it is marked, after two bad ends, and above which no more
-QUIET = 2.25  # periods without a word from a job that has started: its worker, or the way to it, stands still
 FAULTS = 2  # workers that find fault with a job, and it is the job's
 BAD = frozenset({pk.Outcome.ERROR, pk.Outcome.FULL, pk.Outcome.CONNECT_FAILED, pk.Outcome.RESET})
 
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -10,6 +10,8 @@
 from heronlug import interface as pk
 
 DIGIT = {f"{value:x}": value for value in range(16)}
+SUSPECT = 15  # the digit, in the sums, of a worker that fails or whose hall is left
+QUIET = 2.25  # periods without a word from a job: its worker, or the way to it, stands still
 
 
 class Worker:
--- a/heronlug/rig/processes.py
+++ b/heronlug/rig/processes.py
@@ -66,6 +66,7 @@
         self.program: subprocess.Popen[bytes] | None = None
         self.wanted = False  # it should run
         self.starts = 0
+        self.killed = 0  # how often it had been started when it was last killed, or ended by itself
 
     @property
     def runs(self) -> bool:
@@ -95,13 +96,14 @@
             self.wanted = False
         self.program.send_signal(number)
         if number is signal.SIGKILL:
+            self.killed = self.starts
             self.program.wait()
 
     def look(self) -> int | None:
         """Its status if it has ended though it should run, which is told once."""
         if not self.wanted or self.program is None or self.program.poll() is None:
             return None
-        self.wanted = False
+        self.wanted, self.killed = False, self.starts
         return self.program.returncode
 
     async def figures(self) -> dict[str, float]:
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -79,10 +79,10 @@
         if name is None:
             return
         process = self.rig.processes[name]
-        if how != "lost" and self.rig.killed.get(name, 0) >= self.lives[job.txn]:
-            return  # it was on its way when its dispatcher was killed, and the history has the job as over with that
         if how != "lost":
-            history.see(Answered(history.now(), name, job.txn, how))
+            # one on its way when its dispatcher was killed: the history has the job as over with that
+            if process.killed < self.lives[job.txn]:
+                history.see(Answered(history.now(), name, job.txn, how))
         elif not process.wanted or not process.runs:
             history.see(Ended(history.now(), name, job.txn))  # lost with its dispatcher
             self.rig.lost_with += 1
@@ -109,7 +109,6 @@
                                self.paths.gone)  # fmt: skip
         self.processes: dict[str, Process] = {}
         self.clients: Clients
-        self.killed: dict[str, int] = {}  # how often a dispatcher had been started when it was last killed
         self.lost_with = 0  # jobs that ended with their dispatcher
         self.listed_after: dict[str, float] = {}  # s from the beginning until a dispatcher had its list
         self.watched_after: dict[str, float] = {}  # and until its first watch waited for news
@@ -269,7 +268,6 @@
             for name, process in self.processes.items():
                 if (status := process.look()) is not None:
                     self._failed.append(f"{name} ended by itself with status {status}")
-                    self.killed[name] = process.starts
                     self.history.see(Stopped(self.history.now(), name, True))
             await asyncio.sleep(LOOK)
 
@@ -335,7 +333,6 @@
         elif step.do == "kill":
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
-            self.killed[name] = process.starts
             self.history.see(Stopped(self.history.now(), name, True))
         elif step.do == "term":
             process.signal(signal.SIGTERM)
@@ -476,7 +473,6 @@
             verdict.faults += [f"{process.name}: {line[:400]}" for line in process.faults()]
         return verdict
 
-
     def _failures(self, process: Process, told: FailedTable) -> int:
         """How many relays a dispatcher began into a hall between two times that it says have failed."""
         count, began = 0, self.history.began
