Drains: nothing goes by a list whose changes count as told, whether or not they came

Checked: the first watch is called in the first turn and falls silent; what it misses counts as told 2 s after its 20 s wait. wire/inventory.py gave it up after 24 s (WAIT + LATE), and then the module paused 0.3 to 0.6 s (_on_list, FAILED) before it dialled and called again. So the sum did not fit 2.5 s, and nothing held work back meanwhile. Excluded: drains that were told (each was kept), other hosts than the quarter that began to drain. For pushed lists the cause is another: the module took them for coming unasked (settings.list_pushed), so no watch was ever opened on sockets (logic.py, _on_list and _ask).

A silent watch is given up 0.5 s after its wait and asked again at once for what it missed; once the list counts as changed and the grace is nearly over, the core has no ready host until an answer has come (list_doubted), also at the write. Waits are spread over the fleet by position, so that calls of many do not end together. On sockets every list is asked for; where it is pushed, a broken watch is opened anew within a fraction of the grace.

Tests: tests/endings plays a whole daemon on real sockets with a clock moved by hand; the watch silent from the start with the next call silent too and the answer late on the old connection, bytes one at a time, pushed from the first moment, reset, outage, SIGHUP.

--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -44,6 +44,7 @@
     peers_all: str | None = None
     inherited_fd: int | None = None  # the clients' listening socket, held by others too
     admin: tuple[str, int] | None = None  # where operators call; None is nowhere
+    pushed: bool = False  # what the register has to tell counts as told at once, whether or not it is asked
     paced: bool = False  # calls of the register keep to a pace; on the platform the module alone says when
 
 
@@ -118,6 +119,8 @@
         seed = int(str(raw.get("seed") or "0"), 16)
         key = "settings"
         settings = parse_settings(orjson.dumps(conf))
+        pushed = settings.list_pushed and watched
+        settings = replace(settings, list_pushed=not watched)  # on sockets no list comes unasked
     except (KeyError, ValueError, TypeError) as error:
         raise ConfigError(f"{where}: {key}: {error}") from None
     return Config(
@@ -138,4 +141,5 @@
         peers=peers,
         peers_all=everyone,
         admin=admin,
+        pushed=pushed,
     )
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from heronlug.arrival.told import Told
 from heronlug.interface import JobClass, ListKind
 from heronlug.life import control, halls
 from heronlug.life.config import Config
@@ -31,7 +32,7 @@
 from heronlug.wire.admin import MAX_CALLERS, Admin
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
-from heronlug.wire.inventory import Inventory, read_list
+from heronlug.wire.inventory import SPREAD, Inventory, read_list
 from heronlug.wire.keeping import open_store
 from heronlug.wire.north import North
 from heronlug.wire.peers import Peers
@@ -94,7 +95,11 @@
             config.peers, config.peers_all, settings.position, self._heard, log, self.turn, deadlines.clock
         )
         read = partial(read_list, zones=config.zones, kinds=config.kinds, to_clock=float)  # our clock is Unix time
-        self.inventory = Inventory(config.discovery, 0, read, self._news, deadlines, log, self.turn)
+        self.inventory = Inventory(
+            config.discovery, 0, read, self._news, deadlines, log, self.turn,
+            Told(config.pushed, settings.ask_every, settings.drain_grace),
+            part=1.0 - SPREAD * settings.position / settings.instances,
+        )  # fmt: skip
         self.core = Core(
             settings, config.seed, self, deadlines, log=log,
             subscribe=self._subscribe, tell=lambda content, peer: self.takeover.tell(content, peer),
@@ -102,6 +107,8 @@
             max_come_back=config.max_come_back,
         )  # fmt: skip
         self.south.core = self.core
+        if not config.paced:  # operators' files that pace their calls go by the list they have for longer
+            self.inventory.doubt = self.core.doubt
         self.north = North(self, settings, half, int(spare * 1024 * 1024), self.turn)
         self.leaving = Parting(
             deadlines, max(lane.deadline for lane in settings.classes), self._busy, lambda: self.north.came_at,
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -138,6 +138,7 @@
                 except BadList as error:
                     self._daemon.log("bad_known_list", error=str(error))
         inventory.listed = bool(entries)
+        inventory.begin_clock()
         inventory.news(ListKind.CACHED, entries)
         if self._table:
             try:
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -141,6 +141,7 @@
         self.messages: Slots[Message] = Slots()
         self.relays: Slots[Relay] = Slots()
         self.hosts: dict[int, Host] = {}
+        self.doubted = False  # any host may have been told off by now: the list is older than the rules allow
         self.dispatcher = Dispatcher(settings, seed)
         self._numbers: dict[str, int] = {}
         self.names: set[str] = set()  # of the messages in the table
@@ -277,7 +278,7 @@
         Guards the drain and no-repeat rules at the last moment: the decision was right when it was made, but the
         host may have been told off, or the message closed, while a connection was being made.
         """
-        return relay.out and not relay.message.closed and relay.host.ready
+        return relay.out and not relay.message.closed and relay.host.ready and not self.doubted
 
     def runs_once(self, relay: Relay) -> bool:
         """Whether it must not run a second time, so that only proof that it never ran lets it go out again."""
@@ -331,12 +332,21 @@
                 host = self.hosts[number]
                 host.entry = host.entry._replace(state=pk.WorkerState.GONE)
                 self._tell_state(host, False, now)
+        if self.doubted and kind in (pk.ListKind.FULL, pk.ListKind.CHANGES):
+            self.doubted, kind = False, pk.ListKind.FULL  # the module has none, and gets all that are listed
+            entries = [host.entry for host in self.hosts.values() if host.entry.state is not pk.WorkerState.GONE]
         lines = tuple(
             pk.WorkerEntry(self._number(e.name), e.state, e.zone, e.kind, e.cell, e.weight, e.started_at)
             for e in entries
         )
         self._give(pk.WorkerList(kind, lines))
 
+    def doubt(self) -> None:
+        """What the list has to tell may count as told and has not come: no host gets new work until news come."""
+        if not self.doubted:
+            self.doubted = True
+            self._give(pk.WorkerList(pk.ListKind.CACHED, ()))
+
     def heard(self, peer: int, content: bytes) -> None:
         """A message from another dispatcher."""
         self._give(pk.PeerMessage(peer, content))
@@ -360,7 +370,7 @@
     @property
     def can_serve(self) -> bool:
         """Whether there is a host that may be sent something."""
-        return any(host.ready for host in self.hosts.values())
+        return not self.doubted and any(host.ready for host in self.hosts.values())
 
     # -- inside
 
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -8,6 +8,7 @@
 import httptools
 import orjson
 
+from heronlug.arrival.told import Told
 from heronlug.arrival.why import Why
 from heronlug.interface import ListKind, WorkerState
 from heronlug.memory.core import HostEntry
@@ -15,8 +16,9 @@
 from heronlug.wire import http
 
 WAIT = 20_000.0  # a call waits so long for something new
-LATE = 4_000.0  # and is given up after so much more: discovery works through calls in turn
-LIST_WAIT = 3_000.0  # a call for the whole list does not wait for news, and is given up after this
+SPREAD = 0.4  # or for up to so much of it less, each dispatcher in its place: calls of many do not end together
+LATE = 500.0  # and is given up after so much more: what it has missed counts as told soon after
+LIST_WAIT = 3_500.0  # an answer that does not wait for news, or has begun, is given up after this
 DIAL_WAIT = 1_000.0  # an address that neither answers nor refuses is given up after this
 MAX_LIST = 8 * 1024 * 1024
 STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
@@ -119,6 +121,7 @@
         self.at_once = False  # the answer is not kept for news
         self.asked_at = 0.0
         self.retry_after = 0.0
+        self._heard = False  # an answer has begun
         self._parser: Any = None
         self._body: list[bytes] = []
         self._size = 0
@@ -137,11 +140,12 @@
         self._parser, self._body, self._size = httptools.HttpResponseParser(self), [], 0
         target, version = "/registry/instances", self.watch.version
         pace = self.watch.pace
-        wait = 0.0 if self.watch.at_once else pace.watch if pace is not None else WAIT
+        wait = 0.0 if self.watch.at_once else (pace.watch if pace is not None else WAIT) * self.watch.part
         if version is not None:
             target += f"?after={version}&wait_ms={int(wait)}"
         self.watch.at_once, self.at_once, self.retry_after = False, version is None or not wait, 0.0
-        self.watch.asked(self, LIST_WAIT if version is None else wait + LATE)
+        self._heard = False
+        self.watch.asked(self, 0.0 if self.at_once else wait)
         self.transport.write(http.request(b"GET", target.encode(), self.watch.address, [], b""))
 
     def data_received(self, data: bytes) -> None:
@@ -149,6 +153,9 @@
         try:
             if self._parser is None:
                 raise BadList("an answer that nobody asked for")
+            if not self._heard:
+                self._heard = True
+                self.watch.hears(self)
             self._parser.feed_data(data)
         except Exception as error:
             self.watch.failed(self, repr(error.__context__ or error), Why.BAD)
@@ -201,8 +208,13 @@
         deadlines: Deadlines,
         log: Callable[..., None],
         turn: Callable[[], None],
+        told: Told,
+        part: float = 1.0,
     ) -> None:
         self.address, self.version = address, version
+        self.told, self.part = told, part  # what counts as told; our part of the longest wait
+        self.doubt: Callable[[], None] | None = None  # the list may not be gone by any more; None: nobody minds
+        self._doubt: Key | None = None
         self.call: _Call | None = None
         self.turn = turn
         self.read, self.news, self._deadlines, self._log = read, news, deadlines, log
@@ -230,10 +242,29 @@
     def _begin(self) -> None:
         self._again = None
         self._watching = self._fresh = self._begun = True
-        if self.pace is not None and not self.listed:
-            self.at_once = True  # a silent register is found out sooner
+        # a silent register is found out sooner, and what is missing is needed even if it is nothing
+        self.at_once = self.at_once or self.told.missing or (self.pace is not None and not self.listed)
         self._ask()
 
+    def begin_clock(self) -> None:
+        """The process begins with the list that it was given."""
+        self.told.begin(self._deadlines.clock())
+        self._set_clock()
+
+    def _set_clock(self) -> None:
+        """Have it told when the list that is held may not be gone by any more."""
+        self._deadlines.drop(self._doubt)
+        self._doubt = None
+        if self.doubt is not None and self.address and math.isfinite(self.told.sure_until):
+            self._doubt = self._deadlines.at(self.told.sure_until, self._doubted)
+
+    def _doubted(self) -> None:
+        self._doubt = None
+        if self.doubt is not None:
+            self._fresh = True  # the next answer lifts it, whatever it brings
+            self._log("list_doubted", state=self.told.state.value)
+            self.doubt()
+
     @property
     def watching(self) -> bool:
         """Whether a watch is on."""
@@ -254,23 +285,32 @@
             return
         self._drop()
         self.address, self.version = address, None
+        self.told.moved(self._deadlines.clock())
+        self._set_clock()
         self._begin()
 
     def asked(self, call: _Call, wait: float) -> None:
-        """A call has gone out; one that is answered at once may take as long as the pace has patience."""
+        """A call has gone out that waits so long for news; else it may take as long as the pace has patience."""
         call.asked_at = self._deadlines.clock()
-        if self.pace is not None and call.at_once:
-            wait = max(wait, self.pace.patience)
-        self._expect(call, wait, "no answer in time", Why.SLOW)
+        self.told.called(call.asked_at, wait)
+        self._set_clock()
+        patience = max(LIST_WAIT, self.pace.patience) if self.pace is not None else LIST_WAIT
+        self._expect(call, patience if call.at_once else wait + LATE, "no answer in time", Why.SLOW)
+
+    def hears(self, call: _Call) -> None:
+        """An answer has begun; its bytes may come slowly."""
+        if call is self.call and not call.at_once:
+            self._expect(call, LIST_WAIT, "no whole answer in time", Why.SLOW)
 
-    def _expect(self, call: _Call, wait: float, why: str, how: Why) -> None:
+    def _expect(self, call: _Call, wait: float, why: str, how: Why, heard: bool = True) -> None:
         """A call has failed unless it comes further within this time."""
         self._deadlines.drop(self._deadline)
-        self._deadline = self._deadlines.after(wait, self.failed, call, why, how)
+        self._deadline = self._deadlines.after(wait, self.failed, call, why, how, heard)
 
     def stop(self) -> None:
         """Close the connection, and call no more until the next :meth:`subscribe`."""
         self._watching = False
+        self._deadlines.drop(self._doubt)
         self._deadlines.drop(self._again)
         self._again = None
         self._drop()
@@ -288,30 +328,50 @@
         fresh, self._fresh, self.listed = self._fresh, False, True
         if self.pace is not None and call.at_once:
             self.pace.answered(self._deadlines.clock() - call.asked_at)
+        self.told.answered()
         self._ask()
         if entries or whole or fresh:
             self._log("inventory", version=version, whole=whole, entries=len(entries))
             self.news(ListKind.FULL if whole else ListKind.CHANGES, entries)
 
-    def failed(self, call: _Call | None, why: str, how: Why = Why.DOWN) -> None:
-        """A call has failed: the list held so far stays, and the module decides when to ask again, or the pace."""
+    def failed(self, call: _Call | None, why: str, how: Why = Why.DOWN, heard: bool = True) -> None:
+        """A call has failed: the list held so far stays, and the module decides when to ask again, or the pace.
+
+        But a watch that has fallen silent is opened anew at once, and what has been missed is asked for: it counts as
+        told whether or not it has come.  ``heard``: the register, or its machine, has said no.
+        """
         if call is not self.call or not self._watching:
             return
-        self._watching = False
+        now, silent = self._deadlines.clock(), how is Why.SLOW
+        if silent:
+            self.told.silent()
+        elif heard:
+            self.told.failed(now, (call.asked_at if call is not None else 0.0) or now)
+        else:
+            self.told.parted(now)
         retry_after = call.retry_after if call is not None else 0.0
         self._drop()
-        if self.pace is not None:
-            when = self.pace.failed(self._deadlines.clock(), how, self.listed, retry_after)
-            self._again = self._deadlines.at(when, self._begin)
         self._log("inventory_failed", why=why)
+        if silent and call is not None and not call.at_once:
+            self.at_once = True
+            self._ask()
+            return
+        self._watching = False
+        self._set_clock()
+        if self.pace is not None:
+            self._again = self._deadlines.at(self.pace.failed(now, how, self.listed, retry_after), self._begin)
+        elif self.told.pause is not None:
+            self._again = self._deadlines.after(self.told.pause, self._begin)
         self.news(ListKind.FAILED, [])
 
     def _ask(self) -> None:
         if self.call is not None and not self.call.lost and self.call.transport is not None:
             self.call.ask()
         else:
+            self.told.parted(self._deadlines.clock())
+            self._set_clock()
             call = self.call = _Call(self)
-            self._expect(call, DIAL_WAIT, "dial: no answer in time", Why.DOWN)
+            self._expect(call, DIAL_WAIT, "dial: no answer in time", Why.DOWN, False)
             self._dial = asyncio.get_running_loop().create_task(self._connect(call))
 
     def _drop(self) -> None:
--- /dev/null
+++ b/tests/endings/test_watch.py
@@ -0,0 +1,207 @@
+"""A watch that falls silent, breaks, or answers late: no new work goes by a list that counts as changed.
+
+Each order of events that is to be feared is made with real connections, on a clock moved by hand.
+"""
+
+import os
+import signal
+from typing import Any
+
+import pytest
+
+from endings.house import BEGIN, House, done, play, served
+
+GRACE = 2500.0  # ms, of the settings
+PUSHED: dict[str, Any] = {"settings": {"discovery": "pushed"}}
+
+
+async def goes(house: House, txn: str, *only: str) -> None:
+    """A job is sent to a host, or to one of those, and served."""
+    client = await house.post(txn)
+    host = next(host for host in house.hosts.values() if host.requests)
+    assert host.name in (only or house.hosts)
+    end, _ = await host.request()
+    end.send(done(txn))
+    await house.settle()
+    assert served(client)
+
+
+async def goes_nowhere(house: House, txn: str) -> None:
+    """A job is taken, and no host gets a byte of it; what cannot be had in its time is refused."""
+    client = await house.post(txn, remaining=300)
+    await house.pass_time(320)
+    assert not any(host.requests for host in house.hosts.values())
+    assert client.got.startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_watch_silent_from_the_start_and_the_next_call_too() -> None:
+    """Asked: told 2 s after the wait of the first call, however later calls end; past the grace nobody is sent to."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            first, call = await house.register.request()
+            assert b"?after=3&wait_ms=20000 " in call
+            await goes(house, "t1", "h1")
+            await house.until_time(20_600)
+            second, call = await house.register.request()
+            assert second is not first and first.over  # the silent connection is given up
+            assert b"?after=3&wait_ms=0 " in call  # asked at once for what was missed, with no pause
+            await house.until_time(22_000 + GRACE - 200)
+            await goes(house, "t2", "h1")  # the rule allows it up to here
+            await house.until_time(22_000 + GRACE)
+            await goes_nowhere(house, "t3")
+            third, call = await house.register.request()
+            assert b"?after=3&wait_ms=0 " in call
+            first.send(house.news(4, "h1"))  # on a connection that is not ours any more
+            second.send(house.news(4, "h1"))
+            await house.settle()
+            await goes_nowhere(house, "t4")
+            third.send(house.news(3))  # nothing was missed: that too has to be told
+            await house.settle()
+            await goes(house, "t5", "h1")
+
+    play(test)
+
+
+def test_what_a_silent_watch_missed_is_had_in_time() -> None:
+    """The host that drains meanwhile gets nothing new, and the other serves on."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            await house.register.request()
+            await house.until_time(20_600)
+            again, _ = await house.register.request()
+            again.send(house.news(4, "h1:leaving", indent=2))
+            await house.settle()
+            for number in range(8):
+                await goes(house, f"t{number}", "h2")
+            _, call = await house.register.request()
+            assert b"?after=4&wait_ms=20000 " in call
+
+    play(test)
+
+
+def test_an_answer_that_comes_a_byte_at_a_time() -> None:
+    """It is waited for while it comes, also past the end of the call's wait."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            watch, _ = await house.register.request()
+            await house.until_time(20_400)
+            answer = house.news(4, "h1:leaving", indent=1)
+            for at in range(len(answer)):
+                watch.send(answer[at : at + 1])
+                await house.pass_time(3)
+            await house.settle()
+            assert [line["entries"] for line in house.logged("inventory")] == [1]
+            assert not house.logged("inventory_failed")
+            await goes(house, "t1", "h2")
+
+    play(test)
+
+
+@pytest.mark.parametrize("grace", [300.0, 2500.0])
+def test_pushed_lists_count_from_the_first_moment_of_a_process(grace: float) -> None:
+    """Pushed: the list that it was given holds for the grace alone until an answer has come."""
+
+    async def test() -> None:
+        async with House(1, safety={"drain_grace": grace}, **PUSHED).open() as house:
+            call, asked = await house.register.request()
+            assert b"?after=3&wait_ms=0 " in asked
+            await goes(house, "t1", "h1")
+            await house.until_time(grace)
+            await goes_nowhere(house, "t2")
+            call.send(house.news(3))
+            await house.settle()
+            await goes(house, "t3", "h1")
+
+    play(test)
+
+
+def test_pushed_and_the_watch_is_reset() -> None:
+    """Pushed: what comes after the reset is told at once, so the next call goes well within the grace."""
+
+    async def test() -> None:
+        async with House(2, safety={"drain_grace": 600.0}, **PUSHED).open() as house:
+            call, _ = await house.register.request()
+            call.send(house.news(3))
+            watch, asked = await house.register.request()
+            assert b"&wait_ms=20000 " in asked
+            await house.until_time(5_000)
+            watch.reset()
+            await house.pass_time(300)
+            again, asked = await house.register.request()
+            assert b"&wait_ms=0 " in asked
+            await goes(house, "t1")
+            await house.until_time(5_600)
+            await goes_nowhere(house, "t2")
+            again.send(house.news(4, "h1:leaving"))
+            await house.settle()
+            await goes(house, "t3", "h2")
+
+    play(test)
+
+
+def test_pushed_while_the_register_is_down() -> None:
+    """Its agent learns nothing meanwhile, which each refused dial shows: work goes on, and stops once it is silent."""
+
+    async def test() -> None:
+        async with House(1, **PUSHED).open() as house:
+            call, _ = await house.register.request()
+            call.send(house.news(3))
+            watch, _ = await house.register.request()
+            await house.register.refuse()
+            watch.reset()
+            for number in range(6):
+                await house.pass_time(1_000)
+                await goes(house, f"t{number}", "h1")
+            assert len(house.logged("inventory_failed")) > 6
+
+    play(test)
+
+
+@pytest.mark.parametrize("changes", [{}, PUSHED])
+def test_a_new_configuration_and_a_register_that_says_nothing(changes: dict[str, Any]) -> None:
+    """Told 4 s after SIGHUP where lists are pushed, and 6 s after a call that is silent where they are asked for."""
+
+    async def test() -> None:
+        async with House(1, **changes).open() as house:
+            call, _ = await house.register.request()
+            if changes:
+                call.send(house.news(3))
+                await house.register.request()
+            await house.until_time(3_000)
+            house.raw["discovery"] = house.other.address
+            os.kill(os.getpid(), signal.SIGHUP)
+            moved, asked = await house.other.request()
+            assert asked.startswith(b"GET /registry/instances HTTP/1.1")
+            last = 3_000 + (4_000 if changes else 6_000) + GRACE
+            await house.until_time(last - 200)
+            await goes(house, "t1", "h1")
+            await house.until_time(last)
+            await goes_nowhere(house, "t2")
+            moved.send(house.news(1, "h1", whole=True))  # late, on a connection given up
+            await house.settle()
+            await goes_nowhere(house, "t3")
+            await house.pass_time(5_000)
+            (await house.other.latest()).send(house.news(1, "h1", whole=True))
+            await house.settle()
+            await goes(house, "t4", "h1")
+
+    play(test)
+
+
+def test_asked_and_the_watch_is_reset_and_an_outage_follows() -> None:
+    """Without a watch each change counts ``ask_every`` after it was made, and four times that while calls fail."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            watch, _ = await house.register.request()
+            await house.register.refuse()
+            watch.reset()
+            for number in range(30):
+                await house.pass_time(1_000)
+                await goes(house, f"t{number}", "h1")
+            assert house.clock.at - BEGIN >= 30_000 and not house.logged("list_doubted")
+
+    play(test)
