Whoever has left gets nothing sent on, and what we close ourselves owes nothing that was written

Likewise connections that we end were closed over requests that our machine had: at a drain, at a stop, at the limit of descriptors, at the end of the idle time; a parting answer was written and its connection closed over the next request, read or not.

Checked: a FIN, a half-close, a reset and an end behind unread bytes all reach connection_lost; reading is never paused but in an upgrade. At fault is the order within a turn: deadlines are swept and hosts' bytes read before the client's end (south.py dialled and send, core.py _send and may_write asked only the message's own state), and north.py closed by what had been read (close_if_idle, answer, _overdue, _first_to_go). life/start.py _busy did not count the accept queue.

The core asks its front whether the client is still here at each send and again at the write; a client that is not is let go at once. A connection with more than has been answered is not closed, and the process does not leave while somebody waits in the accept queue.

--- a/heronlug/emulator/dispatchers.py
+++ b/heronlug/emulator/dispatchers.py
@@ -85,6 +85,10 @@
         world.tell(Taken(now, self.name, job.name, lane.name, lane.effect is pk.Effect.ONCE, job.give_up_at))
         self.core.take(job, job.lane, job.give_up_at - now, name=job.name, slots=float(job.need))
 
+    def here(self, message: Message) -> bool:
+        """Who leaves in the model is known at once."""
+        return True
+
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The core's final answer."""
         job: Job = message.load
--- a/heronlug/life/listener.py
+++ b/heronlug/life/listener.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Callable
 
+from heronlug.wire.ends import waits
+
 BACKLOG = 512
 
 
@@ -35,6 +37,11 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
 
+    @property
+    def waits(self) -> bool:
+        """Whether somebody waits in the queue for us to accept, and not for another process that holds it too."""
+        return self._server is not None and waits(self.fileno())
+
     async def accept(self) -> None:
         """Take clients, unless that is so already."""
         if self._server is None and self.socket is not None:
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -143,6 +143,10 @@
         """Answer a client."""
         self.north.answer(message, final, body, come_back)
 
+    def here(self, message: Message) -> bool:
+        """Whether a client still waits."""
+        return self.north.here(message)
+
     # -- start and stop
 
     def ready(self) -> bool:
@@ -363,7 +367,7 @@
 
     def _busy(self) -> int:
         jobs = len(self.faktory.core.messages) if self.faktory is not None else 0
-        return len(self.core.messages) + len(self.north.connections) + jobs
+        return len(self.core.messages) + len(self.north.connections) + jobs + self.listener.waits
 
     def _news(self, kind: ListKind, entries: list[HostEntry]) -> None:
         self.core.inventory(kind, entries)
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -104,6 +104,9 @@
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """Give the one final answer."""
 
+    def here(self, message: Message) -> bool:
+        """Whether its client still waits, as far as our machine knows, read or not."""
+
 
 class Hooks(Protocol):
     """What plug-ins may see; see :mod:`heronlug.hooks.host`."""
@@ -278,7 +281,7 @@
         Guards the drain and no-repeat rules at the last moment: the decision was right when it was made, but the
         host may have been told off, or the message closed, while a connection was being made.
         """
-        return relay.out and not relay.message.closed and relay.host.ready and not self.doubted
+        return relay.out and relay.host.ready and not self.doubted and not self._left(relay.message)
 
     def runs_once(self, relay: Relay) -> bool:
         """Whether it must not run a second time, so that only proof that it never ran lets it go out again."""
@@ -435,11 +438,17 @@
         relay = Relay(message, len(message.relays), host, now)
         message.relays.append(relay)
         relay.ticket = self.relays.put(relay)
-        if message.closed or now >= message.give_up_at or relay.number >= self.settings.cap(message.terms):
+        if now >= message.give_up_at or relay.number >= self.settings.cap(message.terms) or self._left(message):
             self.ended(relay, pk.Outcome.MOOT)
         else:
             self.front.send(relay)
 
+    def _left(self, message: Message) -> bool:
+        """Whether nothing is owed; a client may have left long ago, with the news of it not read yet."""
+        if not message.closed and not self.front.here(message):
+            self.leave(message)
+        return message.closed
+
     def _end_early(self, relay: Relay, outcome: pk.Outcome) -> None:
         if relay.out:
             self.front.cancel(relay)
--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -371,6 +371,10 @@
         if jid in worker.reserved and worker.reserved[jid].relay is relay:
             self._release(worker, jid)
 
+    def here(self, message: Message) -> bool:
+        """Nobody waits on a connection for what is kept under its jid."""
+        return True
+
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The one final answer: by the protocol no one waits for it, so it is kept under the jid and logged."""
         if self.stopping and self.store.lasts and final is Final.REFUSED:
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import IntEnum
+from itertools import islice
 from typing import Any, Protocol, cast
 
 import httptools
@@ -15,6 +16,7 @@
 from heronlug.memory.deadlines import Key
 from heronlug.memory.slots import Slots
 from heronlug.wire import http
+from heronlug.wire.ends import left, unread
 
 MARGIN = 15.0  # the client counts from its send: what way and queue have used up of its time, at most
 READ_WAIT = 2_500.0  # the first request, counted from the dial, and any later one begun must be whole within this
@@ -25,6 +27,7 @@
 MAX_READ = http.MAX_HEAD + 8 * http.MAX_BODY  # of one message with all framing: chunks may be small, not for ever
 MAX_ID = 256
 FRESH = 100.0  # a connection's first request may be on its way for so long
+LOOKED_AT = 8  # of each rank, for one that nothing is owed
 CROWD_LOG = 1000.0  # a crowd is worth a line a second
 PASSED = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent")
 # of these a second one would silently replace the first, and the two ends would read different requests
@@ -281,17 +284,30 @@
             return
         self.transport.write(data)
         if not keep_alive:
-            self.closing = True
-            self.transport.close()
+            if unread(self.transport):  # to close now would send a reset, which overtakes the answer
+                self._end()
+            else:
+                self.closing = True
+                self.transport.close()
             return
         self.north.rank(self, Rank.SERVED if self.messages else Rank.ASKED)
         if not self._begun:
             self._wait(IDLE_WAIT)
         self._next()
 
+    @property
+    def more(self) -> bool:
+        """Whether more of it has come than is answered: read, begun, or waiting to be read; that is taken too."""
+        return bool(self._waiting) or self._begun or (self.transport is not None and unread(self.transport))
+
+    @property
+    def here(self) -> bool:
+        """Whether the client has not left."""
+        return self.transport is None or not left(self.transport)
+
     def close_if_idle(self) -> None:
         """Close between requests."""
-        if not (self.busy or self._waiting or self._begun or self.closing) and self.transport is not None:
+        if not (self.busy or self.closing or self.more) and self.transport is not None:
             self.closing = True
             self.transport.close()
 
@@ -352,6 +368,8 @@
         """A request begun is not whole in time, or nothing comes at all."""
         if self._begun:
             self._reject(Bad(408, "the request is not whole in time"))
+        elif self.more:  # it has just come, and is read in this turn
+            self._wait(READ_WAIT)
         else:
             self.abort()
 
@@ -375,8 +393,14 @@
             if self.closing:
                 return
         self.transport.write(b"".join(waiting) + http.response(bad.status, str(bad).encode() + b"\n", close=True))
+        self._end()
+
+    def _end(self) -> None:
+        """Nothing more goes out; what comes is read on for a while, so that what we wrote arrives."""
+        assert self.transport is not None
         self.closing = True
-        self.transport.write_eof()
+        if not self.transport.is_closing():
+            self.transport.write_eof()
         self.north.rank(self, Rank.REJECTED)
         self.north.deadlines.drop(self._deadline)
         self._deadline = self.north.deadlines.after(LINGER, self.abort)
@@ -416,7 +440,10 @@
 
     def _first_to_go(self, newcomer: Connection) -> Connection:
         """The first in rank, but one whose first request may be under way comes after those that asked for nothing."""
-        rejected, silent, asked, served = (next(iter(those.values()), None) for those in self.ranks[: Rank.BUSY])
+        rejected, silent, asked, served = (
+            next((one for one in islice(those.values(), LOOKED_AT) if rank is Rank.REJECTED or not one.more), None)
+            for rank, those in zip(Rank, self.ranks[: Rank.BUSY], strict=False)
+        )
         fresh = silent is not None and self.opened_at - silent.opened_at < FRESH
         return rejected or (not fresh and silent) or asked or silent or served or newcomer
 
@@ -474,7 +501,7 @@
     def serve(self, connection: Connection, request: Request) -> None:
         """One whole request."""
         path = request.target.split(b"?", 1)[0]
-        keep = request.keep_alive and not self.owner.parting()
+        keep = self._keeps(request, connection)
         if request.lane < 0:
             self.release(request)
             if path == b"/health/ready":
@@ -500,6 +527,15 @@
         if not message.closed:
             connection.message = message
 
+    def here(self, message: Message) -> bool:
+        """Whether its client has not left."""
+        connection = message.load.connection
+        return connection is None or connection.here
+
+    def _keeps(self, request: Request, connection: Connection) -> bool:
+        """Whether a connection stays after this answer: when we part, until nothing more of it is taken."""
+        return request.keep_alive and not (self.owner.parting() and not connection.more)
+
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         """The final answer of a message, on its connection."""
         request: Request = message.load
@@ -507,7 +543,7 @@
         self.release(request)  # nothing is relayed any more
         if connection is None:
             return
-        keep = request.keep_alive and not self.owner.parting()
+        keep = self._keeps(request, connection)
         status = {Final.SERVED: 200, Final.REFUSED: 503, Final.FAILED: 500}[final]
         connection.answer(
             http.response(status, body, close=not keep, retry_after=come_back if status == 503 else 0.0), keep
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -1,7 +1,6 @@
 """South side of the platform's protocol: connections to hosts, kept warm, one request at a time on each."""
 
 import asyncio
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
 from heronlug.wire import http
+from heronlug.wire.ends import unread
 from heronlug.wire.north import relay_head
 
 # The host closes an idle connection at the latest after conn_idle, and a request written to it from then on is a
@@ -249,11 +249,7 @@
 
     def sound(self) -> bool:
         """Whether no end of it is waiting to be read, nor anything else."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
+        return self.transport is not None and not unread(self.transport)
 
     def _finish_lines(self) -> None:
         for line in self._lines.end():
--- a/tests/endings/house.py
+++ b/tests/endings/house.py
@@ -67,6 +67,11 @@
         assert self.transport is not None
         self.transport.write(data)
 
+    def send_now(self, data: bytes) -> None:
+        """The same, and the bytes are in the other side's kernel when this returns."""
+        assert self.transport is not None
+        os.write(self.transport.get_extra_info("socket").fileno(), data)
+
     def take(self) -> bytes:
         """The next whole request of those that have come, or nothing."""
         head, gap, rest = self.got.partition(b"\r\n\r\n")
@@ -92,6 +97,37 @@
         self.transport.abort()
 
 
+class Kernel:
+    """A client whose every act is done when the call returns, though no loop has turned: its bytes and its end wait."""
+
+    def __init__(self, address: str) -> None:
+        host, port = address.split(":")
+        self.sock = socket.create_connection((host, int(port)), PATIENCE)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what is sent is there at once
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def got(self) -> bytes:
+        """What has come so far."""
+        self.sock.setblocking(False)
+        try:
+            return self.sock.recv(65536)
+        except BlockingIOError:
+            return b""
+
+    def leave(self, way: str) -> None:
+        """``fin``, ``half`` for the end of its sending alone, ``reset``, or ``behind`` bytes of a next request."""
+        if way == "behind":
+            self.sock.sendall(b"POST /sa")
+        if way == "half":
+            self.sock.shutdown(socket.SHUT_WR)
+            return
+        if way == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
 class StandIn:
     """A listening stand-in: a host, or the register."""
 
@@ -218,6 +254,14 @@
         await self.settle()
         return client
 
+    def kernel(self) -> Kernel:
+        """A client that needs no loop."""
+        return Kernel(self.listen)
+
+    def stall(self, ms: float) -> None:
+        """Time passes, and the daemon's loop does not turn."""
+        self.clock.at += ms
+
     def logged(self, event: str) -> list[dict[str, object]]:
         """The lines of a kind so far."""
         return [fields for name, fields in self.lines if name == event]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -30,6 +30,9 @@
     def cancel(self, relay: Relay) -> None:
         self.cancelled.append(relay)
 
+    def here(self, message: Message) -> bool:
+        return True
+
     def answer(self, message: Message, final: Final, body: bytes, come_back: float) -> None:
         self.answers.append((message.load, final, body))
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -141,6 +141,9 @@
             def cancel(self, relay: Any) -> None:
                 pass
 
+            def here(self, message: Any) -> bool:
+                return True
+
             def answer(self, message: Any, final: Any, body: bytes, come_back: float) -> None:
                 answers.append(final.value.encode() + b" " + body)
 
