Hosts' connections: strays under a held last byte, late dials elsewhere; tenants are read

Seen, by tests with real connections (27 orders of events, tests/endings/test_hosts.py), five of which failed: a second answer that meets the next request while its last byte is held back had what runs once fail, though it never ran; a second turning away on the connection of one before would tell that a request that has begun never ran, and have it run twice (only where most hosts are ejected, as in overload); a dial that comes up late was written on although its host is listed at another address by then. 22 held already: breaks before and after the last byte, between choice and write, between the last line and the last chunk, answers that never end, late dials at hosts that drain or are gone, dials that never come up, a host that hangs beside a stop.

At fault: south.py _settle and _end took any answer at its word with held_back bytes; send reused a connection whose last answer was turned away; dialled asked for the host's state, not its address.

Also seen, by reading: north.py never read X-Org, so on a deployment with tenants all jobs counted against the share of the first one. Read now by the settings' names; who is none of them counts against nobody's share.

Without the mend 5 of 27 fail, with it none, both seen.

--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -123,6 +123,7 @@
     instances: int = 1  # dispatchers that share the workers, this one included
     position: int = 0  # which of them this one is, from 0
     zone: int = 0
+    tenants: tuple[str, ...] = ()  # names, in the order of their quotas
     quotas: tuple[float, ...] = ()  # jobs a second of each tenant's share, over all instances
     report_fields: tuple[str, ...] = ()  # names of the values of a load report
     list_pushed: bool = False  # list changes come without asking
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -29,7 +29,7 @@
 FRESH = 100.0  # a connection's first request may be on its way for so long
 LOOKED_AT = 8  # of each rank, for one that nothing is owed
 CROWD_LOG = 1000.0  # a crowd is worth a line a second
-PASSED = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent")
+PASSED = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent", b"x-org")
 # of these a second one would silently replace the first, and the two ends would read different requests
 ONCE = frozenset({*PASSED, b"x-remaining-ms", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
@@ -77,11 +77,12 @@
 class Terms:
     """What a request has to keep to: the classes by name, and the longest wait."""
 
-    __slots__ = ("lanes", "settings")
+    __slots__ = ("_tenants", "lanes", "settings")
 
     def __init__(self, settings: pk.Settings) -> None:
         self.settings = settings
         self.lanes = {lane.name: index for index, lane in enumerate(settings.classes)}
+        self._tenants = {name.encode(): index for index, name in enumerate(settings.tenants)}
 
     def read(self, request: Request) -> None:
         """Read class, remaining time and figures of a message; raises :class:`Bad`."""
@@ -114,6 +115,8 @@
             "slots": figures.get(b"slots", 1.0),
             "memory": figures.get(b"memory", 0.0),
             "retry": head.get(b"x-resent") == b"1",
+            # who is none of the settings' tenants counts against nobody's share
+            "tenant": self._tenants.get(head.get(b"x-org", b""), len(self._tenants)),
         }
         request.lane, request.remaining = lane, min(remaining, 71 * 60_000.0) - MARGIN
 
--- a/heronlug/wire/simulator.py
+++ b/heronlug/wire/simulator.py
@@ -114,6 +114,7 @@
         instances=int(_number(table, "instances", 1)),
         position=int(_number(table, "position", 0)),
         zone=int(_number(table, "zone", 0)),
+        tenants=tuple(str(c.get("name", "")) for c in table.get("customers") or ()),
         quotas=tuple(_number(c, "quota_per_s", 0.0) for c in table.get("customers") or ()),
         report_fields=tuple(report.get("fields") or ()),
         list_pushed=table.get("discovery") == "pushed",
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -46,6 +46,7 @@
         self.held_back = b""  # its last byte, while that is not to go out yet
         self.closed = False
         self.warm = False  # has served a request before
+        self.turned = False  # its last answer was one of few bytes that prove that a message never ran
         self._answered = False  # the host has said something to this one
         self._between = True  # what it has said ends with a chunk, or it has said nothing
         self._chunked = self._last = False  # as the head says: in chunks; the connection ends with it
@@ -107,7 +108,7 @@
             self._settle()
         if self.warm and self.relay is not None and not self._answered:
             self.south.distrust_until = self.south.deadlines.clock() + DISTRUST
-        self._end(Outcome.CONNECT_FAILED if self.unwritten or self.held_back or not self.sent else Outcome.RESET)
+        self._end(Outcome.CONNECT_FAILED if self.unwritten or not self.sent else Outcome.RESET)
         self.close()
         self.south.turn()
 
@@ -282,6 +283,9 @@
         if self._verdict is None or self.closed:
             return
         relay, self.relay = self.relay, None
+        if self.held_back and self._verdict[0] not in (Outcome.FULL, Outcome.UNUSABLE):
+            self._verdict = Outcome.CONNECT_FAILED, b""  # no answer to what lacks its last byte: it never ran
+        self.turned = self._verdict[0] is Outcome.FULL
         if self._complete and self._keep and not self.held_back:
             self.south.rest(self)
         elif self._complete or self.held_back:
@@ -295,6 +299,8 @@
 
     def _end(self, outcome: Outcome) -> None:
         relay, self.relay = self.relay, None
+        if self.held_back:
+            outcome = Outcome.CONNECT_FAILED
         if relay is not None:
             relay.wire = None
             self.south.core.ended(relay, outcome)
@@ -327,17 +333,20 @@
 
     def send(self, relay: Relay) -> None:
         """Put a relay on a warm connection, or dial one for it."""
-        pool = self.idle.get(relay.host.number)
-        if self.deadlines.clock() < self.distrust_until and self.core.runs_once(relay):
+        pool, once = self.idle.get(relay.host.number), self.core.runs_once(relay)
+        if self.deadlines.clock() < self.distrust_until and once:
             pool = None
         while pool:
             connection = pool.pop()
-            if connection.address == relay.host.entry.address and connection.sound():
+            if once and connection.turned:
+                connection.close()  # a second answer of its kind, come late, would have this one run twice
+            elif connection.address == relay.host.entry.address and connection.sound():
                 self.deadlines.drop(connection.deadline)
                 relay.wire = connection
                 connection.write(relay)
                 return
-            connection.close()
+            else:
+                connection.close()
         if len(self.connections) >= self.max_connections and not self._evict():
             self.log("too_many_connections", connections=len(self.connections))
             self.core.ended(relay, Outcome.CONNECT_FAILED)
@@ -375,7 +384,7 @@
         relay = connection.relay
         if relay is None:
             self.rest(connection)
-        elif self.core.may_write(relay):
+        elif connection.address == relay.host.entry.address and self.core.may_write(relay):
             connection.write(relay)
         else:
             connection.relay = None
--- a/tests/endings/house.py
+++ b/tests/endings/house.py
@@ -72,6 +72,15 @@
         assert self.transport is not None
         os.write(self.transport.get_extra_info("socket").fileno(), data)
 
+    def end_now(self, way: str) -> None:
+        """A FIN, or a reset, that is in the other side's kernel when this returns."""
+        assert self.transport is not None
+        sock = socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
+        if way == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_WR if way == "close" else socket.SHUT_RDWR)
+        sock.close()
+
     def take(self) -> bytes:
         """The next whole request of those that have come, or nothing."""
         head, gap, rest = self.got.partition(b"\r\n\r\n")
--- /dev/null
+++ b/tests/endings/test_hosts.py
@@ -0,0 +1,268 @@
+"""A host's connection at the wrong instant: what may have run once is not sent again, and what never ran is."""
+
+import pytest
+
+from endings.house import HEAD, TURNED_AWAY, End, House, StandIn, done, line, play, served
+
+FAILED, REFUSED = b"HTTP/1.1 500 ", b"HTTP/1.1 503 "
+HELD = 20.0  # ms; the last byte of what runs once has gone out after that
+
+
+async def first(house: House, txn: str, lane: str) -> tuple[End, StandIn, End]:
+    """A job up to its last byte: the client, the host that it is at, and the connection."""
+    client = await house.post(txn, lane)
+    host = next(host for host in house.hosts.values() if host.requests)
+    end = next(end for end in host.ends if end.got)
+    return client, host, end
+
+
+async def use(house: House, txn: str, lane: str = "safe") -> tuple[StandIn, End]:
+    """A job is served; returns the connection that is warm now."""
+    client, host, end = await first(house, txn, lane)
+    await house.pass_time(HELD)
+    assert end.take()
+    end.send(done(txn))
+    await house.settle()
+    assert served(client)
+    return host, end
+
+
+@pytest.mark.parametrize("way", ["close", "reset"])
+def test_broken_before_the_last_byte(way: str) -> None:
+    """It never ran, and goes out again, what runs once too."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            client, host, end = await first(house, "t1", "once")
+            assert not end.take()
+            getattr(end, way)()
+            await house.settle()
+            await house.pass_time(3_000)
+            again, _ = await host.request()
+            again.send(done("t1"))
+            await house.settle()
+            assert again is not end and served(client)
+
+    play(test)
+
+
+@pytest.mark.parametrize("way", ["close", "reset", "half_close"])
+@pytest.mark.parametrize("told", [b"", HEAD, HEAD + line("t1", "started")])
+def test_broken_after_the_last_byte(way: str, told: bytes) -> None:
+    """What runs once may have run: it fails at once, and goes nowhere else."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            client, _, end = await first(house, "t1", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            if told:
+                end.send(told)
+                await house.settle()
+            getattr(end, way)()
+            await house.settle()
+            assert client.got.startswith(FAILED)
+            await house.pass_time(3_000)
+            assert not any(host.requests for host in house.hosts.values())
+
+    play(test)
+
+
+@pytest.mark.parametrize("way", ["close", "reset"])
+def test_broken_between_choice_and_write(way: str) -> None:
+    """A warm connection has ended and nobody has read it: what runs once goes out on another."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            host, warm = await use(house, "t1")
+            send = house.daemon.south.send
+
+            def crossed(relay: object) -> None:
+                warm.end_now(way)
+                send(relay)  # type: ignore[arg-type]
+
+            house.daemon.south.send = crossed  # type: ignore[method-assign]
+            client = await house.post("t2", "once")
+            house.daemon.south.send = send  # type: ignore[method-assign]
+            await house.pass_time(HELD)
+            end, _ = await host.request()
+            end.send(done("t2"))
+            await house.settle()
+            assert end is not warm and served(client)
+
+    play(test)
+
+
+def test_broken_between_the_last_line_and_the_last_chunk() -> None:
+    """The line counts, and the connection is not used again."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            client, host, end = await first(house, "t1", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            end.send(HEAD + line("t1", "done", "ok"))
+            await house.settle()
+            assert served(client)
+            end.reset()
+            await house.settle()
+            _, other = await use(house, "t2", "once")
+            assert other is not end
+
+    play(test)
+
+
+@pytest.mark.parametrize("more", [line("t1", "running"), b"5\r\n.....\r\n", b""])
+def test_an_answer_that_never_ends(more: bytes) -> None:
+    """After the last line it is cut off in a second; its connection and its slot are free then."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            client, host, end = await first(house, "t1", "safe")
+            assert end.take()
+            end.send(HEAD + line("t1", "done", "ok"))
+            await house.settle()
+            assert served(client)
+            for _ in range(12):
+                if more and not end.over:
+                    end.send(more)
+                await house.pass_time(100)
+            assert end.over and len(house.daemon.south.connections) == 0
+
+    play(test)
+
+
+def test_lines_that_never_end_before_the_last() -> None:
+    """The job fails when its time is over, what runs once is not sent again, and the connection is closed."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            client, _, end = await first(house, "t1", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            end.send(HEAD + line("t1", "started"))
+            for _ in range(45):
+                if not end.over:
+                    end.send(line("t1", "running"))
+                await house.pass_time(100)
+            assert client.got.startswith(FAILED) and end.over
+            assert not any(host.requests for host in house.hosts.values())
+            assert not len(house.daemon.core.messages) and not len(house.daemon.core.relays)
+
+    play(test)
+
+
+@pytest.mark.parametrize("stray", [done("t1"), b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", b"rubbish\r\n\r\n"])
+def test_a_second_answer_that_meets_the_next_request(stray: bytes) -> None:
+    """It comes while the last byte is held back: that is no answer to it, and it goes out on another connection."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            host, warm = await use(house, "t1")
+            client, _, end = await first(house, "t2", "once")
+            assert end is warm
+            warm.send(stray)
+            await house.settle()
+            await house.pass_time(3_000)
+            again, _ = await host.request()
+            again.send(done("t2"))
+            await house.settle()
+            assert again is not warm and served(client)
+
+    play(test)
+
+
+def test_a_second_turning_away_does_not_have_the_next_run_twice() -> None:
+    """It would tell that the next request never ran, when it has begun: what runs once gets another connection."""
+
+    async def test() -> None:
+        async with House(1, limits={"attempts_cap": 1}).open() as house:
+            client, _, end = await first(house, "t1", "safe")
+            assert end.take()
+            end.send(TURNED_AWAY)
+            await house.settle()
+            assert client.got.startswith(REFUSED)
+            once, host, other = await first(house, "t2", "once")
+            await house.pass_time(HELD)
+            assert other is not end and other.take()
+            if not end.over:
+                end.send(TURNED_AWAY)
+            await house.settle()
+            other.send(done("t2"))
+            await house.settle()
+            assert served(once) and not host.requests
+
+    play(test)
+
+
+@pytest.mark.parametrize("lifecycle", ["leaving", "left", "elsewhere"])
+def test_a_dial_that_comes_up_late(lifecycle: str) -> None:
+    """Meanwhile its host drains, is gone, or is at another address: nothing is written on it."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            watch, _ = await house.register.request()
+            watch.send(house.news(4, "h2:leaving"))
+            watch, _ = await house.register.request()
+            dialled, late = house.daemon.south.dialled, list[object]()
+            house.daemon.south.dialled = late.append  # type: ignore[method-assign]
+            client = await house.post("t1")
+            house.daemon.south.dialled = dialled  # type: ignore[method-assign]
+            assert len(late) == 1
+            if lifecycle == "elsewhere":
+                house.hosts["h1"].address, before = house.hosts["h2"].address, house.hosts["h1"]
+                watch.send(house.news(5, "h1"))
+            else:
+                before = house.hosts["h1"]
+                watch.send(house.news(5, f"h1:{lifecycle}", "h2"))
+            await house.settle()
+            dialled(late[0])  # type: ignore[arg-type]
+            await house.settle()
+            assert not before.requests
+            await house.pass_time(1_500)
+            end, _ = await house.hosts["h2"].request()
+            end.send(done("t1"))
+            await house.settle()
+            assert served(client) and not before.requests
+
+    play(test)
+
+
+def test_a_dial_that_never_comes_up() -> None:
+    """Its relay ends in time, and what comes of it later is closed unwritten."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            dialled, late = house.daemon.south.dialled, list[object]()
+            house.daemon.south.dialled = late.append  # type: ignore[method-assign]
+            client = await house.post("t1", remaining=900)
+            await house.pass_time(310)
+            assert house.hosts["h1"].ends[0].over
+            await house.pass_time(900)
+            assert client.got.startswith(REFUSED) and not house.hosts["h1"].requests
+            for connection in late:
+                dialled(connection)  # type: ignore[arg-type]
+            await house.settle()
+            assert not house.hosts["h1"].requests
+
+    play(test)
+
+
+def test_a_host_that_hangs_beside_a_stop() -> None:
+    """What hangs there fails before we are killed, what runs once is not sent again, and the process leaves."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            client, _, end = await first(house, "t1", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            house.daemon._on_signal()
+            await house.pass_time(3_440)
+            assert not client.got
+            await house.pass_time(20)
+            assert client.got.startswith(FAILED) and b"Connection: close" in client.got
+            client.close()
+            await house.pass_time(100)
+            assert house.ended and not any(host.requests for host in house.hosts.values())
+
+    play(test)
