Repeats of keyed jobs leave time for their dial, and what can never be sent is answered at once

Changed: a repeat is chosen only while a dial and the way there fit into what is left of the window, the core looks again at the write, and a job that can never be sent again gets its answer at once; it was held to the end of its time. tests/test_rules.py: its boundary moves from the window to the window less two dials, with a case on each side, and the answer has to come at once.

--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -44,7 +44,7 @@
         total = sum(settings.quotas) or 1.0
         self.tenants = [Bucket(SHARE_BURST, SHARE_SLACK * quota / total) for quota in settings.quotas]
         self.tell, self.subscribed = settings.may_tell and settings.instances > 1, settings.list_pushed
-        self.look = min(c.aim for c in settings.classes) / LOOKS_PER_AIM
+        self.look, self.way = min(c.aim for c in settings.classes) / LOOKS_PER_AIM, 2 * settings.dial_timeout
         self.relayed = self.tell and 2 * (settings.instances - 1) > READS
         self.tell_gap = 0.0 if self.relayed else self.look * settings.instances / 2  # what each has to read
         aims = self.aims = sorted(c.aim for c in settings.classes)
@@ -133,7 +133,8 @@
             self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
-        if job.give_up_at - self.s.tick <= now or len(job.attempts) >= job.cap:
+        over = job.give_up_at - self.s.tick <= now or len(job.attempts) >= job.cap
+        if over or job.lapses(now + self.way):
             self._finish(job)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
@@ -211,9 +212,8 @@
             return False
         if not risky or job.lane.effect is pk.Effect.REPEATABLE:
             return True
-        return job.lane.effect is pk.Effect.BY_KEY and all(
-            now - f.sent <= job.lane.repeat_window
-            and (job.lane.key_scope is pk.KeyScope.ALL or f.worker.zone == worker.zone)
+        return job.lane.effect is pk.Effect.BY_KEY and not job.lapses(now + self.way) and all(
+            (job.lane.key_scope is pk.KeyScope.ALL or f.worker.zone == worker.zone)
             and (job.lane.key_scope is not pk.KeyScope.CELL or f.worker.cell == worker.cell)
             for f in risky
         )
@@ -290,7 +290,9 @@
                 elif heap is self.held and job.last_start < now:
                     heappop(heap)
                     heappush(self.late, (-job.late_worth(), seq, job))
-                elif heap is self.late and now > job.give_up_at - self._expected(job):
+                elif job.lapses(now + self.way) or (
+                    heap is self.late and now > job.give_up_at - self._expected(job)
+                ):
                     heappop(heap)  # it would die running: as well answer while a refusal is harmless
                     self._finish(job)
                 elif (worker := self._choose(job, now, heap is self.late)) is not None:
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -89,6 +89,7 @@
     sent_at: float
     ticket: int = 0
     out: bool = True
+    ran: bool = True  # it may have run, or may yet; unless its end proves that it never did
     wire: Any = None  # the front's own
 
 
@@ -210,6 +211,7 @@
             if number not in self.hosts:
                 self.inventory(pk.ListKind.CHANGES, [entry])
             relay = Relay(message, len(message.relays), self.hosts[number], attempt.sent, out=attempt.out)
+            relay.ran = attempt.may_have_run
             message.relays.append(relay)
             if relay.out:
                 relay.ticket = self.relays.put(relay)
@@ -281,7 +283,14 @@
         Guards the drain and no-repeat rules at the last moment: the decision was right when it was made, but the
         host may have been told off, or the message closed, while a connection was being made.
         """
-        return relay.out and relay.host.ready and not self.doubted and not self._left(relay.message)
+        held_off = self.doubted or not relay.host.ready or not self._may_repeat(relay)
+        return relay.out and not held_off and not self._left(relay.message)
+
+    def _may_repeat(self, relay: Relay) -> bool:
+        """Whether hosts still drop a repeat, where they do so for a while only: a dial takes some of that."""
+        terms = relay.message.terms
+        risky = [r for r in relay.message.relays[: relay.number] if r.ran] if terms.effect is pk.Effect.BY_KEY else []
+        return all(self.deadlines.clock() - r.sent_at <= terms.repeat_window for r in risky)
 
     def runs_once(self, relay: Relay) -> bool:
         """Whether it must not run a second time, so that only proof that it never ran lets it go out again."""
@@ -300,7 +309,7 @@
         """The one end of a relay; further ones are ignored.  A first ``SERVED`` answers the message."""
         if not relay.out:
             return
-        relay.out = False
+        relay.out, relay.ran = False, outcome not in pk.NEVER_RAN
         self.relays.take(relay.ticket)
         message, now = relay.message, self.deadlines.clock()
         if outcome != pk.Outcome.SERVED:
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -92,6 +92,11 @@
         self.patient_until = 0.0  # it may wait so long for a slot seen to free
         self.last_start = 0.0  # started later, it is expected to be late
 
+    def lapses(self, by: float) -> bool:
+        """Whether by that time a repeat is dropped no more, though an attempt may have run."""
+        last = by - self.lane.repeat_window
+        return self.lane.effect is pk.Effect.BY_KEY and any(f.may_have_run and f.sent < last for f in self.attempts)
+
     def late_worth(self) -> float:
         """What it is worth after its aim, for each unit of work."""
         return 0.0 if self.over else self.lane.worth * self.lane.late_value
--- a/tests/endings/test_hosts.py
+++ b/tests/endings/test_hosts.py
@@ -1,8 +1,11 @@
 """A host's connection at the wrong instant: what may have run once is not sent again, and what never ran is."""
 
+from unittest import mock
+
 import pytest
 
 from endings.house import HEAD, TURNED_AWAY, End, House, StandIn, done, line, play, served
+from heronlug.wire.south import Connection
 
 FAILED, REFUSED = b"HTTP/1.1 500 ", b"HTTP/1.1 503 "
 HELD = 20.0  # ms; the last byte of what runs once has gone out after that
@@ -204,10 +207,9 @@
             watch, _ = await house.register.request()
             watch.send(house.news(4, "h2:leaving"))
             watch, _ = await house.register.request()
-            dialled, late = house.daemon.south.dialled, list[object]()
-            house.daemon.south.dialled = late.append  # type: ignore[method-assign]
-            client = await house.post("t1")
-            house.daemon.south.dialled = dialled  # type: ignore[method-assign]
+            late = list[Connection]()
+            with mock.patch.object(house.daemon.south, "dialled", late.append):
+                client = await house.post("t1")
             assert len(late) == 1
             if lifecycle == "elsewhere":
                 house.hosts["h1"].address, before = house.hosts["h2"].address, house.hosts["h1"]
@@ -216,7 +218,7 @@
                 before = house.hosts["h1"]
                 watch.send(house.news(5, f"h1:{lifecycle}", "h2"))
             await house.settle()
-            dialled(late[0])  # type: ignore[arg-type]
+            house.daemon.south.dialled(late[0])
             await house.settle()
             assert not before.requests
             await house.pass_time(1_500)
@@ -228,20 +230,66 @@
     play(test)
 
 
+KEYED = {
+    "name": "keyed", "deadline": 9000.0, "effect": "by_key", "goal_time": 400.0, "repeat_window": 2000.0,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("broken_after", "repeated"), [(1_300, True), (1_500, False), (1_900, False)])
+def test_a_repeat_is_dialled_for_only_if_it_can_come_in_time(broken_after: float, repeated: bool) -> None:
+    """Hosts drop repeats for 2 s, and a dial with the way there may take 0.6 s of that."""
+
+    async def test() -> None:
+        async with House(2, settings={"lanes": [KEYED]}).open() as house:
+            client, _, end = await first(house, "t1", "keyed")
+            assert end.take()
+            await house.pass_time(broken_after)
+            end.end_now("reset")
+            await house.settle()
+            await house.pass_time(100)
+            hosts = [host for host in house.hosts.values() if host.requests]
+            assert bool(hosts) is repeated
+            assert client.got.startswith(REFUSED) is not repeated  # at once; harmless, where all drop repeats
+
+    play(test)
+
+
+def test_a_dial_that_comes_up_when_hosts_drop_repeats_no_more() -> None:
+    """The choice was right and the loop was late: nothing is written."""
+
+    async def test() -> None:
+        async with House(2, settings={"lanes": [KEYED]}).open() as house:
+            client, _, end = await first(house, "t1", "keyed")
+            assert end.take()
+            await house.pass_time(1_300)
+            late = list[Connection]()
+            with mock.patch.object(house.daemon.south, "dialled", late.append):
+                end.end_now("reset")
+                await house.settle()
+            assert len(late) == 1
+            house.stall(750)
+            house.daemon.south.dialled(late[0])
+            await house.settle()
+            assert not any(host.requests for host in house.hosts.values())
+            assert client.got.startswith(REFUSED)
+
+    play(test)
+
+
 def test_a_dial_that_never_comes_up() -> None:
     """Its relay ends in time, and what comes of it later is closed unwritten."""
 
     async def test() -> None:
         async with House(1).open() as house:
-            dialled, late = house.daemon.south.dialled, list[object]()
-            house.daemon.south.dialled = late.append  # type: ignore[method-assign]
-            client = await house.post("t1", remaining=900)
-            await house.pass_time(310)
-            assert house.hosts["h1"].ends[0].over
-            await house.pass_time(900)
+            late = list[Connection]()
+            with mock.patch.object(house.daemon.south, "dialled", late.append):
+                client = await house.post("t1", remaining=900)
+                await house.pass_time(310)
+                assert house.hosts["h1"].ends[0].over
+                await house.pass_time(900)
             assert client.got.startswith(REFUSED) and not house.hosts["h1"].requests
             for connection in late:
-                dialled(connection)  # type: ignore[arg-type]
+                house.daemon.south.dialled(connection)
             await house.settle()
             assert not house.hosts["h1"].requests
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -34,13 +34,15 @@
     return JobClass(aim=200, deadline=5000, effect=Effect.BY_KEY, key_scope=scope, repeat_window=1500)
 
 
-@pytest.mark.parametrize("wait", [10.0, 1490.0, 1600.0])
+@pytest.mark.parametrize("wait", [10.0, 990.0, 1010.0, 1490.0, 1600.0])
 @pytest.mark.parametrize("outcome", OUTCOMES)
 @pytest.mark.parametrize(
     "lane", [SAFE, ONCE, keyed(KeyScope.ALL), keyed(KeyScope.ZONE), keyed(KeyScope.CELL)], ids=str
 )
 def test_effect_table(lane: JobClass, outcome: Outcome, wait: float) -> None:
-    host = Host(with_settings(classes=(lane,)), workers=0)
+    settings = with_settings(classes=(lane,))
+    last = lane.repeat_window - 2 * settings.dial_timeout  # the dial and the way there take some of the window
+    host = Host(settings, workers=0)
     zones = [WorkerEntry(i, zone=i % 2, cell=i % 2 * 10 + i // 4) for i in range(1, 9)]
     host.listed(ListKind.CACHED, tuple(zones))
     job = host.job()
@@ -51,9 +53,8 @@
     may_have_run = outcome not in NEVER_RAN
     if lane.effect is Effect.ONCE and may_have_run:
         assert not sends and Fail(job) in actions
-    elif lane.effect is Effect.BY_KEY and may_have_run and wait > lane.repeat_window:
-        assert not sends
-        host.finish()
+    elif lane.effect is Effect.BY_KEY and may_have_run and wait > last:
+        assert not sends  # and what can never be sent again is not held
         assert host.answered[job] == ("refused" if lane.key_scope is KeyScope.ALL else "failed")
     else:
         assert len(sends) == 1 and sends[0].worker != first.worker
