--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -133,8 +133,7 @@
             self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
-        over = job.give_up_at - self.s.tick <= now or len(job.attempts) >= job.cap
-        if over or job.lapses(now + self.way):
+        if job.give_up_at - self.s.tick <= now or job.spent(now + self.way):
             self._finish(job)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -97,6 +97,10 @@
         last = by - self.lane.repeat_window
         return self.lane.effect is pk.Effect.BY_KEY and any(f.may_have_run and f.sent < last for f in self.attempts)
 
+    def spent(self, by: float) -> bool:
+        """Whether it can have no further attempt by that time, whatever comes free."""
+        return len(self.attempts) >= self.cap or self.lapses(by)
+
     def late_worth(self) -> float:
         """What it is worth after its aim, for each unit of work."""
         return 0.0 if self.over else self.lane.worth * self.lane.late_value
