--- a/heronlug/life/config.py
+++ b/heronlug/life/config.py
@@ -62,6 +62,16 @@
     return float(value)
 
 
+def _check(settings: Settings) -> None:
+    """What can be read and yet cannot be; raises ``ValueError``."""
+    names = [lane.name for lane in settings.classes]
+    if twice := next((name for name in names if names.count(name) > 1), None):
+        raise ValueError(f"lanes: two classes are named {twice!r}, each needs a name of its own")
+    if settings.position >= settings.instances:
+        right = f"of {settings.instances} instances it is 0 to {settings.instances - 1}"
+        raise ValueError(f"position: {settings.position}: {right}")
+
+
 def reload(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the file again; what the environment said of discovery at the start has been overtaken by it."""
     return load({key: value for key, value in environ.items() if key != "RELAY_DISCOVERY"})
@@ -119,6 +129,7 @@
         seed = int(str(raw.get("seed") or "0"), 16)
         key = "settings"
         settings = parse_settings(orjson.dumps(conf))
+        _check(settings)
         pushed = settings.list_pushed and watched
         settings = replace(settings, list_pushed=not watched)  # on sockets no list comes unasked
     except (KeyError, ValueError, TypeError) as error:
--- a/heronlug/wire/simulator.py
+++ b/heronlug/wire/simulator.py
@@ -118,7 +118,7 @@
         quotas=tuple(_number(c, "quota_per_s", 0.0) for c in table.get("customers") or ()),
         report_fields=tuple(report.get("fields") or ()),
         list_pushed=table.get("discovery") == "pushed",
-        ask_every=_number(safety, "ask_every", 10_000.0),
+        ask_every=_number(safety, "ask_every", 10_000.0) or 10_000.0,  # 0 where lists are pushed: it does not apply
         attempts_cap=int(_number(limits, "attempts_cap", 1)),
         second_copies=bool(limits.get("second_copies", False)),
         may_cancel=bool(limits.get("may_cancel", False)),
