A second answer to one request is no answer to the next on its connection

Cause: Connection._line took a line of another message for nonsense, so what runs once failed though its own answer followed; and an answer without a line (503 with X-Turned-Away, 500, 4xx) was taken for the next request's, which then was sent on a second time while it ran, and its connection given to a third. Only what runs once was kept off such connections (South.send, 'turned'): a repeatable job on a site without second copies broke the rule on them. Excluded: strays before the last byte (held back, as before) and on a resting connection (closed, as before). Change: lines that name the request before are read over, and the answer expected anew; a connection whose last answer named nothing is not used for 100 ms, nor ever for what runs once, and never for an attempt of the same name.

--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -27,6 +27,7 @@
 # hosts drop a connection only when the request is whole, and then it may have run.
 DISTRUST = 30_000.0
 LAST_CHUNK_WAIT = 1000.0  # after the last line, for the end of the answer
+STRAYS = 100.0  # a second answer to the same request may come so much later
 OF_THE_HOST = (408, 429)  # of the 4xx, these find no fault with the message
 ENDS = {"done": Outcome.SERVED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
@@ -46,7 +47,9 @@
         self.held_back = b""  # its last byte, while that is not to go out yet
         self.closed = False
         self.warm = False  # has served a request before
-        self.turned = False  # its last answer was one of few bytes that prove that a message never ran
+        self.nameless_until = 0.0  # its last answer named no message: a second one would be taken for the next one's
+        self.txn = self._before = ""  # whom its request is for, and whom the one before was for
+        self._stray = False  # what is being read answers the one before once more
         self._answered = False  # the host has said something to this one
         self._between = True  # what it has said ends with a chunk, or it has said nothing
         self._chunked = self._last = False  # as the head says: in chunks; the connection ends with it
@@ -124,6 +127,10 @@
         elif name == b"connection":
             self._last = b"close" in value.lower()
 
+    def on_message_begin(self) -> None:
+        """An answer begins."""
+        self._answered = True
+
     def on_headers_complete(self) -> None:
         """The head is whole: all but a 200 ends the relay."""
         self._status = self._parser.get_status_code()
@@ -152,6 +159,9 @@
         """The answer is whole."""
         if self._status == 200:
             self._finish_lines()
+        if self._stray and self._verdict is None:
+            self._expect()  # ours is still to come
+            return
         if self._status >= 200:
             self._verdict = self._verdict or (Outcome.RESET, b"")  # it ended before the last line
             # only here does the parser still know: past this it reads as if the next answer had begun
@@ -170,10 +180,10 @@
             request.method, request.target, self.address, relay_head(request, remaining), request.body
         )
         self.relay = relay
+        self.txn, self._before = request.txn, self.txn
         self._parser = httptools.HttpResponseParser(self)
-        self._status, self._turned_away, self._lines = 0, False, http.Lines()
-        self._verdict, self._complete, self._answered = None, False, False
-        self._between, self._chunked, self._last = True, False, False
+        self._verdict, self._complete = None, False
+        self._expect()
         self.sent, self.unwritten, self.held_back = True, False, b""
         if self.south.core.runs_once(relay):
             data, self.held_back = data[:-1], data[-1:]
@@ -182,6 +192,12 @@
         if not self.held_back:
             self._count(relay)
 
+    def _expect(self) -> None:
+        """The answer is still to begin."""
+        self._status, self._turned_away, self._lines = 0, False, http.Lines()
+        self._answered = self._stray = False
+        self._between, self._chunked, self._last = True, False, False
+
     def close(self) -> None:
         """Close it, and leave whatever is on it."""
         if not self.closed:
@@ -217,7 +233,7 @@
 
     def read_on(self, relay: Relay, answered: bool, last: bool) -> None:
         """Go on with an answer in chunks that another process has begun to read, or with one not begun."""
-        self.relay, self.sent = relay, True
+        self.relay, self.sent, self.txn = relay, True, relay.message.load.txn
         self._parser = httptools.HttpResponseParser(self)
         if answered:
             end = b"Connection: close\r\n" if last else b""
@@ -263,9 +279,11 @@
         try:
             told = orjson.loads(line)
             state = told["state"]
-            if told["id"] != relay.message.load.txn:
-                raise ValueError("a line of another message")
-            if state == "started":
+            if told["id"] != self.txn:
+                if told["id"] != self._before or self.held_back:
+                    raise ValueError("a line of another message")
+                self._stray = True
+            elif state == "started":
                 self.south.core.noted(relay, NoteKind.STARTED)
             elif state == "running":
                 self.south.core.noted(relay, NoteKind.PROGRESS, float(told.get("share", 0.0)))
@@ -285,7 +303,8 @@
         relay, self.relay = self.relay, None
         if self.held_back and self._verdict[0] not in (Outcome.FULL, Outcome.UNUSABLE):
             self._verdict = Outcome.CONNECT_FAILED, b""  # no answer to what lacks its last byte: it never ran
-        self.turned = self._verdict[0] is Outcome.FULL
+        nameless = self._status != 200 or self._verdict[0] is Outcome.FULL
+        self.nameless_until = self.south.deadlines.clock() + STRAYS if nameless else 0.0
         if self._complete and self._keep and not self.held_back:
             self.south.rest(self)
         elif self._complete or self.held_back:
@@ -338,8 +357,9 @@
             pool = None
         while pool:
             connection = pool.pop()
-            if once and connection.turned:
-                connection.close()  # a second answer of its kind, come late, would have this one run twice
+            named = connection.txn != relay.message.load.txn and self.deadlines.clock() >= connection.nameless_until
+            if not named or (once and connection.nameless_until):
+                connection.close()  # its last answer, come twice, would be taken for the next one's
             elif connection.address == relay.host.entry.address and connection.sound():
                 self.deadlines.drop(connection.deadline)
                 relay.wire = connection
--- a/tests/endings/test_hosts.py
+++ b/tests/endings/test_hosts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from endings.house import HEAD, TURNED_AWAY, End, House, StandIn, done, line, play, served
+from heronlug.interface import ListKind, WorkerState
 from heronlug.wire.south import Connection
 
 FAILED, REFUSED = b"HTTP/1.1 500 ", b"HTTP/1.1 503 "
@@ -175,25 +176,71 @@
     play(test)
 
 
-def test_a_second_turning_away_does_not_have_the_next_run_twice() -> None:
-    """It would tell that the next request never ran, when it has begun: what runs once gets another connection."""
+@pytest.mark.parametrize("cut", [0, 1, 30, len(HEAD) + 9, len(done("t1")) - 3, len(done("t1"))])
+def test_a_second_answer_that_comes_after_the_last_byte(cut: int) -> None:
+    """It names another message: what runs once waits for its own answer, which follows on the same connection."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            host, warm = await use(house, "t1", "once")
+            client, _, end = await first(house, "t2", "once")
+            await house.pass_time(HELD)
+            assert end is warm and end.take()
+            both = done("t1", "stale") + done("t2")
+            for part in (both[:cut], both[cut:]):
+                end.send(part)
+                await house.settle()
+            assert served(client) and b"stale" not in client.got
+            assert (await use(house, "t3"))[1] is warm and not host.requests
+
+    play(test)
+
+
+def test_a_second_answer_after_which_the_host_dies() -> None:
+    """What runs once may have run; it fails, and is not sent again."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            host, warm = await use(house, "t1", "once")
+            client, _, end = await first(house, "t2", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            end.send(done("t1"))
+            await house.settle()
+            assert not client.got
+            end.reset()
+            await house.settle()
+            await house.pass_time(1_000)
+            assert client.got.startswith(FAILED) and not host.requests
+
+    play(test)
+
+
+ERROR = b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("lane", ["safe", "once"])
+@pytest.mark.parametrize("answer", [TURNED_AWAY, ERROR])
+def test_a_second_answer_without_a_name_does_not_have_the_next_run_twice(lane: str, answer: bytes) -> None:
+    """It would end the next request, which has begun and runs on: that one gets another connection."""
 
     async def test() -> None:
         async with House(1, limits={"attempts_cap": 1}).open() as house:
             client, _, end = await first(house, "t1", "safe")
             assert end.take()
-            end.send(TURNED_AWAY)
+            end.send(answer)
             await house.settle()
             assert client.got.startswith(REFUSED)
-            once, host, other = await first(house, "t2", "once")
+            house.daemon.core.dispatcher.workers[next(iter(house.daemon.core.hosts))].trials = 0  # not avoided for it
+            following, host, other = await first(house, "t2", lane)
             await house.pass_time(HELD)
             assert other is not end and other.take()
             if not end.over:
-                end.send(TURNED_AWAY)
+                end.send(answer)
             await house.settle()
             other.send(done("t2"))
             await house.settle()
-            assert served(once) and not host.requests
+            assert served(following) and not host.requests
 
     play(test)
 
@@ -296,6 +343,38 @@
     play(test)
 
 
+def test_at_the_limit_of_descriptors() -> None:
+    """Who runs a job stays, and the one more never ran; who only rests makes room, and owes nothing."""
+
+    async def test() -> None:
+        async with House(2).open() as house:
+            house.daemon.south.max_connections = 1
+            running, host, end = await first(house, "t1", "once")
+            await house.pass_time(HELD)
+            assert end.take()
+            [other] = [each for each in house.hosts.values() if each is not host]
+            refused = await house.post("t2", "safe", 300)
+            await house.pass_time(400)
+            assert refused.got.startswith(REFUSED) and house.logged("too_many_connections") and not end.over
+            end.send(done("t1"))
+            await house.settle()
+            assert served(running) and not end.over
+            host.sock.close()
+            house.daemon.core.inventory(ListKind.CHANGES, [
+                each.entry._replace(state=WorkerState.DRAINING) for each in house.daemon.core.hosts.values()
+                if each.entry.address == host.address
+            ])  # fmt: skip
+            await house.pass_time(2_000)
+            following = await house.post("t3")
+            assert end.over
+            end, _ = await other.request()
+            end.send(done("t3"))
+            await house.settle()
+            assert served(following) and len(house.daemon.south.connections) == 1
+
+    play(test)
+
+
 def test_a_host_that_hangs_beside_a_stop() -> None:
     """What hangs there fails before we are killed, what runs once is not sent again, and the process leaves."""
 
