A held message that passes to the next process is answered on its connection

Cause: Takeover.message, made(): the module of the new process may send a held message at once, within Core.adopt; that relay was counted among those passed on, zip(strict=True) raised in connection_made, and Connection.carry was never reached. The connection rested in our books with an answer owed, and a drain, a stop or the limit of clients could close it. Change: only relays that were passed get the passed connections; one that ended meanwhile has its socket closed. Seen: the test without a leaver fails before and passes after; FIN, half-close, reset and an end behind bytes pass too.

--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -234,8 +234,13 @@
             message = self._daemon.core.adopt(
                 request, request.lane, *times, request.txn, passed, terms, not_before, **request.figures
             )
-            for relay, sock, wire in zip([r for r in message.relays if r.out], rest, out, strict=True):
-                self._daemon.south.adopt(relay, sock, wire.get("answered") is True, wire.get("last") is True)
+            # the module may have ended some of them by now, or have sent one more, which has its own connection
+            theirs = [relay for relay, (_, attempt) in zip(message.relays, passed, strict=False) if attempt.out]
+            for relay, sock, wire in zip(theirs, rest, out, strict=True):
+                if relay.out:
+                    self._daemon.south.adopt(relay, sock, wire.get("answered") is True, wire.get("last") is True)
+                else:
+                    sock.close()
             if not message.closed:
                 connection.carry(message)
 
--- a/tests/endings/test_leaving.py
+++ b/tests/endings/test_leaving.py
@@ -4,11 +4,15 @@
 waits for come true before the loop can have read that the client has left: that is the order to be feared.
 """
 
+import socket
 from dataclasses import replace
 
 import pytest
 
-from endings.house import HEAD, TURNED_AWAY, End, House, done, line, message, play, served
+from endings.house import HEAD, TURNED_AWAY, End, House, Kernel, done, line, message, play, served
+from heronlug.wire.inventory import write_list
+from heronlug.wire.north import Request
+from heronlug.wire.passing import write_request
 
 WAYS = ["fin", "half", "reset", "behind"]
 LONG = 400.0  # ms; the rule gives 300
@@ -232,6 +236,41 @@
     play(test)
 
 
+@pytest.mark.parametrize("way", [*WAYS, ""])
+def test_while_its_message_passes_to_the_next_process(way: str) -> None:
+    """It was held in the process before, which read no more of it; here a host is free at once."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            await warm(house)
+            with socket.create_server(("127.0.0.1", 0)) as before:
+                client = Kernel(f"127.0.0.1:{before.getsockname()[1]}")
+                passed, _ = before.accept()
+            request = Request()
+            request.method, request.target, request.body, request.txn = b"POST", b"/safe", b"hi", "t1"
+            request.headers = {b"x-txn": b"t1", b"x-lane": b"safe"}
+            request.lane = next(n for n, c in enumerate(house.daemon.core.settings.classes) if c.name == "safe")
+            request.figures = {"slots": 1.0, "memory": 0.0, "retry": False, "tenant": 0}
+            if way:
+                client.leave(way)
+            house.daemon.takeover.message({
+                "request": write_request(request), "give_up_at": house.clock.at + 4_000, "taken_at": house.clock.at,
+                "hosts": write_list(0, [], [], []), "attempts": [], "wires": [],
+            }, [passed.detach()])  # fmt: skip
+            house.stall(LONG)
+            await house.settle()
+            assert nothing_sent(house) is bool(way)
+            if not way:
+                house.daemon.north.close_idle()  # its answer is owed on it still
+                end, _ = await house.hosts["h1"].request()
+                end.send(done("t1"))
+                await house.settle()
+                assert client.got().endswith(b"ok")
+            assert await still_serves(house)
+
+    play(test)
+
+
 async def still_serves(house: House) -> bool:
     """Another client gets its answer."""
     client = await house.post("later")
