Faktory: a worker that has left is delivered nothing

Cause: match() and _deliver() wrote to a connection whose end was in our kernel and unread: such a job counted as perhaps run and what may not repeat failed, though nobody could have it. Change: a FETCH whose side has left is not matched, and a delivery is asked once more after it is kept; the job never ran and goes to another worker.

--- a/heronlug/wire/faktory.py
+++ b/heronlug/wire/faktory.py
@@ -25,6 +25,7 @@
 from heronlug.memory.slots import Slots
 from heronlug.schedule.chains import Chains, Edge, Start, edges_of
 from heronlug.wire import http
+from heronlug.wire.ends import left as has_left
 from heronlug.wire.keeping import Kept, Store, Way, left, must_be_kept_first, recovered
 
 VERSION = 2
@@ -218,6 +219,11 @@
         self.write(bulk(data))
         self._next()
 
+    @property
+    def here(self) -> bool:
+        """Whether the other side has not left, as far as our machine knows, read or not."""
+        return self.transport is not None and not self._closing and not has_left(self.transport)
+
     def hold(self) -> Callable[[bytes], None]:
         """Read no further until what this returns is called with the reply; it may be called at once."""
         self._held = True
@@ -596,7 +602,7 @@
 
     def match(self, worker: Worker) -> None:
         """Let the FETCHes that wait collect what is assigned; told off, a worker collects nothing."""
-        for connection in [c for c in worker.connections if c.waiting is not None]:
+        for connection in [c for c in worker.connections if c.waiting is not None and c.here]:
             relay = next((r for r in worker.assigned if r.message.load.queue in connection.queues), None)
             if relay is None or worker.state:
                 continue
@@ -624,7 +630,7 @@
         job: Job = relay.message.load
         if worker.reserved.get(job.jid) is not reservation:
             reply(bulk(None))  # given up meanwhile, and not a byte has gone out
-        elif why or not self.core.may_write(relay):
+        elif why or not reservation.connection.here or not self.core.may_write(relay):
             self._release(worker, job.jid)
             self.core.ended(relay, Outcome.FULL)
             reply(bulk(None))
