--- a/tests/endings/test_stop.py
+++ b/tests/endings/test_stop.py
@@ -3,10 +3,12 @@
 import os
 import signal
 from typing import Any
+from unittest import mock
 
 import pytest
 
 from endings.house import HEAD, House, Kernel, done, line, message, play, served
+from heronlug.life.takeover import Takeover
 
 REFUSED, FAILED = b"HTTP/1.1 503 ", b"HTTP/1.1 500 "
 KILL = 3_000 + 700  # ms after the signal, where deadlines are longer than 3 s
@@ -122,3 +124,28 @@
             assert house.ended
 
     play(test)
+
+
+def test_a_signal_during_the_start() -> None:
+    """It comes as the listener opens: who connects meanwhile is served, and the process leaves once it is quiet."""
+
+    async def test() -> None:
+        opened = Takeover.open_listener
+
+        def crossed(takeover: Takeover) -> None:
+            opened(takeover)
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        with mock.patch.object(Takeover, "open_listener", crossed):
+            async with House(1).open() as house:
+                assert house.daemon.leaving.stopping
+                client = await house.post("t1", remaining=900)
+                end, _ = await house.hosts["h1"].request()
+                end.send(done("t1"))
+                await house.settle()
+                assert served(client)
+                client.close()
+                await house.pass_time(800)
+                assert house.ended
+
+    play(test)
