A cancelled attempt has ended before the next one goes out

Cause: South.cancel aborts the connection, and uvloop closes it in its next turn, while the next attempt may be written on a warm connection in this one: for some time both were out on open connections. Change: a relay's sending is ended at once when it is given up (ends.cut), before the module hears of its end. Seen: at the next attempt's write the first one's end is in the host's kernel; without the mend it is not.

--- a/heronlug/wire/ends.py
+++ b/heronlug/wire/ends.py
@@ -1,7 +1,9 @@
-"""What the kernel knows of a connection and nobody has read yet, asked without reading."""
+"""What the kernel knows of a connection and nobody has read yet, asked without reading; and an end without delay."""
 
 import asyncio
 import select
+import socket
+from contextlib import suppress
 
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -27,5 +29,17 @@
     return fd >= 0 and bool(_poll(fd, select.POLLIN) & select.POLLIN)
 
 
+def cut(transport: asyncio.Transport) -> None:
+    """End our sending at once: the loop closes only in its next turn, after all that is written in this one."""
+    if transport.is_closing():
+        return
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=_fd(transport))
+    try:
+        with suppress(OSError):  # it has been reset
+            sock.shutdown(socket.SHUT_WR)
+    finally:
+        sock.detach()
+
+
 def _fd(transport: asyncio.Transport) -> int:
     return int(transport.get_extra_info("socket").fileno())
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -14,7 +14,7 @@
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
 from heronlug.wire import http
-from heronlug.wire.ends import unread
+from heronlug.wire.ends import cut, unread
 from heronlug.wire.north import relay_head
 
 # The host closes an idle connection at the latest after conn_idle, and a request written to it from then on is a
@@ -396,6 +396,8 @@
         connection, relay.wire = relay.wire, None
         if connection is not None:
             connection.relay = None
+            if connection.sent and connection.transport is not None:
+                cut(connection.transport)  # else the next attempt might be out beside this one
             connection.close()
 
     def dialled(self, connection: Connection) -> None:
--- a/tests/endings/test_hosts.py
+++ b/tests/endings/test_hosts.py
@@ -1,11 +1,15 @@
 """A host's connection at the wrong instant: what may have run once is not sent again, and what never ran is."""
 
+from dataclasses import replace
 from unittest import mock
 
 import pytest
 
 from endings.house import HEAD, TURNED_AWAY, End, House, StandIn, done, line, play, served
+from endings.test_leaving import warm
 from heronlug.interface import ListKind, WorkerState
+from heronlug.memory.core import Relay
+from heronlug.wire.ends import left
 from heronlug.wire.south import Connection
 
 FAILED, REFUSED = b"HTTP/1.1 500 ", b"HTTP/1.1 503 "
@@ -343,6 +347,35 @@
     play(test)
 
 
+def test_an_attempt_that_is_cancelled_for_the_next_one() -> None:
+    """Operators' time-out, where no two attempts may be out at once: its end is there before the next one's byte."""
+
+    async def test() -> None:
+        write, watched, over = Connection.write, list[End](), list[bool]()
+
+        def written(connection: Connection, relay: Relay) -> None:
+            over.extend(left(end.transport) for end in watched if end.transport is not None)
+            write(connection, relay)
+
+        with mock.patch.object(Connection, "write", written):
+            async with House(2).open() as house:
+                await warm(house)  # so that the next attempt goes out in the same turn
+                classes = house.daemon.core.settings.classes
+                house.daemon.use_limits(tuple(replace(c, attempt_timeout=500.0) for c in classes))
+                client, host, end = await first(house, "t1", "safe")
+                assert end.take()
+                watched.append(end)
+                await house.pass_time(510)
+                [other] = [each for each in house.hosts.values() if each is not host]
+                again, _ = await other.request()
+                assert again.over is False and over == [True]
+                again.send(done("t1"))
+                await house.settle()
+                assert served(client)
+
+    play(test)
+
+
 def test_at_the_limit_of_descriptors() -> None:
     """Who runs a job stays, and the one more never ran; who only rests makes room, and owes nothing."""
 
