The rig tells an end behind what was written before it; three tests off the machine's pace

Cause: heronlug/rig told events in the order in which it read connections. Ends now wait in heronlug/rig/behind.py for a mark that goes the longest way; a dispatcher's Stopped too, and it starts again behind that.

--- a/heronlug/rig/paths.py
+++ b/heronlug/rig/paths.py
@@ -10,6 +10,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol, cast
@@ -260,7 +261,8 @@
                 if side.transport is None:
                     to.abort()  # the sender has gone altogether
                 elif to.can_write_eof():
-                    to.write_eof()
+                    with suppress(OSError):  # it has been reset, and we are about to hear of it
+                        to.write_eof()
                 continue
             room = len(data)
             if way.trickle:
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -14,13 +14,14 @@
 from heronlug.load.http import HttpLoad, Job
 from heronlug.load.plan import Due
 from heronlug.load.tally import Tally
+from heronlug.rig.behind import Behind
 from heronlug.rig.history import History
 from heronlug.rig.paths import Path as Between
 from heronlug.rig.paths import Paths
 from heronlug.rig.processes import Process, write_file
 from heronlug.rig.runners import Requests, Runners, lanes_of
 from heronlug.rig.script import HOSTS, LASTING, PROCESS, REGISTER, FailedTable, Script, Step, choose
-from heronlug.rules import Answered, Called, Checker, Ended, Listed, Started, Stopped, Taken, Violation
+from heronlug.rules import Answered, Called, Checker, Ended, Event, Listed, Started, Stopped, Taken, Violation
 from heronlug.standin.ports import free_port, free_ports
 from heronlug.standin.register import Call, Register
 
@@ -82,9 +83,9 @@
         if how != "lost":
             # one on its way when its dispatcher was killed: the history has the job as over with that
             if process.killed < self.lives[job.txn]:
-                history.see(Answered(history.now(), name, job.txn, how))
+                self.rig.end(Answered(history.now(), name, job.txn, how))
         elif not process.wanted or not process.runs:
-            history.see(Ended(history.now(), name, job.txn))  # lost with its dispatcher
+            self.rig.end(Ended(history.now(), name, job.txn))  # lost with its dispatcher
             self.rig.lost_with += 1
 
 
@@ -100,6 +101,7 @@
         self.checker = Checker(slack=script.slack_ms, drain_grace=2500.0 + script.slack_ms)
         self.history = History(self.checker, events)
         self.paths = Paths(script.seed)
+        self.behind = Behind(self.paths)
         table = script.register
         self.register = Register(table.call_ms, table.wait_most_ms, table.turned_ms, script.seed)
         self.register.retry_after = table.retry_after_ms
@@ -135,6 +137,7 @@
             await asyncio.wait_for(load, self._longest() + 5)
             reading = self.reading()
             listed = await self._lists()
+            await self.behind.caught_up()
             return self._judge(reading, listed)
         finally:
             await self._close()
@@ -164,6 +167,7 @@
         self._doors = dict(zip(names, ports[:count], strict=True))
         peers = dict(zip(names, ports[2 * count : 3 * count], strict=True))
         members = dict(zip(names, ports[3 * count :], strict=True))
+        await self.behind.open()
         await self.runners.open()
         relayed = "peers" in script.relays
         seen_peers = await self.paths.udp(peers) if relayed and script.dispatchers.peers else peers
@@ -211,6 +215,7 @@
             if process.runs:
                 process.signal(signal.SIGCONT)
                 process.signal(signal.SIGKILL)
+        self.behind.close()
         self.paths.close()
         self.register.close()
         self.runners.close()
@@ -228,10 +233,18 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             self._failed.append(f"the rig: {error!r}")
 
+    def end(self, event: Event) -> None:
+        """Something has ended: told behind what had come before it and is not read yet."""
+        self.behind.tell(lambda: self.history.see(event))
+
     def _start(self, name: str) -> None:
         self.history.see(Started(self.history.now(), name))
         self.processes[name].start()
 
+    async def _start_again(self, name: str) -> None:
+        await self.behind.caught_up()  # with the end of the process before
+        self._start(name)
+
     def _longest(self) -> float:
         return max((lane.deadline_ms for lane in self.script.classes), default=0.0) / 1000
 
@@ -268,7 +281,7 @@
             for name, process in self.processes.items():
                 if (status := process.look()) is not None:
                     self._failed.append(f"{name} ended by itself with status {status}")
-                    self.history.see(Stopped(self.history.now(), name, True))
+                    self.end(Stopped(self.history.now(), name, True))
             await asyncio.sleep(LOOK)
 
     async def _watch_lists(self) -> None:
@@ -329,19 +342,20 @@
     async def _process(self, step: Step, name: str) -> Callable[[], Any]:
         process = self.processes[name]
         if step.do == "start":
-            self._start(name)
+            await self._start_again(name)
         elif step.do == "kill":
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
-            self.history.see(Stopped(self.history.now(), name, True))
+            self.end(Stopped(self.history.now(), name, True))
         elif step.do == "term":
             process.signal(signal.SIGTERM)
             await asyncio.to_thread(_wait, process)
-            self.history.see(Stopped(self.history.now(), name, False))
+            await self.behind.caught_up()  # its last answers are read and told
+            self.end(Stopped(self.history.now(), name, False))
         else:
             process.signal({"stop": signal.SIGSTOP, "go": signal.SIGCONT, "hup": signal.SIGHUP}[step.do])
         if step.do == "kill":
-            return lambda: self._start(name)
+            return lambda: self._start_again(name)
         return lambda: process.signal(signal.SIGCONT)
 
     async def _runner(self, step: Step, name: str) -> Callable[[], Any]:
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -96,8 +96,10 @@
 
 
 def test_troubles_of_hosts_are_played_on_sockets() -> None:
-    more = '[[trouble]]\nwhat = "crash"\nat_s = 1\nshare = 0.3\n[[trouble]]\nwhat = "pause"\nat_s = 2\nshare = 0.3\n'
-    made = scenario(more + "for_s = 0.5\n", span_s=4, dispatchers__count=1, safety__warm_after_ms=100.0)
+    more = '[[trouble]]\nwhat = "crash"\nat_s = 1\nshare = 0.6\n[[trouble]]\nwhat = "pause"\nat_s = 2\nshare = 0.3\n'
+    # eighteen of what runs once run at any time: it is never all on the hosts that stay
+    made = scenario(more + "for_s = 0.5\n", span_s=4, dispatchers__count=1, safety__warm_after_ms=100.0,
+                    **{"class__1__work": {"dist": "gamma", "a": 2.0, "scale": 300.0}})  # fmt: skip
     tallies = asyncio.run(on_sockets(made, 4))
     assert sum(tally.jobs for tally in tallies) == sum(1 for _ in plan(made, 4))
     lost = sum(tally.finals["failed"] for tally in tallies if tally.lane.effect == "once")
--- a/tests/rig/test_paths.py
+++ b/tests/rig/test_paths.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from heronlug.rig.paths import Path, Paths
+from heronlug.rig.paths import LINGER, Path, Paths
 
 SHORT = 0.3  # s within which nothing may come
 
@@ -170,3 +170,29 @@
             sock.close()
 
     asyncio.run(run())
+
+
+def test_an_end_that_comes_to_a_connection_just_reset_is_no_fault_of_the_rig() -> None:
+    async def run() -> None:
+        paths, target = Paths(1), socket.create_server(("127.0.0.1", 0))
+        port = target.getsockname()[1]
+        _, writer = await dial(paths.tcp("a", "b", lambda: f"127.0.0.1:{port}"))
+        path = paths.of("a", "b")
+        async with asyncio.timeout(10):
+            while not path.links:
+                await asyncio.sleep(0)
+            path.out.held = True
+            writer.write_eof()
+            (link,) = path.links
+            while not link.near.ended:
+                await asyncio.sleep(0)
+        there, _ = target.accept()
+        there.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+        there.close()  # its reset lies unread while the end goes on
+        path.out.held = False
+        path.changed()
+        target.close()
+        paths.close()
+        writer.close()
+
+    asyncio.run(run())
