Tickets of cold hosts open by how soon jobs start there

Cause: Tickets went by the least that a cold host can do, which is all that is told; in truth it may do more (all jobs started there within 3 ms, whatever was sent). Change: the pace rises by a tenth after a start at once at a cold host, and falls by three tenths after one that waited for a quarter of a usual job; between 0.7 and 2.5 of it, and never over 1.5 of what a host does at least, or 0.7 of what it stands.

The bound holds in the property test with starts that always tell of more.

--- a/heronlug/arrival/crowd.py
+++ b/heronlug/arrival/crowd.py
@@ -13,7 +13,7 @@
 """
 
 from heronlug import interface as pk
-from heronlug.arrival.parts import FEW
+from heronlug.arrival.parts import FEW, Parts
 from heronlug.records import Flight, Job, State
 
 PART = 0.5  # of a job's time until it must start: half of all jobs wait for longer than the mean
@@ -22,17 +22,19 @@
 class Crowd:
     """Of one dispatcher."""
 
-    __slots__ = ("_blind", "_state")
+    __slots__ = ("_blind", "_parts", "_state")
 
-    def __init__(self, state: State, settings: pk.Settings, by_starts: bool) -> None:
+    def __init__(self, state: State, settings: pk.Settings, parts: Parts, by_starts: bool) -> None:
         """``by_starts``: of workers, starts alone are told."""
-        self._state, self._blind = state, by_starts and not settings.may_tell and settings.instances > FEW
+        self._state, self._parts = state, parts
+        self._blind = by_starts and not settings.may_tell and settings.instances > FEW
 
     def started(self, flight: Flight, now: float) -> None:
         """A job of ours has started."""
         flight.waiting, flight.began = False, now
         flight.worker.waiting -= 1
         self._state.lags[flight.worker.zone].heard(now - flight.sent)
+        self._parts.started(flight.worker, now - flight.sent)
 
     def run(self, flight: Flight, latency: float, now: float) -> float:
         """How long it has run, as far as that is known."""
--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -116,6 +116,11 @@
             self._granted[worker.id] = grants
         return sum(grant.work for grant in grants)
 
+    def started(self, worker: Worker, wait: float) -> None:
+        """A job has started there after so long."""
+        if self._tickets is not None:
+            self._tickets.started(worker, wait)
+
     # -- loans
 
     def ask(self, held: Sequence[tuple[float, int, Job]], order: Sequence[Worker], now: float) -> list[pk.Tell]:
--- a/heronlug/arrival/tickets.py
+++ b/heronlug/arrival/tickets.py
@@ -4,6 +4,9 @@
 done one more job of usual size.  Who has a ticket follows from its number, the worker's and the position.  So all
 together send what the worker can do, each seldom, and not at once: at any time few tickets are open.
 
+What a worker can do is not told, only that it warms at least evenly.  So tickets open the sooner the more of our jobs
+started at once at cold workers, and the later the more waited there, within bounds that hold whatever is heard.
+
 Figures of usual size and of slots differ a little from one dispatcher to the next, and so do the numbers of tickets:
 two may hold one, and nobody the next.  That is chance, and there is room for it in what a cold worker stands.
 """
@@ -13,7 +16,9 @@
 from heronlug import interface as pk
 from heronlug.records import Worker
 
-COOL, WARM = 0.4, 1.2  # of what a worker does when it is cold, and when it is warm
+COOL, WARM, MOST = 0.4, 1.2, 1.5  # of what a worker does when it is cold, when it is warm, and ever
+UP, DOWN, LOW, HIGH = 1.1, 0.7, 0.7, 2.5  # by so much more after a start at once, and less after a wait; as bounds
+SOON = 0.25  # of a job of usual size: who starts within that has not waited
 KEPT = 3  # tickets open at a time: whoever has no job while its own is open lets it go
 WIDE = 4.0  # jobs of usual size that one may be worth: it takes as many of its sender's tickets
 LOOK = 20.0  # ms between two looks at all cold workers
@@ -22,11 +27,12 @@
 class Tickets:
     """One dispatcher's."""
 
-    __slots__ = ("_cold", "_looked_at", "_most", "_s", "_told", "_used")
+    __slots__ = ("_cold", "_level", "_looked_at", "_most", "_s", "_told", "_used")
 
     def __init__(self, settings: pk.Settings, margin: float) -> None:
         """``margin`` of what a cold worker stands is used at most."""
-        self._s, self._most = settings, margin * settings.tip_multiple
+        self._s, self._most = settings, min(MOST, margin * settings.tip_multiple)
+        self._level = 1.0  # of what is given by rule: what it can do in truth shows in how soon jobs start
         self._cold: dict[int, tuple[Worker, float, float]] = {}  # when it began, and what a job of usual size takes
         self._used: dict[int, tuple[float, int]] = {}  # by worker: when it began, and the last ticket used
         self._told: dict[int, tuple[float, int]] = {}  # by worker: the open ticket that has been told
@@ -60,6 +66,12 @@
             more = max(0, ceil(work / self._cold[worker.id][2] - 0.5) - 1)
             self._used[worker.id] = ticket[0], ticket[1] + more * self._s.instances
 
+    def started(self, worker: Worker, wait: float) -> None:
+        """A job has started there after so long."""
+        if worker.id in self._cold and worker.budget < inf:
+            self._level *= UP if wait <= SOON * self._cold[worker.id][2] else DOWN
+            self._level = max(LOW, min(HIGH, self._level))
+
     def _ticket(self, worker: Worker, now: float) -> tuple[float, int] | None:
         if worker.id not in self._cold:
             return None
@@ -77,5 +89,5 @@
         warmth = low + rise * age
         alike = age * (low + warmth) / 2  # the warmth until then, added up; and its square
         square = age * (low * low + low * warmth + warmth * warmth) / 3
-        cool, more = min(COOL, self._most), min(WARM, self._most) - min(COOL, self._most)
-        return cool * alike + more * square
+        cool, warm = min(COOL * self._level, self._most), min(WARM * self._level, self._most)
+        return cool * alike + (warm - cool) * square
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -59,7 +59,7 @@
         # with no reports, a start or a wait at a worker tells of its slots; with neither, nothing does
         self.silence_at = 0.0 if settings.tells_start and settings.progress_every else inf
         self.by_starts = self.free_at < 0 and settings.tells_start
-        self.crowd = Crowd(self, settings, self.by_starts)
+        self.crowd = Crowd(self, settings, self.parts, self.by_starts)
         if self.by_starts:
             self.kinds.default_factory = lambda: Kind(UNTOLD)
         self.handlers: dict[type, Callable[..., None]] = {
--- a/tests/arrival/test_tickets.py
+++ b/tests/arrival/test_tickets.py
@@ -9,7 +9,7 @@
 
 from heronlug import interface as pk
 from heronlug.arrival.parts import FEW, MARGIN, Parts
-from heronlug.arrival.tickets import COOL, KEPT, LOOK, WARM, WIDE, Tickets
+from heronlug.arrival.tickets import COOL, KEPT, LOOK, MOST, WARM, WIDE, Tickets
 from heronlug.records import Kind, State, Worker
 
 SPAN, TIP, SLOTS, USUAL, LOW, WHOLE, BORN = 1000.0, 3.0, 4.0, 450.0, 0.2, 20_000.0, 5000.0
@@ -140,6 +140,8 @@
             if tickets.may(there, USUAL, at):
                 tickets.sent(there, USUAL, at)
                 sends.append(at)
+            if rng.random() < 0.02:  # it hears of starts, at once most often, as if the worker did more than it says
+                tickets.started(there, rng.choice((0.0, 0.0, 0.0, 0.0, 5000.0)))
         at += 25.0
     for begin in sends:
         span = sum(begin <= each < begin + SPAN for each in sends)
@@ -148,6 +150,19 @@
     assert len(sends) > 0.5 * jobs_given(at)
 
 
+def test_starts_at_once_have_more_sent_and_waits_less_within_bounds() -> None:
+    def opened(waits: list[float]) -> float:
+        (tickets, there), *_ = fleet(20)
+        for wait in waits:
+            tickets.started(there, wait)
+        return tickets._done(WHOLE / 2)
+
+    assert opened([0.0] * 3) > opened([]) > opened([USUAL])
+    assert opened([USUAL] * 50) == opened([USUAL] * 40) > 0.6 * opened([])
+    assert opened([0.0] * 50) == opened([0.0] * 40) <= MOST * (LOW + warmth(BORN + WHOLE / 2)) / 2 * WHOLE / 2
+    assert opened([USUAL, *[0.0] * 50]) == opened([0.0] * 50)  # what it has done is counted anew
+
+
 def test_without_turns_the_same_bound_is_passed() -> None:
     """The bound tells something: all that want to send at once pass it."""
     stands = TIP * LOW * SLOTS * SPAN / USUAL
