--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -4,6 +4,7 @@
 parts as hold a job of usual size; who has one follows from the worker's number and the position, so nobody has to
 agree.  Where there are more dispatchers than parts, most have none, and what they take in would wait beside parts
 that nobody uses.  So who has none asks one that has: it books the work as if it had sent it itself, and says so.
+Where many may not talk at all, there are turns instead: see :mod:`heronlug.arrival.tickets`.
 
 * Safe whatever is lost: work is booked before the grant goes out, at the time when the grant ends, so the parts are
   never passed.  A lost ask or grant costs a part of a part for the span.
@@ -50,8 +51,8 @@
     def __init__(self, settings: pk.Settings) -> None:
         self._s = settings
         self._lends = settings.lends and settings.instances > FEW
-        many = settings.instances > FEW  # else each one's part holds a job
-        self._tickets = Tickets(settings, MARGIN) if many and not self._lends else None
+        apart = settings.instances > FEW and not settings.may_tell  # many, and none hears of another
+        self._tickets = Tickets(settings, MARGIN) if apart else None
         self._born = -1.0
         self._turn = settings.position  # so that not all ask the same one
         self._asked: dict[int, float] = {}  # by worker, when we asked last
@@ -76,7 +77,7 @@
     # -- what may go out
 
     def turns(self, now: float) -> list[Worker]:
-        """The cold workers at which our turn has come, where nobody lends; each told once."""
+        """The cold workers at which our turn has come, where dispatchers may not talk; each told once."""
         return self._tickets.turns(now) if self._tickets is not None else []
 
     def may(self, worker: Worker, work: float, now: float) -> bool:
--- a/tests/arrival/test_tickets.py
+++ b/tests/arrival/test_tickets.py
@@ -170,7 +170,7 @@
 
 
 @pytest.mark.parametrize(("count", "lends", "turns"), [(FEW, False, False), (MANY, True, False), (MANY, False, True)])
-def test_turns_are_for_many_that_may_not_lend(count: int, lends: bool, turns: bool) -> None:
+def test_turns_are_for_many_that_may_not_talk(count: int, lends: bool, turns: bool) -> None:
     state = State()
     state.kinds[0] = Kind(SLOTS)
     state.listed(pk.WorkerList(pk.ListKind.FULL, (pk.WorkerEntry(7, started_at=BORN),)))
