One place for who is apart and when a host warms; tests share their steps

Read once more: Crowd asked again what Parts had asked (many that may not talk), tickets and ranking each took the later of two times for the start of a host's warming, and Parts.share reckoned a part where there are turns instead.

Now Parts.apart and Worker.cold_since serve both, and share looks for turns first.

Tests: steps that stood two to four times are one (a request's name, a stop that serves and leaves, a worker that waits for a job, jobs that wait at hosts). test_without_turns_the_same_bound_is_passed compared constants and could not fail; in its place the same play with no turns, and with tickets used twice, must pass the bound, and does.

--- a/heronlug/arrival/crowd.py
+++ b/heronlug/arrival/crowd.py
@@ -12,8 +12,7 @@
   a jam, and what a cold worker bears, in jobs of usual size, would shrink.
 """
 
-from heronlug import interface as pk
-from heronlug.arrival.parts import FEW, Parts
+from heronlug.arrival.parts import Parts
 from heronlug.records import Flight, Job, State
 
 PART = 0.5  # of a job's time until it must start: half of all jobs wait for longer than the mean
@@ -24,10 +23,10 @@
 
     __slots__ = ("_blind", "_parts", "_state")
 
-    def __init__(self, state: State, settings: pk.Settings, parts: Parts, by_starts: bool) -> None:
+    def __init__(self, state: State, parts: Parts, by_starts: bool) -> None:
         """``by_starts``: of workers, starts alone are told."""
         self._state, self._parts = state, parts
-        self._blind = by_starts and not settings.may_tell and settings.instances > FEW
+        self._blind = by_starts and parts.apart
 
     def started(self, flight: Flight, now: float) -> None:
         """A job of ours has started."""
--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -46,13 +46,15 @@
 class Parts:
     """One dispatcher's parts of the cold workers, what it lends of them, and what it has been lent."""
 
-    __slots__ = ("_asked", "_born", "_granted", "_lends", "_open", "_s", "_tickets", "_turn", "asked", "lent", "used")
+    __slots__ = (
+        "_asked", "_born", "_granted", "_lends", "_open", "_s", "_tickets", "_turn", "apart", "asked", "lent", "used",
+    )  # fmt: skip
 
     def __init__(self, settings: pk.Settings) -> None:
         self._s = settings
         self._lends = settings.lends and settings.instances > FEW
-        apart = settings.instances > FEW and not settings.may_tell  # many, and none hears of another
-        self._tickets = Tickets(settings, MARGIN) if apart else None
+        self.apart = settings.instances > FEW and not settings.may_tell  # we are many, and none hears of another
+        self._tickets = Tickets(settings, MARGIN) if self.apart else None
         self._born = -1.0
         self._turn = settings.position  # so that not all ask the same one
         self._asked: dict[int, float] = {}  # by worker, when we asked last
@@ -63,15 +65,15 @@
     # -- whose part
 
     def share(self, worker: Worker, warmth: float, job: float, now: float) -> float:
-        """Our part of what a cold worker stands within the span; 0 for none."""
+        """Our part of what a cold worker stands within the span; 0 for none, also where there are turns instead."""
+        if self._tickets is not None:
+            self._tickets.cold(worker, job)
+            return 0.0
         if self._born < 0:
             self._born = now
         budget = MARGIN * self._s.tip_multiple * warmth * worker.model.slots * self._s.overload_for
         users = min(self._s.instances, max(1, int(budget / (HOLD * job if self._lends else job))))
         worker.users = users
-        if self._tickets is not None:
-            self._tickets.cold(worker, job)
-            return 0.0
         return budget / users if (self._s.position - worker.id) % self._s.instances < users else 0.0
 
     # -- what may go out
--- a/heronlug/arrival/tickets.py
+++ b/heronlug/arrival/tickets.py
@@ -40,8 +40,7 @@
 
     def cold(self, worker: Worker, job: float) -> None:
         """It is cold, and a job of usual size takes so long."""
-        since = max(worker.started_at, worker.eased_at)
-        self._cold[worker.id] = worker, since, job
+        self._cold[worker.id] = worker, worker.cold_since, job
 
     def turns(self, now: float) -> list[Worker]:
         """The cold workers at which our turn has come, each told once."""
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -59,7 +59,7 @@
         # with no reports, a start or a wait at a worker tells of its slots; with neither, nothing does
         self.silence_at = 0.0 if settings.tells_start and settings.progress_every else inf
         self.by_starts = self.free_at < 0 and settings.tells_start
-        self.crowd = Crowd(self, settings, self.parts, self.by_starts)
+        self.crowd = Crowd(self, self.parts, self.by_starts)
         if self.by_starts:
             self.kinds.default_factory = lambda: Kind(UNTOLD)
         self.handlers: dict[type, Callable[..., None]] = {
@@ -477,7 +477,7 @@
         """Upper confidence bound on the payoff; with N = 0 the mean of the others' bounds."""
         far = PAYOFF_TOP * self.s.cross_zone_price * (worker.zone != self.s.zone)
         bound = worker.mean + sqrt(4 * self.log_t / worker.n) if worker.n > 0.01 else self.usual - far
-        age = now - (since := max(worker.started_at, worker.eased_at))
+        age = now - (since := worker.cold_since)
         if not since or age >= self.s.warm_after:
             worker.budget = inf
             return bound
--- a/heronlug/records.py
+++ b/heronlug/records.py
@@ -42,6 +42,11 @@
         self.eased_at = 0.0  # when its hall was returned to: it is taken for cold from then on
         self.fresh(entry.started_at)
 
+    @property
+    def cold_since(self) -> float:
+        """When it began to warm; 0 if it is not known to have been cold."""
+        return max(self.started_at, self.eased_at)
+
     def fresh(self, started_at: float) -> None:
         """A new process: nothing learned of the old one holds."""
         self.known_before = False
--- a/tests/arrival/test_tickets.py
+++ b/tests/arrival/test_tickets.py
@@ -1,5 +1,7 @@
 """Tickets of cold workers: all together send about what these can do, however little they agree, and nobody twice."""
 
+from bisect import bisect_left
+from collections.abc import Callable
 from math import inf, sqrt
 from random import Random
 
@@ -48,6 +50,23 @@
     return sum(SLOTS / USUAL * share * (COOL + (WARM - COOL) * share) * each for share in shares)
 
 
+def greedy(dispatchers: list[tuple[Tickets, Worker]], work: float = USUAL) -> list[int]:
+    """When they send while it is cold, all of them whatever they may."""
+    when = []
+    for at in range(int(BORN), int(BORN + WHOLE), 10):
+        for tickets, there in dispatchers:
+            if tickets.may(there, work, at):
+                tickets.sent(there, work, at)
+                when.append(at)
+    return when
+
+
+def stands(at: float) -> float:
+    """Jobs of usual size that it stands within the span."""
+    mean = TIP * warmth(at) * SLOTS * SPAN / USUAL
+    return mean + 3 * sqrt(mean) + 3
+
+
 def test_each_ticket_has_one_holder_and_few_are_open_at_a_time() -> None:
     dispatchers = fleet()
     sends = 0
@@ -91,13 +110,7 @@
 
 def test_a_wide_job_takes_as_many_tickets_of_its_sender_and_one_too_wide_none() -> None:
     def sends(work: float) -> list[int]:
-        tickets, there = next(pair for pair in fleet(20) if pair[0].may(pair[1], USUAL, BORN))
-        when = []
-        for at in range(int(BORN), int(BORN + WHOLE), 10):
-            if tickets.may(there, work, at):
-                tickets.sent(there, work, at)
-                when.append(at)
-        return when
+        return greedy([next(pair for pair in fleet(20) if pair[0].may(pair[1], USUAL, BORN))], work)
 
     one, three = sends(USUAL), sends(3 * USUAL)
     assert three == one[::3] and len(one) > 3
@@ -105,22 +118,11 @@
 
 
 def test_who_stands_little_gets_little() -> None:
-    def sends(tip: float) -> int:
-        dispatchers, count = fleet(tip=tip), 0
-        for at in range(int(BORN), int(BORN + WHOLE), 10):
-            for tickets, there in dispatchers:
-                if tickets.may(there, USUAL, at):
-                    tickets.sent(there, USUAL, at)
-                    count += 1
-        return count
+    assert len(greedy(fleet(tip=0.5))) < 0.6 * len(greedy(fleet()))
 
-    assert sends(0.5) < 0.6 * sends(TIP)
 
-
-@settings(deadline=None, max_examples=10)
-@given(st.integers(0, 2**32), st.sampled_from([30, 80, MANY]))
-def test_no_span_sees_more_than_a_cold_worker_stands_though_nobody_agrees(seed: int, count: int) -> None:
-    """Each takes another size for usual, which changes, some are started again, and all want all they can get."""
+def disagreeing(seed: int, count: int) -> list[float]:
+    """When they send: each takes another size for usual, which changes, some are started again, all want all."""
     rng = Random(seed)
     usual = [USUAL * rng.uniform(0.7, 1.4) for _ in range(count)]
     dispatchers = [(Tickets(told(p, count), MARGIN), worker()) for p in range(count)]
@@ -143,11 +145,31 @@
             if rng.random() < 0.02:  # it hears of starts, at once most often, as if the worker did more than it says
                 tickets.started(there, rng.choice((0.0, 0.0, 0.0, 0.0, 5000.0)))
         at += 25.0
-    for begin in sends:
-        span = sum(begin <= each < begin + SPAN for each in sends)
-        stands = TIP * warmth(begin) * SLOTS * SPAN / USUAL
-        assert span <= stands + 3 * sqrt(stands) + 3, (begin, span, stands)
-    assert len(sends) > 0.5 * jobs_given(at)
+    return sends
+
+
+def too_many(sends: list[float]) -> list[tuple[float, int, float]]:
+    """The spans that see more than it stands: when they begin, what they see, and what it stands."""
+    counts = [bisect_left(sends, begin + SPAN) - bisect_left(sends, begin) for begin in sends]
+    spans = zip(sends, counts, map(stands, sends), strict=True)
+    return [span for span in spans if span[1] > span[2]]
+
+
+@settings(deadline=None, max_examples=10)
+@given(st.integers(0, 2**32), st.sampled_from([30, 80, MANY]))
+def test_no_span_sees_more_than_a_cold_worker_stands_though_nobody_agrees(seed: int, count: int) -> None:
+    sends = disagreeing(seed, count)
+    assert too_many(sends) == []
+    assert len(sends) > 0.5 * jobs_given(BORN + WHOLE)
+
+
+@pytest.mark.parametrize(("name", "instead"), [("may", lambda *_: True), ("sent", lambda *_: None)])
+def test_no_turns_and_tickets_used_twice_are_found_out(
+    name: str, instead: Callable[..., bool | None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The bound tells something."""
+    monkeypatch.setattr(Tickets, name, instead)
+    assert too_many(disagreeing(1, MANY))
 
 
 def test_starts_at_once_have_more_sent_and_waits_less_within_bounds() -> None:
@@ -163,14 +185,8 @@
     assert opened([USUAL, *[0.0] * 50]) == opened([0.0] * 50)  # what it has done is counted anew
 
 
-def test_without_turns_the_same_bound_is_passed() -> None:
-    """The bound tells something: all that want to send at once pass it."""
-    stands = TIP * LOW * SLOTS * SPAN / USUAL
-    assert stands + 3 * sqrt(stands) + 3 < MANY
-
-
-@pytest.mark.parametrize(("count", "lends", "turns"), [(FEW, False, False), (MANY, True, False), (MANY, False, True)])
-def test_turns_are_for_many_that_may_not_talk(count: int, lends: bool, turns: bool) -> None:
+@pytest.mark.parametrize(("count", "lends", "apart"), [(FEW, False, False), (MANY, True, False), (MANY, False, True)])
+def test_turns_are_for_many_that_may_not_talk(count: int, lends: bool, apart: bool) -> None:
     state = State()
     state.kinds[0] = Kind(SLOTS)
     state.listed(pk.WorkerList(pk.ListKind.FULL, (pk.WorkerEntry(7, started_at=BORN),)))
@@ -184,5 +200,5 @@
         ))  # fmt: skip
         there.budget = parts.share(there, LOW, USUAL, BORN)
         ours += bool(parts.turns(BORN))
-        assert not turns or (there.budget == 0.0 and parts.may(there, USUAL, BORN) == ((7 - position) % count == 0))
-    assert ours == turns
+        assert not apart or (there.budget == 0.0 and parts.may(there, USUAL, BORN) == ((7 - position) % count == 0))
+    assert ours == apart
--- a/tests/endings/house.py
+++ b/tests/endings/house.py
@@ -302,6 +302,11 @@
         return self._serving.done() or self.daemon.left.is_set()
 
 
+def name_of(request: bytes) -> str:
+    """Whose request a host has got."""
+    return request.partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()
+
+
 def message(txn: str, lane: str, remaining: int) -> bytes:
     """A client's request."""
     head = f"POST /{lane} HTTP/1.1\r\nHost: x\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\nX-Remaining-Ms: {remaining}\r\n"
--- a/tests/endings/test_crowd.py
+++ b/tests/endings/test_crowd.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from endings.house import HEAD, LAST, End, House, done, line, message, play
+from endings.house import HEAD, LAST, End, House, done, line, message, name_of, play
 
 RUN = 100.0  # ms that jobs run; their aim is 400, so they have to start within 300
 
@@ -21,7 +21,7 @@
     for host in house.hosts.values():
         for end in host.ends:
             while request := end.take():
-                found[request.partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()] = end
+                found[name_of(request)] = end
     return found
 
 
@@ -37,13 +37,19 @@
         assert client.got.startswith(b"HTTP/1.1 200 ")
 
 
-async def crowd(house: House) -> tuple[End, dict[str, End]]:
-    """Two wait at hosts, and a third one is here: its client, and where the two are."""
+async def two_wait(house: House) -> dict[str, End]:
+    """At hosts that have not started them: where they are."""
     await learned(house)
     for number in range(2):
         await house.post(f"w{number}")
     waiting = await taken(house)
     assert sorted(waiting) == ["w0", "w1"]
+    return waiting
+
+
+async def crowd(house: House) -> tuple[End, dict[str, End]]:
+    """Two wait at hosts, and a third one is here: its client, and where the two are."""
+    waiting = await two_wait(house)
     client = await house.post("t")
     assert not await taken(house)
     return client, waiting
@@ -92,10 +98,7 @@
 def test_a_client_that_has_left_is_not_sent_on_with_the_start(way: str) -> None:
     async def test() -> None:
         async with many().open() as house:
-            await learned(house)
-            for number in range(2):
-                await house.post(f"w{number}")
-            waiting = await taken(house)
+            waiting = await two_wait(house)
             client = house.kernel()
             client.send(message("t", "safe", 4000))
             assert not await taken(house)
--- a/tests/endings/test_faktory.py
+++ b/tests/endings/test_faktory.py
@@ -40,6 +40,21 @@
     yield address
 
 
+def fetching(address: str, house: House, wid: str) -> Client:
+    """A worker that waits for a job."""
+    client = Client(address, house, wid=wid)
+    client.send(b"FETCH default\r\n")
+    return client
+
+
+async def another(address: str, house: House) -> tuple[Client, bytes]:
+    """The next worker, and what it gets in place of the one that has left."""
+    other = fetching(address, house, "w2")
+    await house.settle()
+    await house.pass_time(1_500)
+    return other, await other.told()
+
+
 def push(jid: str) -> bytes:
     return b"PUSH %s\r\n" % json.dumps({"jid": jid, "jobtype": "once", "args": []}).encode()
 
@@ -50,18 +65,13 @@
 
     async def test() -> None:
         async with House(1).open() as house, faktory(house) as address:
-            gone = Client(address, house, wid="w1")
-            gone.send(b"FETCH default\r\n")
+            gone = fetching(address, house, "w1")
             producer = Client(address, house)
             await house.settle()
             producer.send(push("job-00001"))  # first in the queue of what is to be read
             gone.leave(way)
             assert (await producer.told()).endswith(b"+OK\r\n")
-            other = Client(address, house, wid="w2")
-            other.send(b"FETCH default\r\n")
-            await house.settle()
-            await house.pass_time(1_500)
-            got = await other.told()
+            other, got = await another(address, house)
             assert b"job-00001" in got and not house.logged("job_reset")
             other.send(b'ACK {"jid":"job-00001"}\r\n')
             assert (await other.told()).endswith(b"+OK\r\n")
@@ -76,8 +86,7 @@
 
     async def test() -> None:
         async with House(1).open() as house, faktory(house) as address:
-            gone = Client(address, house, wid="w1")
-            gone.send(b"FETCH default\r\n")
+            gone = fetching(address, house, "w1")
             await house.settle()
             deliver = Faktory._deliver
 
@@ -90,10 +99,7 @@
                 producer = Client(address, house)
                 producer.send(push("job-00002"))
                 await house.settle()
-            other = Client(address, house, wid="w2")
-            other.send(b"FETCH default\r\n")
-            await house.settle()
-            await house.pass_time(1_500)
-            assert b"job-00002" in await other.told() and not house.logged("job_reset")
+            _, got = await another(address, house)
+            assert b"job-00002" in got and not house.logged("job_reset")
 
     play(test)
--- a/tests/endings/test_leaving.py
+++ b/tests/endings/test_leaving.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from endings.house import HEAD, TURNED_AWAY, End, House, Kernel, done, line, message, play, served
+from endings.house import HEAD, TURNED_AWAY, End, House, Kernel, done, line, message, name_of, play, served
 from heronlug.wire.inventory import write_list
 from heronlug.wire.north import Request
 from heronlug.wire.passing import write_request
@@ -25,7 +25,7 @@
         for host in house.hosts.values():
             for end in host.ends:
                 if request := end.take():
-                    end.send(done(request.partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()))
+                    end.send(done(name_of(request)))
         await house.settle()
     assert all(map(served, clients)) and all(host.ends for host in house.hosts.values())
 
@@ -46,7 +46,7 @@
     for host in house.hosts.values():
         while host.requests:
             end, request = await host.request()
-            running.append((end, request.partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()))
+            running.append((end, name_of(request)))
     return running
 
 
@@ -228,7 +228,7 @@
                 for host in house.hosts.values():
                     for end in host.ends:
                         if request := end.take():
-                            txn = request.partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()
+                            txn = name_of(request)
                             assert txn not in left
                             end.send(done(txn))
             assert all(client.got().endswith(b"ok") for client in clients[::2])
--- a/tests/endings/test_stop.py
+++ b/tests/endings/test_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from endings.house import HEAD, House, Kernel, done, line, message, play, served
+from endings.house import HEAD, End, House, Kernel, done, line, message, play, served
 from heronlug.life.takeover import Takeover
 
 REFUSED, FAILED = b"HTTP/1.1 503 ", b"HTTP/1.1 500 "
@@ -20,6 +20,16 @@
     assert house.daemon.leaving.stopping
 
 
+async def serves_and_leaves(house: House, client: End, end: End) -> None:
+    """What is under way is served, and once its client has gone the process ends."""
+    end.send(done("t1"))
+    await house.settle()
+    assert served(client)
+    client.close()
+    await house.pass_time(800)
+    assert house.ended
+
+
 def short(deadline: float) -> dict[str, Any]:
     """Settings whose longest deadline is this."""
     return {"settings": {"lanes": [{"name": "safe", "deadline": deadline, "effect": "repeatable", "goal_time": 100.0}]}}
@@ -116,12 +126,7 @@
             os.kill(os.getpid(), signal.SIGHUP)
             await term(house)
             await house.other.request()
-            end.send(done("t1"))
-            await house.settle()
-            assert served(client)
-            client.close()
-            await house.pass_time(800)
-            assert house.ended
+            await serves_and_leaves(house, client, end)
 
     play(test)
 
@@ -141,11 +146,6 @@
                 assert house.daemon.leaving.stopping
                 client = await house.post("t1", remaining=900)
                 end, _ = await house.hosts["h1"].request()
-                end.send(done("t1"))
-                await house.settle()
-                assert served(client)
-                client.close()
-                await house.pass_time(800)
-                assert house.ended
+                await serves_and_leaves(house, client, end)
 
     play(test)
