Failing tests of the incident: requests are lost before 3,200 servers at a part of a core

Timeline: 10.0 drains; 11.9 to 16.6 servers gone in five versions, so most that are left are cold or full; 14.2 on, requests wait and none is placed; n196 has version 12 at 16.9 and no other until 23.5: its loop did not turn for seconds while bytes waited. So CPU, not discovery, the network or a lost event: other dispatchers were written to.

Requests that wait are looked at by scans of all servers at each event: a second in which 100 wait takes 30 ms, 364 ms, 5.1 s of CPU where dispatchers tell each other, 47 ms, 304 ms, 3.2 s where not. Each part of a load summary rebuilds a set of all servers and has the waiting looked at: 0.5, 3.5, 92 ms for one summary, several a second. Core._number builds the set of all numbers for each new name: first list 4.4, 30, 398 ms. Real, but it ends with the list, and hits all dispatchers alike at the same moment; the report shows a tenth for seconds. A list of 100 changes: 4, 10, 53 ms; each dispatcher alike.

Tests: tests/scale, a whole daemon on real sockets whose clock moves on by its CPU time at a quarter of a core.

--- /dev/null
+++ b/tests/scale/fleet.py
@@ -0,0 +1,197 @@
+"""A dispatcher with a part of a core before a large fleet, on real sockets: its clock moves on by the CPU that it uses.
+
+The daemon, its clients, discovery and one listening stand-in for each group of servers run in this process.  Time jumps
+from event to event, and each second of processor time counts ``1 / SHARE`` seconds, as on the platform, which gives a
+dispatcher a part of a core.  So work that grows with the list of servers shows as what it is there: time in which no
+request is taken, answered or given up.
+"""
+
+import asyncio
+import heapq
+import json
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+
+from endings.house import BEGIN, HEAD, LAST, End, Hand, House, line, message, name_of
+
+from heronlug.standin.ports import free_port
+
+SHARE = 0.25  # of a core
+RUN = 200.0  # ms that a server works on a request
+STEPS = 8  # groups of servers that a release replaces one after the other
+RELAYS = 2  # dispatchers that sum up the load of all servers for the others
+SUMMARY_GAP = 250.0  # ms between the summaries of one of them
+TURNS = 12  # of the loop, in which bytes on loopback have arrived and been answered
+LATE = 500.0  # ms after a request's time, up to which its answer is not lost
+GRACE = 2550.0  # ms after a drain was told, from which on no attempt may begin
+ANSWERS = (b"HTTP/1.1 200 ", b"HTTP/1.1 500 ", b"HTTP/1.1 503 ")
+
+
+class Metered(Hand):
+    """A clock that is moved by hand, and by processor time."""
+
+    def __init__(self) -> None:
+        self._at, self._used = BEGIN, time.thread_time()
+
+    @property
+    def at(self) -> float:
+        return self._at + (time.thread_time() - self._used) * 1000 / SHARE
+
+    @at.setter
+    def at(self, when: float) -> None:
+        self._at, self._used = max(self.at, when), time.thread_time()
+
+    def now(self) -> float:
+        return self.at
+
+
+@dataclass
+class Asked:
+    """A request as its client saw it."""
+
+    name: str
+    due: float
+    end: End
+    answered_at: float = 0.0
+
+
+class LargeFleet(House):
+    """The daemon before many servers.  A release replaces six in ten; these have an address for each step."""
+
+    def __init__(self, servers: int, *, peers: bool, started: float = 0.0) -> None:
+        super().__init__(
+            STEPS + 1,
+            settings={"instances": 200, "position": 7},
+            limits={"second_copies": True, "attempts_cap": 6, "may_tell": peers, "max_open": 5000},
+        )
+        self.clock = Metered()
+        self._relays = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(RELAYS)]
+        for sock in self._relays:
+            sock.bind(("127.0.0.1", 0))
+        self._peer = ("127.0.0.1", free_port())
+        if peers:
+            own = f"{self._peer[0]}:{self._peer[1]}"
+            others = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in self._relays]
+            self.raw["peer_listen"], self.raw["peers"] = own, [*others, *[own] * 6]
+        share = servers * 6 // 10 // STEPS
+        self.share = share
+        # the last address has all that are there at the end
+        self.address = {f"s-{n:08x}": f"h{min(n // share, STEPS) + 1}" for n in range(servers)}
+        self.servers = list(self.address)
+        self.raw["known"] = self.listing(3, self.servers, started=started, whole=True)
+        self.begun: list[tuple[str, float]] = []  # attempts, by the stand-in that got them
+        self.told_off: dict[str, float] = {}  # when discovery wrote that all servers of a stand-in drain
+        self.asked: list[Asked] = []
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._version = 3
+
+    def listing(
+        self, version: int, names: list[str], state: str = "active", started: float = 0.0, whole: bool = False
+    ) -> dict[str, object]:
+        """A list, or changes of it, in the form of discovery."""
+        return {"generation": version, "reset": whole, "instances": [
+            {"instanceId": name, "hostPort": self.hosts[self.address[name]].address, "zone": "a", "machineType": "m1",
+             "cell": 0, "lifecycle": state, "weight": 1.0, "startedAtMs": started} for name in names
+        ]}  # fmt: skip
+
+    def later(self, delay: float, act: Callable[[], None]) -> None:
+        """Do it after that time."""
+        heapq.heappush(self._agenda, (self.clock.now() + delay, next(self._order), act))
+
+    def tell(self, names: list[str], state: str, started: float = 0.0) -> None:
+        """Discovery writes a change to the watch that waits for it."""
+        self._version += 1
+        body = json.dumps(self.listing(self._version, names, state, started)).encode()
+        for end in self.register.ends:
+            if end.take() and not end.over:
+                end.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def release(self, step: float) -> None:
+        """Six in ten servers are replaced by new ones, in steps."""
+        for number in range(STEPS):
+            leaving = self.servers[number * self.share : (number + 1) * self.share]
+            fresh = [f"r-{number}-{n:06x}" for n in range(self.share)]
+            self.address.update(dict.fromkeys(fresh, f"h{STEPS + 1}"))
+            self.later(number * step + step * 0.4, partial(self._drain, number, leaving))
+            self.later(number * step + step * 0.7, partial(self._start, fresh))
+            self.later(number * step + step * 0.9, partial(self.tell, leaving, "left"))
+
+    def _drain(self, number: int, names: list[str]) -> None:
+        self.tell(names, "leaving")
+        self.told_off[f"h{number + 1}"] = self.clock.now()
+
+    def _start(self, names: list[str]) -> None:
+        self.tell(names, "active", self.clock.now())
+
+    def summarize(self, level: int) -> None:
+        """From now on two dispatchers tell that all servers have this load level."""
+        peers = self.daemon.core.dispatcher.peers
+        for sock in self._relays:
+            for part in peers.sums([level] * len(peers.roster)):
+                sock.sendto(part, self._peer)
+        self.later(SUMMARY_GAP, partial(self.summarize, level))
+
+    def ask_in_turn(self, clients: list[End], gap: float, requests: int, remaining: int) -> None:
+        """Clients hand in requests at a steady rate, each on a connection that is free."""
+
+        def ask(number: int) -> None:
+            busy = {asked.end for asked in self.asked if not asked.answered_at}
+            free = [end for end in clients if end not in busy]
+            if free:
+                self.asked.append(Asked(f"t{number}", self.clock.now() + remaining, free[0]))
+                free[0].send(message(f"t{number}", ("safe", "once", "keyed")[number % 3], remaining))
+
+        for number in range(requests):
+            self.later(number * gap, partial(ask, number))
+
+    def _serve(self) -> None:
+        """The servers begin what has come, and each ends it after its run."""
+        for standin in self.hosts.values():
+            for end in standin.ends:
+                while request := end.take():
+                    name = name_of(request)
+                    self.begun.append((standin.name, self.clock.now()))
+                    end.send(HEAD + line(name, "started"))
+                    self.later(RUN, partial(end.send, line(name, "done", "ok") + LAST))
+
+    def _note_answers(self) -> None:
+        for asked in self.asked:
+            if not asked.answered_at and asked.end.got.startswith(ANSWERS):
+                asked.answered_at, asked.end.got = self.clock.now(), b""
+
+    async def run_until(self, end: float) -> None:
+        """Let all happen that is due within so many ms after the start, in its order."""
+        end, deadlines = BEGIN + end, self.daemon.loop.deadlines
+        while True:
+            head = deadlines.head()
+            act = self._agenda[0][0] if self._agenda else float("inf")
+            due = min(act, head if head is not None else float("inf"))
+            if due > end or self.clock.now() > 2 * end - BEGIN:
+                break
+            self.clock.at = due
+            if act <= due:
+                heapq.heappop(self._agenda)[2]()
+            else:
+                self.daemon.turn()
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+            self._serve()
+            self._note_answers()
+
+    def lost(self) -> list[str]:
+        """Requests that got no final answer in their time."""
+        return [a.name for a in self.asked if not a.answered_at or a.answered_at > a.due + LATE]
+
+    def sent_to_draining(self) -> list[tuple[str, float]]:
+        """Attempts that a server got after it was told to drain, and past the grace."""
+        return [(name, at) for name, at in self.begun if at > self.told_off.get(name, float("inf")) + GRACE]
+
+    def close(self) -> None:
+        """Close what is not the daemon's."""
+        for sock in self._relays:
+            sock.close()
--- /dev/null
+++ b/tests/scale/test_release.py
@@ -0,0 +1,47 @@
+"""Large fleets: each request is answered in its time, whatever happens to the list, at a part of a core."""
+
+import pytest
+from endings.house import BEGIN, play
+
+from scale.fleet import STEPS, LargeFleet
+
+SERVERS = 3200  # sixteen times the usual number
+STEP = 1000.0  # ms between two steps of a release
+REMAINING = 2000  # ms that a client waits
+
+
+@pytest.mark.parametrize("peers", [True, False], ids=["peers", "apart"])
+def test_no_request_is_lost_while_a_large_cold_fleet_is_replaced(peers: bool) -> None:
+    """All servers are cold, so requests wait here: to look at all servers for each of them takes all the CPU."""
+
+    async def test() -> None:
+        house = LargeFleet(SERVERS, peers=peers, started=BEGIN - 1)
+        async with house.open():
+            clients = [await house.client() for _ in range(40)]
+            house.release(STEP)
+            house.ask_in_turn(clients, 25.0, int((STEPS + 2) * STEP / 25.0), REMAINING)
+            await house.run_until((STEPS + 2) * STEP + REMAINING + 1000)
+            assert len(house.asked) > 100
+            assert house.lost() == []
+            assert house.sent_to_draining() == []
+        house.close()
+
+    play(test)
+
+
+def test_no_request_is_lost_while_all_of_a_large_fleet_is_told_to_be_full() -> None:
+    """Requests wait, and each part of a summary of load has them looked at again: at the cost of that part alone."""
+
+    async def test() -> None:
+        house = LargeFleet(SERVERS, peers=True)
+        async with house.open():
+            clients = [await house.client() for _ in range(20)]
+            house.summarize(8)
+            await house.run_until(500)
+            house.ask_in_turn(clients, 250.0, 40, REMAINING)
+            await house.run_until(15_000)
+            assert len(house.asked) > 20
+            assert house.lost() == []
+        house.close()
+
+    play(test)
