--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -48,7 +48,8 @@
     """One dispatcher's parts of the cold workers, what it lends of them, and what it has been lent."""
 
     __slots__ = (
-        "_asked", "_born", "_granted", "_lends", "_open", "_s", "_tickets", "_turn", "apart", "asked", "lent", "used",
+        "_asked", "_born", "_granted", "_hold", "_instances", "_lends", "_open", "_position", "_s", "_stands",
+        "_tickets", "_turn", "apart", "asked", "lent", "used",
     )  # fmt: skip
 
     def __init__(self, settings: pk.Settings) -> None:
@@ -57,6 +58,9 @@
         self.apart = settings.instances > FEW and not settings.may_tell  # we are many, and none hears of another
         self._tickets = Tickets(settings, MARGIN) if self.apart else None
         self._born = -1.0
+        self._instances, self._position = settings.instances, settings.position
+        self._stands = MARGIN * settings.tip_multiple * settings.overload_for  # work, by slot and part of its capacity
+        self._hold = HOLD if self._lends else 1.0
         self._turn = settings.position  # so that not all ask the same one
         self._asked: dict[int, float] = {}  # by worker, when we asked last
         self._open: set[int] = set()  # the workers whose last ask has no answer yet
@@ -72,10 +76,14 @@
             return 0.0
         if self._born < 0:
             self._born = now
-        budget = MARGIN * self._s.tip_multiple * warmth * worker.model.slots * self._s.overload_for
-        users = min(self._s.instances, max(1, int(budget / (HOLD * job if self._lends else job))))
+        budget = self._stands * warmth * worker.model.slots
+        users = int(budget / (self._hold * job))
+        if users < 1:
+            users = 1
+        elif users > self._instances:
+            users = self._instances
         worker.users = users
-        return budget / users if (self._s.position - worker.id) % self._s.instances < users else 0.0
+        return budget / users if (self._position - worker.id) % self._instances < users else 0.0
 
     def ranked(self) -> None:
         """All workers have been asked for by :meth:`share`."""
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -516,6 +516,8 @@
         """Upper confidence bound on the payoff of each; with N = 0 the mean of the others' bounds."""
         log_t, near, warm_after = 4 * self.log_t, self.s.zone, self.s.warm_after
         unknown_near, unknown_far = self.usual, self.usual - PAYOFF_TOP * self.s.cross_zone_price
+        cold_from, warming = self.s.cold_from, (1 - self.s.cold_from) / warm_after if warm_after else 0.0
+        share, job = self.parts.share, self.mean_span or self.aims[0]
         for worker in self.order:
             if worker.n > 0.01:
                 bound = worker.mean + sqrt(log_t / worker.n)
@@ -527,14 +529,11 @@
             if not since or now - since >= warm_after:
                 worker.budget, worker.rank = inf, bound
             else:
-                worker.rank = bound * self._warm(worker, now - since, now)
-
-    def _warm(self, worker: Worker, age: float, now: float) -> float:
-        """Slow start: the share of its capacity that a worker has at least at that age; cold is no bargain."""
-        warmth = self.s.cold_from + (1 - self.s.cold_from) * max(0.0, age) / self.s.warm_after
-        # rule 4: our share of what it stands; so few share it that each one's part holds a job
-        worker.budget = self.parts.share(worker, warmth, self.mean_span or self.aims[0], now)
-        return warmth
+                # slow start: the share of its capacity that it has at least; cold is no bargain
+                warmth = cold_from + warming * max(0.0, now - since)
+                # rule 4: our share of what it stands; so few share it that each one's part holds a job
+                worker.budget = share(worker, warmth, job, now)
+                worker.rank = bound * warmth
 
     def _on_list(self, event: pk.WorkerList, now: float) -> None:
         if event.kind == pk.ListKind.FAILED:
--- a/tests/endings/house.py
+++ b/tests/endings/house.py
@@ -199,7 +199,7 @@
         self.raw = {
             "name": "n0", "listen": self.listen, "discovery": self.register.address, "seed": "ab12",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)},
-            "known": self.listed(3, *self.hosts), "settings": settings, **changes,
+            "known": self.listed(3, *changes.pop("listed", self.hosts)), "settings": settings, **changes,
         }  # fmt: skip
         self.level = "debug"
         self.daemon: Daemon
@@ -229,6 +229,10 @@
         body = json.dumps(self.listed(version, *lines, whole=whole), indent=indent).encode()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
+    async def turn_once(self) -> None:
+        """Let the loop turn once."""
+        await asyncio.sleep(0)
+
     async def settle(self) -> None:
         """Let all that is under way arrive."""
         for _ in range(TURNS):
