No attempt begins by a list whose change waits unread, nor past the list's time

Cause (class: a decision goes by what the loop has read, while what counts is what was written to us): after a turn of 3 s the loop reads a client before discovery, and a warm connection was written to at once (South.send); the timer that ends the list's time (Inventory._doubted) is only swept with the next turn. The same class once more: a warm connection past its rest was used before the overdue timer had closed it.

Change: Inventory.behind tells whether bytes of discovery wait unread (asked of the kernel at most once in 500 ms, the grace being 2.5 s) or the list's time is over; Core postpones an attempt or a dial that has come up until that is known, and says so (attempt_postponed). South.send looks at the time of a resting connection itself.

--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -104,7 +104,7 @@
             settings, config.seed, self, deadlines, log=log,
             subscribe=self._subscribe, tell=lambda content, peer: self.takeover.tell(content, peer),
             max_open=min(config.max_open, int(config.memory_mb * 32)),  # bodies apart, a message takes a few KB
-            max_come_back=config.max_come_back,
+            max_come_back=config.max_come_back, behind=self.inventory.behind,
         )  # fmt: skip
         self.south.core = self.core
         if not config.paced:  # operators' files that pace their calls go by the list they have for longer
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -18,6 +18,8 @@
 from heronlug.memory.numbers import Numbers
 from heronlug.memory.slots import Slots
 
+POSTPONED = 5.0  # ms until the list is looked at again, for which an attempt waits
+
 Event = pk.Event
 Logger = Callable[..., None]
 
@@ -145,6 +147,7 @@
         max_open: int = 20_000,
         max_come_back: float = 0.0,
         hooks: Hooks | None = None,
+        behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self.settings, self.front, self.deadlines = settings, front, deadlines
         self.hooks = hooks
@@ -161,6 +164,8 @@
         self._queue: deque[Event] = deque()
         self._pumping = False
         self._log, self._subscribe, self._tell = log, subscribe, tell
+        self.behind = behind  # the list is about to change: no attempt begins before that is known
+        self.postponed = 0  # attempts that have waited for the list
         self.max_open, self._max_come_back = max_open, max_come_back
         self.answer_by = inf  # the last moment for any answer, once a stop has begun
         self.lanes = [lane.name for lane in settings.classes]
@@ -459,9 +464,28 @@
         relay.ticket = self.relays.put(relay)
         if now >= message.give_up_at or relay.number >= self.settings.cap(message.terms) or self._left(message):
             self.ended(relay, pk.Outcome.MOOT)
+        elif self.behind():
+            self.postpone(self._begin, relay)
         else:
             self.front.send(relay)
 
+    def postpone(self, act: Callable[[Relay], None], relay: Relay) -> None:
+        """Go on with an attempt at the next sweep, for the list is read in this turn."""
+        self.postponed += 1
+        self._log("attempt_postponed", message=relay.message.ticket, relay=relay.number, host=relay.host.entry.name)
+        self.deadlines.after(0.0, act, relay)
+
+    def _begin(self, relay: Relay) -> None:
+        """Begin an attempt that has waited for the list, if that still allows it."""
+        if not relay.out:
+            return
+        if self.behind():
+            self.deadlines.after(POSTPONED, self._begin, relay)
+        elif self.may_write(relay):
+            self.front.send(relay)
+        else:
+            self.ended(relay, pk.Outcome.CONNECT_FAILED)
+
     def _left(self, message: Message) -> bool:
         """Whether nothing is owed; a client may have left long ago, with the news of it not read yet."""
         if not message.closed and not self.front.here(message):
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -14,12 +14,14 @@
 from heronlug.memory.core import HostEntry
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.wire import http
+from heronlug.wire.ends import unread
 
 WAIT = 20_000.0  # a call waits so long for something new
 SPREAD = 0.4  # or for up to so much of it less, each dispatcher in its place: calls of many do not end together
 LATE = 500.0  # and is given up after so much more: what it has missed counts as told soon after
 LIST_WAIT = 3_500.0  # an answer that does not wait for news, or has begun, is given up after this
 DIAL_WAIT = 1_000.0  # an address that neither answers nor refuses is given up after this
+READ_WITHIN = 500.0  # what has been written to us longer ago than this has been read; far below the grace for drains
 MAX_LIST = 8 * 1024 * 1024
 STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
@@ -224,6 +226,7 @@
         self._deadline: Key | None = None
         self._dial: asyncio.Task[None] | None = None
         self.pace: Pace | None = None
+        self._read_at = -math.inf  # nothing that was written to us before that waits to be read
         self.listed = False  # there is a list to go by, if an old one
         self._again: Key | None = None  # when the next call may go
         self._begun = False
@@ -265,6 +268,23 @@
             self._log("list_doubted", state=self.told.state.value)
             self.doubt()
 
+    def behind(self) -> bool:
+        """Whether the list that is held must not be gone by, though the loop has not come to know of it.
+
+        The loop may have stood still: a change that counts as told waits unread behind other bytes, or the timer that
+        ends the list's time is overdue.  Both are over within a turn of the loop, so whatever is to go out waits.
+        """
+        now = self._deadlines.clock()
+        if self.doubt is not None and self.address and now >= self.told.sure_until and self._doubt is not None:
+            return True
+        if now - self._read_at < READ_WITHIN:
+            return False
+        call = self.call
+        if call is not None and call.transport is not None and not call.lost and unread(call.transport):
+            return True
+        self._read_at = now
+        return False
+
     @property
     def watching(self) -> bool:
         """Whether a watch is on."""
--- a/heronlug/wire/south.py
+++ b/heronlug/wire/south.py
@@ -10,7 +10,7 @@
 import orjson
 
 from heronlug.interface import NoteKind, Outcome
-from heronlug.memory.core import Core, Host, Relay
+from heronlug.memory.core import POSTPONED, Core, Host, Relay
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.memory.slots import Slots
 from heronlug.wire import http
@@ -357,8 +357,11 @@
             pool = None
         while pool:
             connection = pool.pop()
+            rested = connection.deadline is not None and connection.deadline[0] <= self.deadlines.clock()
             named = connection.txn != relay.message.load.txn and self.deadlines.clock() >= connection.nameless_until
-            if not named or (once and connection.nameless_until):
+            if rested:
+                connection.close()  # its time is over, though the loop has not come to close it
+            elif not named or (once and connection.nameless_until):
                 connection.close()  # its last answer, come twice, would be taken for the next one's
             elif connection.address == relay.host.entry.address and connection.sound():
                 self.deadlines.drop(connection.deadline)
@@ -402,8 +405,13 @@
 
     def dialled(self, connection: Connection) -> None:
         """A connection is up.  Guards the rules at the write: its relay may have lost its right to go out."""
-        self.deadlines.drop(connection.deadline)
         relay = connection.relay
+        if connection.closed:
+            return
+        if relay is not None and self.core.behind():
+            self.deadlines.after(POSTPONED, self.dialled, connection)
+            return
+        self.deadlines.drop(connection.deadline)
         if relay is None:
             self.rest(connection)
         elif connection.address == relay.host.entry.address and self.core.may_write(relay):
--- a/tests/endings/test_stall.py
+++ b/tests/endings/test_stall.py
@@ -116,3 +116,21 @@
             assert client.got().startswith(b"HTTP/1.1 503 ")
 
     play(test)
+
+
+def test_a_connection_past_its_rest_is_not_written_to() -> None:
+    """Risk: the server has forgotten it, and what must not run twice is lost on it; the timer that closes it is late."""
+
+    async def test() -> None:
+        async with House(1).open() as house:
+            await warm(house, "h1")
+            client = house.kernel()
+            await house.settle()
+            client.send(message("t1", "once", 4000))
+            house.stall(LONG)  # of the 4 s that the server keeps a connection, ours may rest for 2.8 s
+            await house.settle()
+            await house.pass_time(50)
+            end, _ = await house.hosts["h1"].request()
+            assert end is not house.hosts["h1"].ends[0]
+
+    play(test)
