Logs name the request and why it was given up, retried or late; a failing test of held retries

Hypothesis, and a test that makes it happen each time: servers turn attempts away, the budget of retries is spent, and a retry that may not go is held against every server of the list, at each end of an attempt (_may_repeat, asked once for each server, answers the same for all).

--- a/heronlug/interface.py
+++ b/heronlug/interface.py
@@ -330,16 +330,31 @@
     worker: int
 
 
+class Reason(Enum):
+    """Why the module gives a job up: for the log, nothing follows from it."""
+
+    NO_TIME = "no_time"  # its client's time is over, or there is none left for an attempt
+    NO_ATTEMPT = "no_attempt"  # it may have no further one: the cap, or its window for repeats
+    MAY_HAVE_RUN = "may_have_run"  # an attempt ended unknown, and it must not run twice
+    FAULTY = "faulty"  # servers find fault with the job itself
+    HOPELESS = "hopeless"  # it would be worth nothing when it could end
+    MOOT = "moot"  # its attempt could not begin any more
+    OVERRUN = "overrun"  # its limits had the attempt cancelled, and allow no other
+    SHUTDOWN = "shutdown"  # the process ends
+
+
 class Refuse(NamedTuple):
     """Final answer: a retry is harmless."""
 
     job: int
+    reason: Reason = Reason.NO_TIME
 
 
 class Fail(NamedTuple):
     """Final answer: nothing is promised."""
 
     job: int
+    reason: Reason = Reason.NO_TIME
 
 
 class Cancel(NamedTuple):
@@ -400,6 +415,7 @@
     "PeerGone",
     "PeerMessage",
     "ProbeResult",
+    "Reason",
     "Refuse",
     "Send",
     "SetTimer",
--- a/heronlug/life/operate.py
+++ b/heronlug/life/operate.py
@@ -18,6 +18,9 @@
     "parts_asked": ("counter", "parts of cold runners asked for"),
     "parts_lent": ("counter", "parts of cold runners lent to others"),
     "parts_used": ("counter", "jobs sent on parts that others lent"),
+    "attempts_postponed": ("counter", "attempts that waited until a list that had come was read"),
+    "slow_events": ("counter", "events that held the loop up for 100 ms or more"),
+    "waiting": ("gauge", "jobs that wait for a runner"),
 }
 NAMES = {Final.SERVED: "success", Final.REFUSED: "overload", Final.FAILED: "error"}
 
@@ -41,6 +44,9 @@
         alone["parts_asked"] += parts.asked
         alone["parts_lent"] += parts.lent
         alone["parts_used"] += parts.used
+        alone["attempts_postponed"] += core.postponed
+        alone["slow_events"] += core.slow_events
+        alone["waiting"] += len(core.dispatcher.held) + len(core.dispatcher.late)
     return "\n".join([*_lines(by_class, alone), ""])
 
 
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -38,6 +38,7 @@
 from heronlug.wire.peers import Peers
 from heronlug.wire.south import South
 
+LATE_TURN = 250.0  # ms that a timer may be late before it is worth a line
 PROGRAM_MB, MIN_HELD = 24.0, 4.0  # what the program takes by itself; bodies of clients may take so much at least
 SPARE_DESCRIPTORS = 64  # for the loop, the log, the inventory, the peers and the listeners
 
@@ -59,6 +60,7 @@
         except Exception as error:  # one deadline's fault must not stop the others
             self._log("exception", where="deadlines", error=repr(error))
         head = self.deadlines.head()
+        self._note_late()
         if head == self._armed_for:
             return
         if self._timer is not None:
@@ -68,6 +70,12 @@
             delay = max(0.0, head - self.clock.now()) / 1000
             self._timer = asyncio.get_running_loop().call_later(delay, self._fire)
 
+    def _note_late(self) -> None:
+        """The loop has stood still past a timer, or the process had no processor meanwhile."""
+        late = self.deadlines.late
+        if late >= LATE_TURN:
+            self._log("late_turn", ms=round(late, 1), deadlines=len(self.deadlines))
+
     def _fire(self) -> None:
         self._timer = self._armed_for = None
         self.turn()
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -126,7 +126,7 @@
         job.work = (job.size or run) * job.need
         job.value = job.lane.worth * run * job.need
         self.ledger.ask(job.cls, job.value)
-        self.agenda.at(job.give_up_at - self.s.tick, self._finish, job)
+        self.agenda.at(job.give_up_at - self.s.tick, self._on_time_over, job)
         return job
 
     def _place_at(self, job: Job, when: float, now: float) -> None:
@@ -135,17 +135,19 @@
         if now < when < job.give_up_at - self.s.tick and len(job.attempts) < job.cap:
             self.agenda.at(when, self._place, job)
         elif now < when:
-            self._finish(job)
+            self._finish(job, pk.Reason.NO_TIME if len(job.attempts) < job.cap else pk.Reason.NO_ATTEMPT)
         else:
             self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
-        if job.give_up_at - self.s.tick <= now or job.spent(now + self.way):
-            self._finish(job)
+        if job.give_up_at - self.s.tick <= now:
+            self._finish(job, pk.Reason.NO_TIME)
+        elif job.spent(now + self.way):
+            self._finish(job, pk.Reason.NO_ATTEMPT)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
         elif job.faulted:
-            self._finish(job)  # most likely the job's own fault: no wait for a second opinion
+            self._finish(job, pk.Reason.FAULTY)  # most likely its own fault: no wait for a second opinion
         else:
             self._hold(job, now)
 
@@ -330,7 +332,7 @@
                     heappush(self.late, (-job.late_worth(), seq, job))
                 elif job.lapses(now + self.way) or (late and self.crowd.vain(job, self._expected(job), now)):
                     heappop(heap)  # it would die running: as well answer while a refusal is harmless
-                    self._finish(job)
+                    self._finish(job, pk.Reason.HOPELESS)
                 elif (worker := self._choose(job, now, late)) is not None:
                     heappop(heap)
                     self._send(job, worker, now)
@@ -419,24 +421,31 @@
         if event.final:
             self.ledger.win(job.cls, job.value * (1.0 if now <= job.due else job.lane.late_value))
             self._close(job.id)
-        elif outcome == pk.Outcome.MOOT or (flight.may_have_run and job.once) or len(job.faulted) >= FAULTS:
-            self._finish(job)
+        elif outcome == pk.Outcome.MOOT:
+            self._finish(job, pk.Reason.MOOT)
+        elif flight.may_have_run and job.once:
+            self._finish(job, pk.Reason.MAY_HAVE_RUN)
+        elif len(job.faulted) >= FAULTS:
+            self._finish(job, pk.Reason.FAULTY)
         elif not any(f.out for f in job.attempts):
             if not job.lane.again and any(f.overrun for f in job.attempts):
-                self._finish(job)
+                self._finish(job, pk.Reason.OVERRUN)
             else:
                 self._place_at(job, now + job.lane.wait_before(len(job.attempts)), now)
 
-    def _finish(self, job: Job, _: float = 0.0) -> None:
+    def _on_time_over(self, job: Job, _: float) -> None:
+        self._finish(job, pk.Reason.NO_TIME)
+
+    def _finish(self, job: Job, reason: pk.Reason) -> None:
         """Rule 1: the one place of final answers.  Refuse only where a retry is surely harmless."""
         asked = job.harmless and not job.faulted  # to ask again would change nothing
         harmless = asked or not any(f.may_have_run for f in job.attempts)
-        self.out.append(pk.Refuse(job.id) if harmless else pk.Fail(job.id))
+        self.out.append(pk.Refuse(job.id, reason) if harmless else pk.Fail(job.id, reason))
         self._close(job.id)
 
     def _on_no_time(self, event: pk.NoTimeLeft, now: float) -> None:
         if (job := self.jobs.get(event.job)) is not None:
-            self._finish(job)
+            self._finish(job, pk.Reason.SHUTDOWN)
 
     def _close(self, job_id: int) -> None:
         job = self.jobs.pop(job_id, None)
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -18,6 +18,7 @@
 from heronlug.memory.numbers import Numbers
 from heronlug.memory.slots import Slots
 
+SLOW_EVENT = 100.0  # ms that an event may take before it is worth a line
 POSTPONED = 5.0  # ms until the list is looked at again, for which an attempt waits
 
 Event = pk.Event
@@ -166,6 +167,7 @@
         self._log, self._subscribe, self._tell = log, subscribe, tell
         self.behind = behind  # the list is about to change: no attempt begins before that is known
         self.postponed = 0  # attempts that have waited for the list
+        self.slow_events = 0  # events of the module that took longer than SLOW_EVENT
         self.max_open, self._max_come_back = max_open, max_come_back
         self.answer_by = inf  # the last moment for any answer, once a stop has begun
         self.lanes = [lane.name for lane in settings.classes]
@@ -201,7 +203,8 @@
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
         full = message.give_up_at <= now or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
-            self._close(message, Final.REFUSED, b"", self._max_come_back / 2)
+            reason = "not_admitted" if not full else "expired" if message.give_up_at <= now else "too_many_open"
+            self._close(message, Final.REFUSED, b"", self._max_come_back / 2, reason)
         else:
             self._give(pk.JobArrived(message.ticket, lane, message.give_up_at, terms=terms, **fields))
         return message
@@ -266,7 +269,7 @@
         if not message.closed:
             message.gone = True
             self.open -= 1
-            self._log("client_gone", message=message.ticket)
+            self._log("client_gone", message=message.ticket, id=message.name)
             self._give(pk.ClientGone(message.ticket))
             self._forget(message)
 
@@ -277,7 +280,7 @@
     def fail(self, message: Message) -> None:
         """Give it up from outside the module: its final answer is a failure, and what is out is cancelled."""
         if not message.closed:
-            self._close(message, Final.FAILED, b"")
+            self._close(message, Final.FAILED, b"", reason="connection_rejected")
             self._give(pk.ClientGone(message.ticket))
             self._forget(message)
 
@@ -326,7 +329,7 @@
         message, now = relay.message, self.deadlines.clock()
         if outcome != pk.Outcome.SERVED:
             self._log(
-                "relay_ended", message=message.ticket, relay=relay.number, host=relay.host.entry.name,
+                "relay_ended", message=message.ticket, id=message.name, relay=relay.number, host=relay.host.entry.name,
                 outcome=outcome.name.lower(), ms=round(now - relay.sent_at, 1),
             )  # fmt: skip
         elif not message.closed:
@@ -426,12 +429,23 @@
         self._pumping = True
         try:
             while self._queue:
-                now = self.deadlines.clock()
-                for action in self.dispatcher.handle(now, self._queue.popleft()):
+                now, event = self.deadlines.clock(), self._queue.popleft()
+                for action in self.dispatcher.handle(now, event):
                     self._do(action, now)
+                took = self.deadlines.clock() - now
+                if took >= SLOW_EVENT:
+                    self._note_slow(event, took)
         finally:
             self._pumping = False
 
+    def _note_slow(self, event: Event, took: float) -> None:
+        """An event has held the loop up, or the process had no processor meanwhile."""
+        self.slow_events += 1
+        self._log(
+            "slow_event", kind=type(event).__name__, ms=round(took, 1), hosts=len(self.hosts), open=self.open,
+            waiting=len(self.dispatcher.held) + len(self.dispatcher.late),
+        )  # fmt: skip
+
     def _do(self, action: pk.Action, now: float) -> None:
         if isinstance(action, pk.Send):
             self._send(action, now)
@@ -441,7 +455,8 @@
             message = self.messages.get(action.job)
             if message is not None and not message.closed:
                 refused = isinstance(action, pk.Refuse)
-                self._close(message, Final.REFUSED if refused else Final.FAILED, b"", self._max_come_back / 2)
+                final = Final.REFUSED if refused else Final.FAILED
+                self._close(message, final, b"", self._max_come_back / 2, action.reason.value)
                 self._forget(message)
         elif isinstance(action, pk.Cancel):
             message = self.messages.get(action.job)
@@ -462,6 +477,12 @@
         relay = Relay(message, len(message.relays), host, now)
         message.relays.append(relay)
         relay.ticket = self.relays.put(relay)
+        if relay.number:
+            hedged = any(other.out for other in message.relays[:-1])
+            self._log(
+                "attempt_hedged" if hedged else "attempt_retried", message=message.ticket, id=message.name,
+                relay=relay.number, host=host.entry.name,
+            )  # fmt: skip
         if now >= message.give_up_at or relay.number >= self.settings.cap(message.terms) or self._left(message):
             self.ended(relay, pk.Outcome.MOOT)
         elif self.behind():
@@ -472,7 +493,10 @@
     def postpone(self, act: Callable[[Relay], None], relay: Relay) -> None:
         """Go on with an attempt at the next sweep, for the list is read in this turn."""
         self.postponed += 1
-        self._log("attempt_postponed", message=relay.message.ticket, relay=relay.number, host=relay.host.entry.name)
+        message = relay.message
+        self._log(
+            "attempt_postponed", message=message.ticket, id=message.name, relay=relay.number, host=relay.host.entry.name
+        )
         self.deadlines.after(0.0, act, relay)
 
     def _begin(self, relay: Relay) -> None:
@@ -502,19 +526,21 @@
         for relay in message.relays:
             self._end_early(relay, pk.Outcome.TIMEOUT)
         if not message.closed:
-            self._log("overdue", message=message.ticket)
-            self._close(message, Final.FAILED, b"")
+            self._log("overdue", message=message.ticket, id=message.name)
+            self._close(message, Final.FAILED, b"", reason="overdue")
         self._forget(message)
 
-    def _close(self, message: Message, final: Final, body: bytes, come_back: float = 0.0) -> None:
+    def _close(
+        self, message: Message, final: Final, body: bytes, come_back: float = 0.0, reason: str = ""
+    ) -> None:
         """The one place where a final answer goes out."""
         message.final = final
         self.open -= 1
         self.turned_away(message.lane, final)
         took = self.deadlines.clock() - message.taken_at
         self._log(
-            "answer", message=message.ticket, lane=self.settings.classes[message.lane].name,
-            final=final.value, relays=len(message.relays), ms=round(took, 1),
+            "answer", message=message.ticket, id=message.name, lane=self.settings.classes[message.lane].name,
+            final=final.value, relays=len(message.relays), ms=round(took, 1), **({"why": reason} if reason else {}),
         )  # fmt: skip
         self.front.answer(message, final, body, come_back)
         if self.hooks is not None:
--- a/heronlug/memory/deadlines.py
+++ b/heronlug/memory/deadlines.py
@@ -33,12 +33,13 @@
 class Deadlines:
     """What is to be called, and when."""
 
-    __slots__ = ("_due", "_seq", "clock")
+    __slots__ = ("_due", "_seq", "clock", "late")
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self._due: SortedDict[Key, tuple[Callable[..., object], tuple[Any, ...]]] = SortedDict()
         self._seq = 0
+        self.late = 0.0  # by how much the last sweep came after the first that it called
 
     def __len__(self) -> int:
         return len(self._due)
@@ -65,8 +66,10 @@
 
     def sweep(self) -> int:
         """Call all that is due by now, in order; what is added for now meanwhile waits for the next sweep."""
-        called = 0
-        for key in list(self._due.irange(maximum=(self.clock(), self._seq))):
+        called, now = 0, self.clock()
+        due = list(self._due.irange(maximum=(now, self._seq)))
+        self.late = now - due[0][0] if due else 0.0
+        for key in due:
             entry = self._due.pop(key, None)
             if entry is not None:  # one that was due before it may have dropped it
                 called += 1
--- a/tests/endings/test_stall.py
+++ b/tests/endings/test_stall.py
@@ -119,7 +119,7 @@
 
 
 def test_a_connection_past_its_rest_is_not_written_to() -> None:
-    """Risk: the server has forgotten it, and what must not run twice is lost on it; the timer that closes it is late."""
+    """Risk: the server has forgotten it, so what must not run twice is lost; the timer that closes it is late."""
 
     async def test() -> None:
         async with House(1).open() as house:
--- a/tests/scale/fleet.py
+++ b/tests/scale/fleet.py
@@ -16,7 +16,7 @@
 from functools import partial
 from itertools import count
 
-from endings.house import BEGIN, HEAD, LAST, End, Hand, House, line, message, name_of
+from endings.house import BEGIN, HEAD, LAST, TURNED_AWAY, End, Hand, House, line, message, name_of
 from exchange import SETTINGS
 
 from heronlug.standin.ports import free_port
@@ -92,6 +92,7 @@
         self.begun: list[tuple[str, float]] = []  # attempts, by the stand-in that got them
         self.told_off: dict[str, float] = {}  # when discovery wrote that all servers of a stand-in drain
         self.asked: list[Asked] = []
+        self.turn_away = False  # servers turn away what comes
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._version = 3
@@ -178,6 +179,9 @@
                 while request := end.take():
                     name = name_of(request)
                     self.begun.append((standin.name, self.clock.now()))
+                    if self.turn_away:
+                        end.send(TURNED_AWAY)
+                        continue
                     end.send(HEAD + line(name, "started"))
                     self.later(RUN, partial(end.send, line(name, "done", "ok") + LAST))
 
--- a/tests/scale/test_release.py
+++ b/tests/scale/test_release.py
@@ -47,3 +47,21 @@
         house.close()
 
     play(test)
+
+
+@pytest.mark.parametrize("peers", [True, False], ids=["peers", "apart"])
+def test_no_request_is_lost_while_retries_wait_for_their_budget(peers: bool) -> None:
+    """Attempts fail, and the budget of retries is spent: what waits for it is no reason to look at any server."""
+
+    async def test() -> None:
+        house = LargeFleet(SERVERS, peers=peers)
+        house.turn_away = True
+        async with house.open():
+            clients = await house.clients(60)
+            house.ask_in_turn(clients, 25.0, 200, REMAINING)
+            await house.run_until(9_000)
+            assert len(house.asked) > 60
+            assert house.lost() == []
+        house.close()
+
+    play(test)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -25,7 +25,7 @@
     WorkerState,
 )
 from heronlug.arrival.parts import MARGIN
-from heronlug.interface import NEVER_RAN
+from heronlug.interface import NEVER_RAN, Reason
 
 OUTCOMES = [Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET]
 
@@ -52,7 +52,7 @@
     sends = [a for a in actions if isinstance(a, Send)]
     may_have_run = outcome not in NEVER_RAN
     if lane.effect is Effect.ONCE and may_have_run:
-        assert not sends and Fail(job) in actions
+        assert not sends and Fail(job, Reason.MAY_HAVE_RUN) in actions
     elif lane.effect is Effect.BY_KEY and may_have_run and wait > last:
         assert not sends  # and what can never be sent again is not held
         assert host.answered[job] == ("refused" if lane.key_scope is KeyScope.ALL else "failed")
@@ -68,7 +68,7 @@
     host = Host(with_settings(attempts_cap=1))
     job = host.job(2)
     host.now += 5
-    assert Refuse(job) in host.end(job, 0, Outcome.FULL)
+    assert Refuse(job, Reason.NO_ATTEMPT) in host.end(job, 0, Outcome.FULL)
 
 
 def test_no_copy_where_second_copies_are_forbidden() -> None:
