--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -10,7 +10,7 @@
 from heronlug import interface as pk
 from heronlug.arrival.crowd import Crowd
 from heronlug.arrival.parts import Parts
-from heronlug.decisions import Candidates
+from heronlug.decisions import Candidates, Group
 from heronlug.halls.offers import Halls
 from heronlug.learned import flights, recall
 from heronlug.records import QUIET, SUSPECT, Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
@@ -126,7 +126,7 @@
         job.work = (job.size or run) * job.need
         job.value = job.lane.worth * run * job.need
         self.ledger.ask(job.cls, job.value)
-        self.agenda.at(job.give_up_at - self.s.tick, self._finish, job)
+        self.agenda.at(job.give_up_at - self.s.tick, self._on_time_over, job)
         return job
 
     def _place_at(self, job: Job, when: float, now: float) -> None:
@@ -135,22 +135,26 @@
         if now < when < job.give_up_at - self.s.tick and len(job.attempts) < job.cap:
             self.agenda.at(when, self._place, job)
         elif now < when:
-            self._finish(job)
+            self._finish(job, pk.Reason.NO_TIME if len(job.attempts) < job.cap else pk.Reason.NO_ATTEMPT)
         else:
             self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
-        if job.give_up_at - self.s.tick <= now or job.spent(now + self.way):
-            self._finish(job)
+        if job.give_up_at - self.s.tick <= now:
+            self._finish(job, pk.Reason.NO_TIME)
+        elif job.spent(now + self.way):
+            self._finish(job, pk.Reason.NO_ATTEMPT)
         elif (worker := self._choose(job, now)) is not None:
             self._send(job, worker, now)
         elif job.faulted:
-            self._finish(job)  # most likely the job's own fault: no wait for a second opinion
+            self._finish(job, pk.Reason.FAULTY)  # most likely its own fault: no wait for a second opinion
         else:
             self._hold(job, now)
 
     def _choose(self, job: Job, now: float, late: bool = False) -> Worker | None:
         """Algorithm 2: the sweep's next else the first in rank (late: last) at most K full."""
+        if job.attempts and not self._may_repeat(job, now):
+            return None  # wherever it went: no look at any worker, and no turn of the sweep used up
         k = max(1.0, C1 * self.log_t)
         self.top = int(8 * k) + 1
         # what cannot be copied has no second try: no sweeps with it, and it waits for a slot of ours to end
@@ -180,7 +184,16 @@
         if any(not low <= model.slots <= high for model, (low, high) in self.slot_bounds.items()):
             self.slot_bounds.clear()
             self.candidates.expire()
-        return self.candidates.ranked(job.lane.worker_kind, late)
+        return self.candidates.ranked(job.lane.worker_kind, self._group(job), late)
+
+    @staticmethod
+    def _group(job: Job) -> Group | None:
+        """The only group of workers that drops repeats of what may have run; None where any worker may have it."""
+        scope = job.lane.key_scope
+        if job.lane.effect is not pk.Effect.BY_KEY or scope is pk.KeyScope.ALL:
+            return None
+        ran = next((flight.worker for flight in job.attempts if flight.may_have_run), None)
+        return Group.of(scope, ran) if ran is not None else None
 
     def _may_fit(self, worker: Worker) -> bool:
         """Whether any job could go there: false only where :meth:`_fits` or :meth:`_may_send` is, whatever the job."""
@@ -229,7 +242,7 @@
         """The one gate: every send passes it, ordinary, sweep, retry or second copy."""
         if worker.state is not pk.WorkerState.READY or job.lane.worker_kind not in (-1, worker.kind):
             return False  # rule 3: nothing new to a worker told draining or gone
-        if job.attempts and not self._may_repeat(job, worker, now):
+        if job.attempts and not self._same_group(job, worker):
             return False
         if worker.still and (job.once or worker.flights > worker.mute):
             return False  # one job at a time tries whether it still does, and none that cannot be repeated
@@ -240,8 +253,8 @@
         healthy = not worker.closed and (not worker.suspect or (worker is self.trial and not job.once))
         return healthy and self.parts.may(worker, job.work, now)
 
-    def _may_repeat(self, job: Job, worker: Worker, now: float) -> bool:
-        # rule 2: what the effect allows after earlier attempts, under the cap and the retry budget
+    def _may_repeat(self, job: Job, now: float) -> bool:
+        """Rule 2: what the effect allows after earlier attempts, under the cap and the retry budget."""
         if not all(f.waiting for f in job.attempts) and not self.retries.has(self.arrivals):
             return False
         risky = [f for f in job.attempts if f.may_have_run]
@@ -250,11 +263,18 @@
             return False
         if not risky or job.lane.effect is pk.Effect.REPEATABLE:
             return True
-        return job.lane.effect is pk.Effect.BY_KEY and not job.lapses(now + self.way) and all(
-            (job.lane.key_scope is pk.KeyScope.ALL or f.worker.zone == worker.zone)
+        return job.lane.effect is pk.Effect.BY_KEY and not job.lapses(now + self.way)
+
+    @staticmethod
+    def _same_group(job: Job, worker: Worker) -> bool:
+        """Whether a worker drops repeats of what may have run elsewhere."""
+        if job.lane.effect is not pk.Effect.BY_KEY or job.lane.key_scope is pk.KeyScope.ALL:
+            return True
+        return all(
+            f.worker.zone == worker.zone
             and (job.lane.key_scope is not pk.KeyScope.CELL or f.worker.cell == worker.cell)
-            for f in risky
-        )
+            for f in job.attempts if f.may_have_run
+        )  # fmt: skip
 
     def _send(self, job: Job, worker: Worker, now: float) -> None:
         if not all(f.waiting for f in job.attempts):  # copies of waiting work are no load
@@ -330,7 +350,7 @@
                     heappush(self.late, (-job.late_worth(), seq, job))
                 elif job.lapses(now + self.way) or (late and self.crowd.vain(job, self._expected(job), now)):
                     heappop(heap)  # it would die running: as well answer while a refusal is harmless
-                    self._finish(job)
+                    self._finish(job, pk.Reason.HOPELESS)
                 elif (worker := self._choose(job, now, late)) is not None:
                     heappop(heap)
                     self._send(job, worker, now)
@@ -419,24 +439,31 @@
         if event.final:
             self.ledger.win(job.cls, job.value * (1.0 if now <= job.due else job.lane.late_value))
             self._close(job.id)
-        elif outcome == pk.Outcome.MOOT or (flight.may_have_run and job.once) or len(job.faulted) >= FAULTS:
-            self._finish(job)
+        elif outcome == pk.Outcome.MOOT:
+            self._finish(job, pk.Reason.MOOT)
+        elif flight.may_have_run and job.once:
+            self._finish(job, pk.Reason.MAY_HAVE_RUN)
+        elif len(job.faulted) >= FAULTS:
+            self._finish(job, pk.Reason.FAULTY)
         elif not any(f.out for f in job.attempts):
             if not job.lane.again and any(f.overrun for f in job.attempts):
-                self._finish(job)
+                self._finish(job, pk.Reason.OVERRUN)
             else:
                 self._place_at(job, now + job.lane.wait_before(len(job.attempts)), now)
 
-    def _finish(self, job: Job, _: float = 0.0) -> None:
+    def _on_time_over(self, job: Job, _: float) -> None:
+        self._finish(job, pk.Reason.NO_TIME)
+
+    def _finish(self, job: Job, reason: pk.Reason) -> None:
         """Rule 1: the one place of final answers.  Refuse only where a retry is surely harmless."""
         asked = job.harmless and not job.faulted  # to ask again would change nothing
         harmless = asked or not any(f.may_have_run for f in job.attempts)
-        self.out.append(pk.Refuse(job.id) if harmless else pk.Fail(job.id))
+        self.out.append(pk.Refuse(job.id, reason) if harmless else pk.Fail(job.id, reason))
         self._close(job.id)
 
     def _on_no_time(self, event: pk.NoTimeLeft, now: float) -> None:
         if (job := self.jobs.get(event.job)) is not None:
-            self._finish(job)
+            self._finish(job, pk.Reason.SHUTDOWN)
 
     def _close(self, job_id: int) -> None:
         job = self.jobs.pop(job_id, None)
@@ -516,6 +543,8 @@
         """Upper confidence bound on the payoff of each; with N = 0 the mean of the others' bounds."""
         log_t, near, warm_after = 4 * self.log_t, self.s.zone, self.s.warm_after
         unknown_near, unknown_far = self.usual, self.usual - PAYOFF_TOP * self.s.cross_zone_price
+        cold_from, warming = self.s.cold_from, (1 - self.s.cold_from) / warm_after if warm_after else 0.0
+        share, job = self.parts.share, self.mean_span or self.aims[0]
         for worker in self.order:
             if worker.n > 0.01:
                 bound = worker.mean + sqrt(log_t / worker.n)
@@ -527,14 +556,11 @@
             if not since or now - since >= warm_after:
                 worker.budget, worker.rank = inf, bound
             else:
-                worker.rank = bound * self._warm(worker, now - since, now)
-
-    def _warm(self, worker: Worker, age: float, now: float) -> float:
-        """Slow start: the share of its capacity that a worker has at least at that age; cold is no bargain."""
-        warmth = self.s.cold_from + (1 - self.s.cold_from) * max(0.0, age) / self.s.warm_after
-        # rule 4: our share of what it stands; so few share it that each one's part holds a job
-        worker.budget = self.parts.share(worker, warmth, self.mean_span or self.aims[0], now)
-        return warmth
+                # slow start: the share of its capacity that it has at least; cold is no bargain
+                warmth = cold_from + warming * max(0.0, now - since)
+                # rule 4: our share of what it stands; so few share it that each one's part holds a job
+                worker.budget = share(worker, warmth, job, now)
+                worker.rank = bound * warmth
 
     def _on_list(self, event: pk.WorkerList, now: float) -> None:
         if event.kind == pk.ListKind.FAILED:
@@ -577,13 +603,7 @@
         heard = self.peers.relays_heard(self.s.position, RELAYS, now)
         silent = self.s.position < RELAYS or now - heard > (2 * SILENT + self.s.position) * self.view_gap
         if silent and self.peers.relaying:
-            roster = self.peers.roster
-            load = {w: max(0.0, w.told + w.own) / w.model.slots for w in roster}
-            spare = max(SUSPECTS, 1 - sum(load.values()) / max(1, len(load)))  # the others can do its work
-            worst = sorted(roster, key=lambda w: w.health)[: int(spare * len(roster))]
-            bad = {w for w in worst if w.health < (WELL if w.level == SUSPECT else ILL)}
-            digits = [SUSPECT if w in bad or w.marked else min(SUSPECT - 1, round(8 * load[w])) for w in load]
-            for content in self.peers.sums(digits):
+            for content in self.peers.sums(self._levels()):
                 self.out.append(pk.Tell(content))
                 self.peers.read(content, self.workers)
         elif silent:
@@ -593,6 +613,18 @@
         turn = soon + gap - (soon - self.s.position % RELAYS * self.view_gap) % gap
         self.agenda.at(turn if silent else now + gap, self._on_beat, None)
 
+    def _levels(self) -> list[int]:
+        """The load level of each worker of the roster, as far as we hear; SUSPECT for those that seem to fail."""
+        roster = self.peers.roster
+        loads = [(w.told + w.own) / w.model.slots if w.told + w.own > 0 else 0.0 for w in roster]
+        spare = max(SUSPECTS, 1 - sum(loads) / max(1, len(loads)))  # the others can do its work
+        worst = sorted((w for w in roster if w.health < WELL), key=attrgetter("health"))[: int(spare * len(roster))]
+        bad = {w for w in worst if w.level == SUSPECT or w.health < ILL}
+        return [
+            SUSPECT if w.marked or w in bad else min(SUSPECT - 1, round(8 * load)) if load else 0
+            for w, load in zip(roster, loads, strict=True)
+        ]
+
     def _ask(self, _: None, now: float) -> None:
         if not self.subscribed:
             self.out.append(pk.Subscribe())
