A soak of random scripts with real processes; failing test: SIGHUP during the start ends the process

heronlug/rig/soak.py draws fleets, classes and faults from a seed for the rig: kills, planned restarts whose kill comes the longest deadline and 0.7 s after SIGTERM (step `replace`), signals in series, processes held up for 0.15 s, reloads in a row, discovery down, silent, slow and reset, servers cut, silent, refusing, late, reset, slow, dying, draining.

--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -201,6 +201,7 @@
             if self.named is not None:
                 self.named(name, True)
         message.guard = self.deadlines.at(message.give_up_at, self._give_up, message)
+        self._log("taken", message=message.ticket, id=name, lane=terms.name, left=round(message.give_up_at - now))
         full = message.give_up_at <= now or len(self.messages) > self.max_open
         if full or (self.hooks is not None and not self.hooks.admit(lane, remaining, size)):
             reason = "not_admitted" if not full else "expired" if message.give_up_at <= now else "too_many_open"
--- a/heronlug/rig/processes.py
+++ b/heronlug/rig/processes.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 from jinja2 import Template
@@ -14,8 +14,11 @@
 from heronlug.rig.script import Script
 from heronlug.standin.ports import starting
 
+UTIME = 11  # of /proc/PID/stat, counted behind the program's name; the next is the system's time
+LOG_LOST = 0.2  # s before the end of a log that is cut off, in which lines may be missing
+
 FILE = Template("""\
-log_level = "info"
+log_level = "{{ 'debug' if s.dispatchers.log_taken else 'info' }}"
 [serve]
 name = "{{ name }}"
 listen = "127.0.0.1:{{ door }}"
@@ -57,6 +60,14 @@
 """)
 
 
+class Usage(NamedTuple):
+    """What a process has used."""
+
+    cpu_s: float = 0.0
+    peak_mb: float = 0.0
+    descriptors: int = 0
+
+
 class Process:
     """One dispatcher: its file, and at most one process of it."""
 
@@ -66,6 +77,7 @@
         self.program: subprocess.Popen[bytes] | None = None
         self.wanted = False  # it should run
         self.starts = 0
+        self.killed_lives: set[int] = set()  # those of its starts that a step killed outright
         self.killed = 0  # how often it had been started when it was last killed, or ended by itself
 
     @property
@@ -120,12 +132,43 @@
         pairs = [line.rsplit(" ", 1) for line in lines if line[:1] not in ("#", "")]
         return {name: float(value) for name, value in pairs}
 
+    def usage(self) -> Usage:
+        """What it has used so far; nothing where it does not run."""
+        if self.program is None or not self.runs:
+            return Usage()
+        proc = Path(f"/proc/{self.program.pid}")
+        fields = (proc / "stat").read_text().rpartition(")")[2].split()
+        ticks = int(fields[UTIME]) + int(fields[UTIME + 1])
+        peak = next(line for line in (proc / "status").read_text().splitlines() if line.startswith("VmHWM:"))
+        descriptors = len(list((proc / "fd").iterdir()))
+        return Usage(ticks / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) / 1024, descriptors)
+
     def lines(self, event: str) -> list[dict[str, Any]]:
         """The lines of its log that tell of such an event."""
         text = (self.folder / f"{self.name}.log").read_bytes() if self.starts else b""
         told = [orjson.loads(line) for line in text.splitlines() if f'"event":"{event}"'.encode() in line]
         return [line for line in told if line["event"] == event]
 
+    def unanswered(self) -> list[str]:
+        """What it has taken and neither answered nor seen its client leave, but in lives that were killed outright.
+
+        A log's last lines may be lost with the process, so what it took just before them is not counted.
+        """
+        text = (self.folder / f"{self.name}.log").read_bytes() if self.starts else b""
+        lives: list[list[dict[str, Any]]] = []
+        for line in (orjson.loads(line) for line in text.splitlines() if line.startswith(b"{") and line.endswith(b"}")):
+            if line["event"] == "started":
+                lives.append([])
+            elif line["event"] in ("taken", "answer", "client_gone") and lives:
+                lives[-1].append(line)
+        found = []
+        for life in (life for number, life in enumerate(lives, 1) if life and number not in self.killed_lives):
+            over = {line["id"] for line in life if line["event"] != "taken"}
+            sure = life[-1]["at"] - LOG_LOST
+            taken = [line["id"] for line in life if line["event"] == "taken" and line["at"] < sure]
+            found += [name for name in taken if name not in over]
+        return found
+
     def faults(self) -> list[str]:
         """What no log may hold."""
         text = (self.folder / f"{self.name}.log").read_text(errors="replace") if self.starts else ""
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -25,6 +25,7 @@
 from heronlug.standin.ports import free_port, free_ports
 from heronlug.standin.register import Call, Register
 
+KILL_COUNTS, KILL_AFTER = 3.0, 0.7  # s: the kill comes the longest deadline, of which so much counts, and this later
 LOOK = 0.02  # s between two looks at the processes
 LISTED_LOOK = 0.25  # and at their figures, while it is waited for their lists
 LISTED_WITHIN = 60.0
@@ -343,7 +344,10 @@
         process = self.processes[name]
         if step.do == "start":
             await self._start_again(name)
+        elif step.do == "replace":
+            await self._replace(process)
         elif step.do == "kill":
+            process.killed_lives.add(process.starts)
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
             self.end(Stopped(self.history.now(), name, True))
@@ -358,6 +362,20 @@
             return lambda: self._start_again(name)
         return lambda: process.signal(signal.SIGCONT)
 
+    async def _replace(self, process: Process) -> None:
+        """A planned restart whose kill comes as early as it may; one that comes meanwhile is a second signal alone."""
+        life, first = process.starts, process.wanted
+        process.signal(signal.SIGTERM)
+        if not first:
+            return
+        await asyncio.sleep(min(self._longest(), KILL_COUNTS) + KILL_AFTER)
+        if process.starts != life:
+            return
+        process.signal(signal.SIGKILL)
+        await self.behind.caught_up()
+        self.end(Stopped(self.history.now(), process.name, False))
+        await self._start_again(process.name)
+
     async def _runner(self, step: Step, name: str) -> Callable[[], Any]:
         if step.do == "die":
             self.runners.die(name)
@@ -450,6 +468,7 @@
         jobs = sum(tally.jobs for tally in tallies)
         served = sum(tally.finals["on_time"] + tally.finals["late"] for tally in tallies)
         after = sorted(self.listed_after.values())
+        used = [process.usage() for process in self.processes.values() if process.runs]
         figures = {
             "calls": checker.calls["all"], "calls for the whole list": checker.calls["whole"],
             "calls turned away": checker.calls["turned"], "most calls in 100 ms": checker.call_rush[0].most,
@@ -459,6 +478,10 @@
             "jobs": jobs, "served": served, "lost with their dispatcher": self.lost_with,
             "most dials at a runner in 1 s": max(dials.values(), default=0), "dials": sum(checker.dials.values()),
             "most of what a cold runner stands": round(checker.coldest, 2),
+            "CPU s of those that run": round(sum(usage.cpu_s for usage in used), 2),
+            "peak MB of one": round(max((usage.peak_mb for usage in used), default=0.0), 1),
+            "descriptors of one": max((usage.descriptors for usage in used), default=0),
+            "bytes of lists": self.register.wrote_bytes,
         }  # fmt: skip
         verdict.figures = figures
         bounds = {
@@ -483,6 +506,9 @@
             figures[name] = sum(began)
             if sum(began) > told.most:
                 verdict.faults.append(f"{name}: {sum(began)}, at most {told.most} expected")
+        if self.script.dispatchers.log_taken:
+            for process in self.processes.values():
+                verdict.faults += [f"{process.name} took {name} and never answered" for name in process.unanswered()]
         for process in self.processes.values():
             verdict.faults += [f"{process.name}: {line[:400]}" for line in process.faults()]
         return verdict
--- a/heronlug/rig/script.py
+++ b/heronlug/rig/script.py
@@ -17,14 +17,14 @@
 from heronlug.forms.decode import decode
 from heronlug.forms.kinds import Share, Text
 
-Count = Annotated[int, Meta(ge=0, le=1000, description="a whole number, 0 to 1000")]
+Count = Annotated[int, Meta(ge=0, le=4000, description="a whole number, 0 to 4000")]
 Millis = Annotated[float, Meta(ge=0, le=3_600_000, description="milliseconds, 0 to an hour")]
 Seconds = Annotated[float, Meta(ge=0, le=3600, description="seconds, 0 to an hour")]
 Most = Annotated[float, Meta(ge=0, le=1e9, description="a figure, 0 or more")]
 Names = Annotated[list[str], Meta(min_length=1, description="a list of names")]
 Flag = Annotated[bool, Meta(description="true or false")]
 
-PROCESS = ("kill", "stop", "go", "start", "term", "hup")  # of dispatchers
+PROCESS = ("kill", "stop", "go", "start", "term", "replace", "hup")  # of dispatchers
 BETWEEN = ("cut", "silent", "refuse", "full", "reset", "delay", "loss", "trickle", "half", "heal")  # of paths
 REGISTER = ("down", "up", "hang", "speak", "anew", "costs", "turn")  # of the register itself
 HOSTS = ("die", "back", "list", "slow")  # of runners
@@ -42,6 +42,7 @@
     peers: Flag = True  # they tell each other over UDP, as on the platform
     cluster: Annotated[Literal["", "list", "news"], Meta(description='"", "list" or "news"')] = ""
     seeds: Annotated[int, Meta(ge=0, le=64, description="a whole number, 0 to 64")] = 3  # of the cluster
+    log_taken: Flag = False  # each log tells of what is taken; what has no answer there breaks rule 1
     leave_halls: Flag = False  # a hall that fails as one is left as one
     more: str = ""  # TOML that stands at the end of each one's file; {name} and {folder} are put in
     later: list[str] = field(default_factory=list)  # selectors of those that a step starts
@@ -155,6 +156,14 @@
         dispatchers = [f"d{number}" for number in range(self.dispatchers.count)]
         return [*dispatchers, *(f"r{number}" for number in range(self.runners.count)), "register", "clients"]
 
+    def names(self, party: str) -> bool:
+        """Whether it is the name of a party, with no look at all the others."""
+        count = {"d": self.dispatchers.count, "r": self.runners.count}.get(party[:1], 0)
+        number = party[1:]
+        if not number.isdecimal() or f"{int(number)}" != number:
+            return party in ("register", "clients")
+        return int(number) < int(count)
+
     def hall(self, party: str) -> str:
         """Where a party stands; the register and the clients stand nowhere."""
         return self.halls[int(party[1:]) % len(self.halls)] if party[1:].isdigit() else ""
@@ -235,6 +244,8 @@
 def _chosen(selector: str, script: Script, rng: Random, reading: list[str]) -> list[str]:
     if selector == "reading":
         return reading
+    if script.names(selector):
+        return [selector]
     head, colon, rest = selector.partition(":")
     value, _, pattern = rest.partition("/")
     if colon and head == "hall":
--- /dev/null
+++ b/heronlug/rig/soak.py
@@ -0,0 +1,140 @@
+"""Random scripts from a seed: fleets, classes and faults, to find what no script that somebody wrote has.
+
+Faults come one upon the other: processes are killed, replaced with the earliest kill, held up; the register is down,
+slow or silent; paths are cut, silent, slow or reset; runners die, drain and come back cold.  Clients use each
+connection until it is closed.  The four rules, read off what clients, runners and the register saw, have to hold.
+"""
+
+from random import Random
+from typing import Any, Literal
+
+from heronlug.rig.script import (
+    ClassTable,
+    DispatchersTable,
+    ExpectTable,
+    RegisterTable,
+    RunnersTable,
+    Script,
+    Step,
+)
+
+SPAN = 16.0  # s
+FIRST, LAST = 1.0, 9.0  # s: when steps begin
+EFFECTS: tuple[Literal["repeatable", "by_key", "once"], ...] = ("repeatable", "by_key", "once")
+
+
+def draw(seed: int) -> Script:
+    """The script of a seed."""
+    rng = Random(seed)
+    dispatchers, runners = rng.randint(2, 4), rng.randint(3, 8)
+    script = Script(
+        name=f"soak-{seed}", span_s=SPAN, seed=seed, halls=["a", "b"][: rng.randint(1, 2)],
+        dispatchers=DispatchersTable(count=dispatchers, peers=rng.random() < 0.5, log_taken=True),
+        register=RegisterTable(call_ms=rng.choice([0.0, 5.0])),
+        runners=RunnersTable(count=runners, slots=rng.randint(2, 6), warm_after_ms=5000.0, cold=rng.random() < 0.3),
+        classes=[_class(rng, number) for number in range(rng.randint(1, 3))],
+        expect=ExpectTable(),
+    )  # fmt: skip
+    for _ in range(rng.randint(3, 7)):
+        script.step += rng.choice(FAULTS)(rng, rng.uniform(FIRST, LAST), script)
+    script.step.sort(key=lambda step: step.at_s)
+    return script
+
+
+def describe(script: Script) -> str:
+    """One line for a report."""
+    steps = ", ".join(f"{step.at_s:.1f} {step.do} {' '.join(step.who or step.target)}" for step in script.step)
+    return f"{script.dispatchers.count} dispatchers, {script.runners.count} runners: {steps}"
+
+
+def _class(rng: Random, number: int) -> ClassTable:
+    deadline = rng.choice([1500.0, 2500.0, 3000.0])
+    return ClassTable(
+        name=f"class{number}", rate=rng.uniform(4, 15), effect=rng.choice(EFFECTS),
+        work_ms=rng.choice([30.0, 80.0, 300.0]), aim_ms=deadline / 3, deadline_ms=deadline,
+    )  # fmt: skip
+
+
+def _dispatcher(rng: Random, script: Script) -> list[str]:
+    return [f"d{rng.randrange(script.dispatchers.count)}"]
+
+
+def _some_runners(rng: Random, script: Script) -> list[str]:
+    count = rng.randint(1, max(1, script.runners.count // 2))
+    return [f"r{number}" for number in rng.sample(range(script.runners.count), count)]
+
+
+def _killed(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="kill", who=_dispatcher(rng, script), for_s=rng.uniform(0.1, 2))]
+
+
+def _replaced(rng: Random, at: float, script: Script) -> list[Step]:
+    """One after the other, and signals in series: a second SIGTERM changes nothing."""
+    who = [f"d{number}" for number in range(script.dispatchers.count)][: rng.randint(1, 2)]
+    return [Step(at_s=at + 2.0 * number, do="replace", who=[name]) for number, name in enumerate(who)]
+
+
+def _held_up(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="stop", who=_dispatcher(rng, script), for_s=rng.choice([0.1, 0.15]))]
+
+
+def _reloaded(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at + 0.3 * number, do="hup", who=["d*"]) for number in range(rng.randint(1, 3))]
+
+
+def _register_down(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="down", for_s=rng.uniform(0.5, 5))]
+
+
+def _register_silent(rng: Random, at: float, script: Script) -> list[Step]:
+    what, span = rng.choice(["silent", "cut"]), rng.uniform(1, 4)
+    return [Step(at_s=at, do=what, source=["d*"], target=["register"], for_s=span)]
+
+
+def _register_slow(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="delay", source=["d*"], target=["register"], ms=rng.uniform(20, 400), for_s=3.0)]
+
+
+def _register_reset(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="reset", source=["d*"], target=["register"])]
+
+
+def _runners_reset(rng: Random, at: float, script: Script) -> list[Step]:
+    return [
+        Step(at_s=at + 0.2 * number, do="reset", source=["d*"], target=_some_runners(rng, script))
+        for number in range(rng.randint(1, 4))
+    ]
+
+
+def _runners_cut(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do=rng.choice(["cut", "silent", "refuse"]), source=["d*"], target=_some_runners(rng, script),
+                 for_s=rng.uniform(0.5, 3))]  # fmt: skip
+
+
+def _runners_late(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="delay", source=["d*"], target=_some_runners(rng, script), ms=rng.uniform(20, 700),
+                 for_s=rng.uniform(0.5, 3))]  # fmt: skip
+
+
+def _runners_die(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="die", who=_some_runners(rng, script), for_s=rng.uniform(0.5, 4))]
+
+
+def _runners_drain(rng: Random, at: float, script: Script) -> list[Step]:
+    """They begin to drain, and have left later."""
+    who = _some_runners(rng, script)
+    return [
+        Step(at_s=at, do="list", who=who, state="leaving"),
+        Step(at_s=at + rng.uniform(0.2, 4), do="list", who=who, state=rng.choice(["left", "active"])),
+    ]
+
+
+def _runners_slow(rng: Random, at: float, script: Script) -> list[Step]:
+    return [Step(at_s=at, do="slow", who=_some_runners(rng, script), factor=rng.uniform(2, 20), for_s=3.0)]
+
+
+FAULTS: tuple[Any, ...] = (
+    _killed, _replaced, _replaced, _held_up, _reloaded, _register_down, _register_silent, _register_slow,
+    _register_reset, _runners_reset, _runners_cut, _runners_late, _runners_die, _runners_drain, _runners_drain,
+    _runners_slow,
+)  # fmt: skip
--- a/heronlug/standin/register.py
+++ b/heronlug/standin/register.py
@@ -20,6 +20,8 @@
 WAIT_MOST = 60_000.0  # ms
 KEPT = 4096  # changes that a watch may ask for; from further back it gets the whole list
 
+TRIES, TRY_AGAIN = 20, 0.05  # and s, for a port that listened before
+
 
 class Call(NamedTuple):
     """A call that was worked through, or turned away."""
@@ -38,6 +40,7 @@
         self.instances: dict[str, dict[str, Any]] = {}
         self.version = 0
         self.calls = 0  # answered
+        self.wrote_bytes = 0
         self.silent = False  # calls are read and not answered
         self.call_ms, self.wait_most, self.turned_ms = call_ms, wait_most, turned_ms
         self.retry_after = 0.0  # ms, told to whom is turned away
@@ -55,10 +58,15 @@
 
     async def open(self, host: str = "127.0.0.1", port: int = 0, caller: str = "") -> int:
         """Listen for a caller, again on the port that it had; returns the port.  Raises ``OSError``."""
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: Connection(self, caller), host, port or self._ports.get(caller, 0), backlog=512
-        )
+        loop, wanted = asyncio.get_running_loop(), port or self._ports.get(caller, 0)
+        for again in range(TRIES, -1, -1):
+            try:
+                server = await loop.create_server(lambda: Connection(self, caller), host, wanted, backlog=512)
+                break
+            except OSError:  # somebody tries whether the port is free, for an instant
+                if not again:
+                    raise
+                await asyncio.sleep(TRY_AGAIN)
         self._servers[caller] = server
         self._ports[caller] = int(server.sockets[0].getsockname()[1])
         return self._ports[caller]
@@ -202,5 +210,6 @@
             self._write(http.response(200, self._register.answer(self._after, self.caller)))
 
     def _write(self, data: bytes) -> None:
+        self._register.wrote_bytes += len(data)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- /dev/null
+++ b/tests/endings/test_early.py
@@ -0,0 +1,40 @@
+"""Signals before the loop runs: a new configuration that comes while the process starts is no reason to end."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from endings.house import PATIENCE, House
+from heronlug.standin.ports import free_port
+
+
+@pytest.mark.parametrize("signals", [1, 3])
+def test_a_reload_while_the_process_reads_its_file_is_done_after_the_start(tmp_path: Path, signals: int) -> None:
+    """The file is a pipe, so the process is at its reading when the signal comes; the new file is there by then."""
+    path, moved = tmp_path / "config.json", f"127.0.0.1:{free_port()}"
+    raw = House(1).raw
+    os.mkfifo(path)
+    env = {**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)}
+    with subprocess.Popen([sys.executable, "-m", "heronlug"], env=env, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        try:
+            with path.open("w") as pipe:  # open once the process reads
+                new = tmp_path / "new.json"
+                new.write_text(json.dumps({**raw, "discovery": moved}))
+                new.rename(path)
+                for _ in range(signals):
+                    process.send_signal(signal.SIGHUP)
+                pipe.write(json.dumps(raw))
+            lines = iter(process.stdout.readline, b"")
+            reloaded = next((line for line in map(json.loads, lines) if line["event"] == "reloaded"), None)
+            assert reloaded is not None and reloaded["discovery"] == moved
+            process.send_signal(signal.SIGTERM)
+            process.stdout.read()
+            assert process.wait(PATIENCE) == 0
+        finally:
+            process.kill()
--- /dev/null
+++ b/tests/rig/test_soak.py
@@ -0,0 +1,33 @@
+"""A short soak of fixed seeds, and what the soak would see: real processes under faults that nobody wrote down."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from heronlug.rig.rig import play
+from heronlug.rig.script import DOING
+from heronlug.rig.soak import LAST, draw
+
+SEEDS = (11, 14, 19, 23, 31, 42)
+AT_ONCE = 6
+
+
+@pytest.fixture(scope="module")
+def verdicts() -> dict[int, str]:
+    """What came of each seed: nothing, or its report."""
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        played = list(pool.map(lambda seed: play(draw(seed)), SEEDS))
+    return {seed: "" if verdict.kept else verdict.text() for seed, verdict in zip(SEEDS, played, strict=True)}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_rules_hold_under_random_faults(seed: int, verdicts: dict[int, str]) -> None:
+    assert verdicts[seed] == ""
+
+
+def test_a_seed_draws_the_same_script_and_many_draw_each_kind_of_fault() -> None:
+    assert draw(3) == draw(3) != draw(4)
+    drawn = {step.do for seed in range(100) for step in draw(seed).step}
+    assert drawn == set(DOING) & drawn >= {"kill", "replace", "stop", "hup", "down", "silent", "cut", "delay", "reset",
+                                           "refuse", "die", "list", "slow"}  # fmt: skip
+    assert all(step.at_s <= 2 * LAST for seed in range(100) for step in draw(seed).step)
