SIGHUP during the start is noted and done once the process serves

Set earlier, its reload would have raced the known list, whose version then went to the new discovery service.

Change: heronlug/life/early.py notes it from the first line of the program on; the files are read again after 'started', and only then the loop's handler is set.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,8 +1,8 @@
 """What one dispatcher needs before 200 and 3,200 servers, as real processes: ``python benchmarks/processes.py``.
 
 The same traffic before both fleets: calm, then a release that takes six in ten servers away in steps, with discovery
-down for a while.  All servers together have the same slots.  Each figure stands against the line of the operators' page:
-so many times the small fleet's, and an allowance for each thousand servers.
+down for a while.  All servers together have the same slots.  Each figure stands against the line of the operators'
+page: so many times the small fleet's, and an allowance for each thousand servers.
 """
 
 from typing import NamedTuple
--- a/heronlug/__main__.py
+++ b/heronlug/__main__.py
@@ -4,6 +4,11 @@
 import sys
 from collections.abc import Callable
 
+from heronlug.life.early import early
+
+if sys.argv[1:2] in ([], ["serve"]):
+    early.listen()  # before the imports below, which take most of the start
+
 from heronlug.life.config import Config, ConfigError
 from heronlug.life.files import Files
 from heronlug.life.state import State, StateError
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -18,6 +18,7 @@
 from heronlug.life import control, halls
 from heronlug.life.config import Config
 from heronlug.life.control import Running
+from heronlug.life.early import early
 from heronlug.life.files import Files
 from heronlug.life.listener import Listener
 from heronlug.life.log import Log
@@ -171,7 +172,6 @@
         loop.set_exception_handler(self._exception)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
-        loop.add_signal_handler(signal.SIGHUP, self.reload.begin)
         await self.takeover.join()
         await self.takeover.open_peers()
         await self.running.apply(digest(EMPTY), desired)
@@ -186,6 +186,9 @@
         gc.collect()
         gc.freeze()
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
+        loop.add_signal_handler(signal.SIGHUP, self.reload.begin)  # from here on there is something to change
+        if early.came:
+            self.reload.begin()
         self.turn()
         await self.left.wait()
         if self.member is not None:
--- a/heronlug/rig/processes.py
+++ b/heronlug/rig/processes.py
@@ -14,6 +14,7 @@
 from heronlug.rig.script import Script
 from heronlug.standin.ports import starting
 
+HOLD_OFF = ("/bin/sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"")  # until the program minds SIGHUP: as deployed
 UTIME = 11  # of /proc/PID/stat, counted behind the program's name; the next is the system's time
 LOG_LOST = 0.2  # s before the end of a log that is cut off, in which lines may be missing
 
@@ -95,7 +96,7 @@
         private.mkdir()
         with (self.folder / f"{self.name}.log").open("ab") as log, starting:
             self.program = subprocess.Popen(
-                [sys.executable, "-m", "heronlug", "serve", str(self.folder / f"{self.name}.toml")],
+                [*HOLD_OFF, sys.executable, "-m", "heronlug", "serve", str(self.folder / f"{self.name}.toml")],
                 stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=self.source,
                 env={**os.environ, "TMPDIR": str(private), "HERONLUG_CONTROL": str(private / "control")},
             )  # fmt: skip
