--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -193,7 +193,7 @@
 def load_summary(servers: int, peers: bool, waiting: int) -> float:
     """All parts of a summary of load that another dispatcher tells."""
     fleet = cold(servers, peers, waiting)
-    parts = fleet.core.dispatcher.peers.sums([1] * servers)
+    parts = fleet.core.dispatcher.peers.summary([1] * servers)
     return timed(lambda: [fleet.core.heard(1, part) for part in parts], 4)
 
 
--- a/heronlug/arrival/crowd.py
+++ b/heronlug/arrival/crowd.py
@@ -13,7 +13,8 @@
 """
 
 from heronlug.arrival.parts import Parts
-from heronlug.records import Flight, Job, State
+from heronlug.decisions.model import Flight, Job
+from heronlug.decisions.state import State
 
 PART = 0.5  # of a job's time until it must start: half of all jobs wait for longer than the mean
 
--- a/heronlug/arrival/parts.py
+++ b/heronlug/arrival/parts.py
@@ -22,7 +22,8 @@
 
 from heronlug import interface as pk
 from heronlug.arrival.tickets import Tickets
-from heronlug.records import Job, State, Worker
+from heronlug.decisions.model import Job, Worker
+from heronlug.decisions.state import State
 
 MARGIN = 0.7  # use most of what a worker stands: sizes, and speeds of the kinds, are only estimated
 HOLDS = 400.0  # ms that a grant is good for, from the moment it was given
--- a/heronlug/arrival/tickets.py
+++ b/heronlug/arrival/tickets.py
@@ -20,7 +20,7 @@
 from math import ceil, floor, inf
 
 from heronlug import interface as pk
-from heronlug.records import Kind, Worker
+from heronlug.decisions.model import Kind, Worker
 
 COOL, WARM, MOST = 0.4, 1.2, 1.5  # of what a worker does when it is cold, when it is warm, and ever
 UP, DOWN, LOW, HIGH = 1.1, 0.7, 0.7, 2.5  # by so much more after a start at once, and less after a wait; as bounds
@@ -83,6 +83,8 @@
 
     def cold(self, worker: Worker, job: float) -> None:
         """It is cold, and a job of usual size takes so long."""
+        if worker.id not in self._cold:
+            self._bounds = None
         self._cold[worker.id] = worker, worker.cold_since, job
 
     def ranked(self) -> None:
--- a/heronlug/decisions/candidates.py
+++ b/heronlug/decisions/candidates.py
@@ -15,8 +15,8 @@
 
 from sortedcontainers import SortedList
 
+from heronlug.decisions.model import Worker
 from heronlug.interface import KeyScope
-from heronlug.records import Worker
 
 ANY_KIND = -1
 
--- a/heronlug/halls/offers.py
+++ b/heronlug/halls/offers.py
@@ -15,9 +15,10 @@
 from typing import Any
 
 from heronlug import interface as pk
+from heronlug.decisions.model import QUIET, SUSPECT, Worker
+from heronlug.decisions.peer_reports import PeerReports
 from heronlug.halls.evidence import Seen, Tally, elsewhere, ratio, tallies
 from heronlug.halls.table import STAGES, Hall, Phase, View
-from heronlug.records import QUIET, SUSPECT, Peers, Worker
 
 LOOK = 100.0  # ms between two looks
 LATELY = 3000.0  # ms that an end counts for
@@ -80,7 +81,7 @@
             self._follow(state, by_hall, now)
         self._offer(state, by_hall, not decides, now)
 
-    def turn(self, mine: list[Worker], peers: Peers) -> Worker | None:
+    def turn(self, mine: list[Worker], peers: PeerReports) -> Worker | None:
         """The marked host that is ours to try: one of a left hall, of which few are tried at a time, comes first."""
         return next((w for w in [*self._ours, *mine] if w.level == SUSPECT and not w.closed), None)
 
@@ -242,7 +243,7 @@
             silent = (worker.still and worker.flights) or worker.id in mute
             if silent and now - worker.ended_at >= STILL_TOLD:
                 worker.ended(True, now)
-                state.peers.ended[worker.id] = Peers.ENDED_BADLY
+                state.peers.ended[worker.id] = PeerReports.ENDED_BADLY
                 state.peers.changed[worker.id] = worker
 
     def _take_back(self, state: Any, now: float) -> None:
--- a/heronlug/learned.py
+++ b/heronlug/learned.py
@@ -3,8 +3,10 @@
 from math import isfinite
 from typing import Any
 
+from heronlug.decisions.model import Flight, Job, Worker
+from heronlug.decisions.peer_reports import PeerReports
+from heronlug.decisions.state import State
 from heronlug.interface import Attempt
-from heronlug.records import Flight, Job, Peers, State, Worker
 
 WORKER = (
     "n", "mean", "health", "heard", "stuck_until", "ejected_until", "ejections", "trials",
@@ -91,7 +93,7 @@
         for at, amount in items:
             worker.recent.add(at, amount)
         if own:
-            counts[worker.id] = min(Peers.MOST, round(own))
+            counts[worker.id] = min(PeerReports.MOST, round(own))
     state.peers.book(position, counts, state.workers, now)
 
 
--- a/heronlug/logic.py
+++ b/heronlug/logic.py
@@ -11,9 +11,12 @@
 from heronlug.arrival.crowd import Crowd
 from heronlug.arrival.parts import Parts
 from heronlug.decisions import Candidates, Group
+from heronlug.decisions.estimates import Ledger, TokenBucket
+from heronlug.decisions.model import QUIET, SUSPECT, Flight, Job, Kind, Worker
+from heronlug.decisions.peer_reports import PeerReports
+from heronlug.decisions.state import State
 from heronlug.halls.offers import Halls
 from heronlug.learned import flights, recall
-from heronlug.records import QUIET, SUSPECT, Bucket, Flight, Job, Kind, Ledger, Peers, State, Worker
 
 T_START = 16  # T is this many plus the remembered sends (design)
 C1 = 0.3  # K = C1 log T, in slots a worker has: a few hundred sends fill it, few dispatchers queue on it
@@ -43,10 +46,10 @@
     def __init__(self, settings: pk.Settings, seed: int) -> None:
         super().__init__()
         self.s, self.rng = settings, Random(seed)
-        self.retries = Bucket(settings.retry_burst, settings.retry_share)
+        self.retries = TokenBucket(settings.retry_burst, settings.retry_share)
         self.ledger, self.parts, self.halls = Ledger(len(self.s.classes)), Parts(settings), Halls(self)
         total = sum(settings.quotas) or 1.0
-        self.tenants = [Bucket(SHARE_BURST, SHARE_SLACK * quota / total) for quota in settings.quotas]
+        self.tenants = [TokenBucket(SHARE_BURST, SHARE_SLACK * quota / total) for quota in settings.quotas]
         self.candidates = Candidates(self._may_fit)
         self.peers.moved = self.candidates.touch
         self.tell, self.subscribed = settings.may_tell and settings.instances > 1, settings.list_pushed
@@ -493,7 +496,7 @@
         worker.mean = (worker.mean * worker.n + PAYOFF_TOP * payoff) / (worker.n + 1)
         worker.n += 1
         badly = outcome in BAD - {pk.Outcome.FULL}  # full is busy, and no failure
-        self.peers.ended[worker.id] = Peers.ENDED_BADLY if badly else Peers.ENDED_WELL
+        self.peers.ended[worker.id] = PeerReports.ENDED_BADLY if badly else PeerReports.ENDED_WELL
         worker.ended(badly, now)
         self._judge(worker, outcome, now)
         self.unranked += self.scores
@@ -603,11 +606,11 @@
         heard = self.peers.relays_heard(self.s.position, RELAYS, now)
         silent = self.s.position < RELAYS or now - heard > (2 * SILENT + self.s.position) * self.view_gap
         if silent and self.peers.relaying:
-            for content in self.peers.sums(self._levels()):
+            for content in self.peers.summary(self._levels()):
                 self.out.append(pk.Tell(content))
                 self.peers.read(content, self.workers)
         elif silent:
-            self.out.append(pk.Tell(Peers.SUMS))
+            self.out.append(pk.Tell(PeerReports.SUMMARY))
         self.peers.relaying = silent
         gap, soon = RELAYS * self.view_gap, now + self.view_gap / 2
         turn = soon + gap - (soon - self.s.position % RELAYS * self.view_gap) % gap
--- a/tests/arrival/test_parts.py
+++ b/tests/arrival/test_parts.py
@@ -11,7 +11,8 @@
 from heronlug import interface as pk
 from heronlug.arrival import parts as lending
 from heronlug.arrival.parts import AGAIN, FORM, GRANT, HOLDS, MARGIN, Parts
-from heronlug.records import Job, Kind, State, Worker
+from heronlug.decisions.model import Job, Kind, Worker
+from heronlug.decisions.state import State
 
 SPAN, TIP, SLOTS, WARMTH, USUAL = 3000.0, 3.0, 4.0, 0.2, 100.0
 BUDGET = MARGIN * TIP * WARMTH * SLOTS * SPAN
--- a/tests/arrival/test_tickets.py
+++ b/tests/arrival/test_tickets.py
@@ -12,7 +12,8 @@
 from heronlug import interface as pk
 from heronlug.arrival.parts import FEW, MARGIN, Parts
 from heronlug.arrival.tickets import COOL, KEPT, LOOK, MOST, WARM, WIDE, Tickets
-from heronlug.records import Kind, State, Worker
+from heronlug.decisions.model import Kind, Worker
+from heronlug.decisions.state import State
 
 SPAN, TIP, SLOTS, USUAL, LOW, WHOLE, BORN = 1000.0, 3.0, 4.0, 450.0, 0.2, 20_000.0, 5000.0
 MANY = 200
--- a/tests/scale/test_candidates.py
+++ b/tests/scale/test_candidates.py
@@ -5,7 +5,7 @@
 import pytest
 
 from heronlug import Dispatcher, ListKind, Settings, WorkerEntry, WorkerList
-from heronlug.records import Job, Worker
+from heronlug.decisions.model import Job, Worker
 from scale.days import Day
 
 
