--- a/heronlug/load/http.py
+++ b/heronlug/load/http.py
@@ -111,6 +111,10 @@
                 connection.transport.abort()
         await asyncio.sleep(0)
 
+    def takes(self, door: int) -> bool:
+        """Whether new connections go there; those that are open are used as long as they are."""
+        return True
+
     def handed(self, job: Job, door: int) -> None:
         """A job goes to a dispatcher."""
 
@@ -134,13 +138,16 @@
             self._idle[connection.door].remove(connection)
 
     def _hand(self, job: Job) -> None:
-        self._turn = (self._turn + 1) % len(self.addresses)
-        idle = self._idle[self._turn]
-        while idle:
-            connection = idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.hand(job)
-                return
+        for _ in self.addresses:
+            self._turn = (self._turn + 1) % len(self.addresses)
+            idle = self._idle[self._turn]
+            while idle:
+                connection = idle.pop()
+                if connection.transport is not None and not connection.transport.is_closing():
+                    connection.hand(job)
+                    return
+            if self.takes(self._turn):
+                break
         if self._open >= MOST:
             self._waiting.append(job)
             return
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -26,6 +27,7 @@
 from heronlug.standin.register import Call, Register
 
 KILL_COUNTS, KILL_AFTER = 3.0, 0.7  # s: the kill comes the longest deadline, of which so much counts, and this later
+FRONT_NOTICES = 0.4  # s after SIGTERM, in which new connections still come
 LOOK = 0.02  # s between two looks at the processes
 LISTED_LOOK = 0.25  # and at their figures, while it is waited for their lists
 LISTED_WITHIN = 60.0
@@ -67,6 +69,11 @@
         self.at: dict[str, str] = {}  # who has a job
         self.lives: dict[str, int] = {}  # which of its processes that was
 
+    def takes(self, door: int) -> bool:
+        """The platform's front sends no new connections to who is told to end, a moment after that."""
+        told = self.rig.processes[f"d{door}"].told_at
+        return told is None or time.monotonic() - told < FRONT_NOTICES
+
     def handed(self, job: Job, door: int) -> None:
         """A job goes to a dispatcher."""
         now, name, lane = self.rig.history.now(), f"d{door}", job.due.lane
--- a/heronlug/standin/fleet.py
+++ b/heronlug/standin/fleet.py
@@ -192,7 +192,9 @@
         return self._server is not None
 
     async def open(self) -> None:
-        """Listen; raises ``OSError``."""
+        """Listen, unless it does; raises ``OSError``."""
+        if self.listening:
+            return
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Connection(self), "127.0.0.1", self.port, backlog=512)
         self.port = int(self._server.sockets[0].getsockname()[1])
--- a/heronlug/standin/register.py
+++ b/heronlug/standin/register.py
@@ -58,6 +58,8 @@
 
     async def open(self, host: str = "127.0.0.1", port: int = 0, caller: str = "") -> int:
         """Listen for a caller, again on the port that it had; returns the port.  Raises ``OSError``."""
+        if caller in self._servers:
+            return self._ports[caller]  # it is up already
         loop, wanted = asyncio.get_running_loop(), port or self._ports.get(caller, 0)
         for again in range(TRIES, -1, -1):
             try:
