Failing tests: a list of any age is gone by after a start and while calls for it fail

Hypotheses: (1) a process that starts with an old list; (2) a watch that fell silent; (3) a stalled loop; (4) a dial in progress when the list came; (5) calls that fail and put the list's time off. What tells them apart: told 6 s after the change and not at its writing, so nothing had been written to that dispatcher before 31.179: excludes all that ran through (1 is left). At fault: Told.begin gives a list min(ask_every, 6 s) and the grace from the start of the process. The same mistake, looked for in its kin: Told.failed (four times ask_every), Told.called (the wait of a call that follows no answer), Told.moved and _apart (renew a list whose time runs by an older clock).

--- /dev/null
+++ b/tests/endings/test_old_list.py
@@ -0,0 +1,153 @@
+"""A dispatcher that comes back with the list that it held long ago sends nothing to servers that left meanwhile.
+
+What users saw: some requests went to servers 9 to 11 s after these had left.  Order of events: dispatchers were killed;
+2 s later servers left, and discovery told everybody that ran; 16 s after that the dispatchers were started with the
+list of before; discovery was asked by all of them at once and answered each within a second; what clients sent in that
+second went by the old list.  Cause: a list that a process was given was held to be good for 6 s and the grace from the
+start of the process, however old it was.
+
+Evidence: each break came 6 s and more after a change that the dispatcher had not been written, which only those that
+had been away had not; in a day with all logs, just three requests were taken by any of those between its start and its
+first answer, and there were three breaks.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from endings.house import PATIENCE, End, House, StandIn, done, message, name_of, play, until
+from heronlug.standin.ports import free_port
+
+LANES = ("safe", "once", "keyed")
+GONE, STAY = ("h1", "h2", "h3"), ("h4", "h5", "h6")
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+class Restarted:
+    """A process of the program that is given a list of six servers, before stand-ins that do as they are told."""
+
+    def __init__(self, folder: Path) -> None:
+        self.house, self.folder = House(6), folder
+        self.operators = f"127.0.0.1:{free_port()}"
+        self.clients: list[End] = []
+
+    async def play(self, test: Callable[["Restarted"], Awaitable[None]]) -> None:
+        house = self.house
+        path = self.folder / "config.json"
+        path.write_text(json.dumps({**house.raw, "admin_addr": self.operators}))
+        for standin in (house.register, *house.hosts.values()):
+            await standin.listen()
+        env = {**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)}
+        with subprocess.Popen([sys.executable, "-m", "heronlug"], env=env, stdout=subprocess.DEVNULL) as process:
+            try:
+                await test(self)
+                process.send_signal(signal.SIGTERM)
+                assert await asyncio.to_thread(process.wait, PATIENCE) == 0
+            finally:
+                process.kill()
+
+    async def requests(self, count: int) -> None:
+        """So many clients hand in a request each, of all effects in turn."""
+        for number in range(len(self.clients), len(self.clients) + count):
+            client = await self._client()
+            client.send(message(f"t{number}", LANES[number % len(LANES)], 4000))
+            self.clients.append(client)
+
+    async def _client(self) -> End:
+        host, port = self.house.listen.split(":")
+        for _ in range(int(PATIENCE * 100)):
+            try:
+                return (await asyncio.get_running_loop().create_connection(End, host, int(port)))[1]
+            except OSError:
+                await asyncio.sleep(0.01)  # it does not listen yet
+        raise AssertionError("never: a listening program")
+
+    def at(self, names: tuple[str, ...]) -> list[StandIn]:
+        """Those of these servers that a request has come to."""
+        return [self.house.hosts[name] for name in names if self.house.hosts[name].requests]
+
+    async def placed(self) -> None:
+        """Until each request is at a server, or known to wait in the program."""
+        for _ in range(int(PATIENCE * 100)):
+            there = sum(host.requests for host in self.house.hosts.values())
+            if there + await self._waiting() >= len(self.clients):
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"never: each request placed or waiting: {there} placed, {await self._waiting()} wait")
+
+    async def _waiting(self) -> int:
+        host, port = self.operators.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /stats HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        return int(text.partition("\nsvc_waiting ")[2].partition("\n")[0])
+
+    async def served(self, names: tuple[str, ...]) -> None:
+        """All requests come to these servers, and are answered."""
+        for _ in self.clients:
+            await until(lambda: bool(self.at(names)), "a request at a server")
+            end, request = await self.at(names)[0].request()
+            end.send(done(name_of(request)))
+        await until(lambda: all(client.got.endswith(b"ok") for client in self.clients), "all answers")
+
+
+def test_servers_that_left_while_the_process_was_away_get_nothing(tmp_path: Path) -> None:
+    """They left over 8.5 s ago, so the change counts as notified and the grace is over, whether or not it arrived.
+
+    Discovery is at hand all the while: it refuses the first call, and takes its time over the next.
+    """
+
+    async def test(restarted: Restarted) -> None:
+        house = restarted.house
+        first, _ = await house.register.request()
+        await restarted.requests(6)
+        await restarted.placed()
+        first.send(REFUSED)
+        again, _ = await house.register.request()
+        await restarted.requests(6)
+        await restarted.placed()
+        assert not restarted.at(GONE)
+        again.send(house.news(5, *(f"{name}:left" for name in GONE)))
+        await restarted.served(STAY)
+        assert not restarted.at(GONE)
+
+    play(lambda: Restarted(tmp_path).play(test))
+
+
+def test_a_start_while_discovery_cannot_be_reached_goes_by_the_list(tmp_path: Path) -> None:
+    """What discovery could not tell anybody does not count yet, and the list is all that can be known."""
+
+    async def test(restarted: Restarted) -> None:
+        await restarted.requests(6)
+        await restarted.served(GONE + STAY)
+
+    restarted = Restarted(tmp_path)
+    restarted.house.raw["discovery"] = f"127.0.0.1:{free_port()}"  # where nobody listens
+    play(lambda: restarted.play(test))
+
+
+def test_a_start_whose_dials_to_discovery_never_come_up_goes_by_the_list(tmp_path: Path) -> None:
+    """The same behind a cut: nothing says no."""
+
+    async def test(restarted: Restarted) -> None:
+        await restarted.requests(6)
+        await restarted.served(GONE + STAY)
+
+    restarted = Restarted(tmp_path)
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        address = full.getsockname()
+        waiting = [socket.socket() for _ in range(3)]
+        for sock in waiting:  # its queue is full, and the system answers no further dial
+            sock.setblocking(False)
+            sock.connect_ex(address)
+        restarted.house.raw["discovery"] = f"127.0.0.1:{address[1]}"
+        play(lambda: restarted.play(test))
+        for sock in waiting:
+            sock.close()
--- a/tests/endings/test_watch.py
+++ b/tests/endings/test_watch.py
@@ -5,11 +5,13 @@
 
 import os
 import signal
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import pytest
 
-from endings.house import BEGIN, House, done, play, served
+from endings.house import BEGIN, End, House, done, play, served
 
 GRACE = 2500.0  # ms, of the settings
 PUSHED: dict[str, Any] = {"settings": {"discovery": "pushed"}}
@@ -205,3 +207,74 @@
             assert house.clock.at - BEGIN >= 30_000 and not house.logged("list_doubted")
 
     play(test)
+
+
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+WAYS_TO_FAIL: dict[str, Callable[[End], None]] = {
+    "refused": lambda call: call.send(REFUSED),
+    "reset": End.reset,
+    "half answered": lambda call: call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{"),
+    "no list": lambda call: call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+    "silent": lambda call: None,
+}
+
+
+async def calls_fail(house: House, way: str, until_ms: float) -> int:
+    """Discovery is at hand up to this time, and each call fails in this way; returns how many."""
+    calls = 0
+    while house.clock.at < BEGIN + until_ms:
+        await house.pass_time(50)
+        for call in house.register.ends:
+            if not call.over and call.take():
+                WAYS_TO_FAIL[way](call)
+                calls += 1
+    return calls
+
+
+def test_a_change_counts_though_each_call_for_it_fails() -> None:
+    """A change counts as notified at the latest 6 s after discovery had it and could be reached.
+
+    What users saw: a list service that was at hand and gave no answer, and requests to servers that had begun to drain
+    over 8.5 s before.  Order of events: the watch is reset; servers begin to drain; each call is refused, reset,
+    answered in half, or not at all.  Cause: a call that failed put the end of the list's time off to four times the
+    time of asking, and each one that went out, to the end of its own wait.
+
+    Evidence: one real process at 25 requests a second sent 74 to 172 of them past the limit, by the way the calls ended.
+    """
+
+    async def test(way: str) -> None:
+        async with House(1).open() as house:
+            watch, _ = await house.register.request()
+            await house.until_time(1_000)
+            watch.reset()  # from here on a change may be missed
+            limit = 1_000 + 6_000 + GRACE
+            assert await calls_fail(house, way, limit - 300)
+            await goes(house, "t1", "h1")  # which may have been allowed
+            await calls_fail(house, way, limit + 50)
+            await goes_nowhere(house, "t2")
+            await calls_fail(house, way, limit + 8_000)
+            await goes_nowhere(house, "t3")
+
+    for way in WAYS_TO_FAIL:
+        play(partial(test, way))
+
+
+def test_nothing_but_an_answer_renews_a_list() -> None:
+    """A watch that was silent before its reset has told 2 s after its wait; new configurations put nothing off."""
+
+    async def test(moves: int) -> None:
+        async with House(1).open() as house:
+            watch, _ = await house.register.request()
+            await house.until_time(20_000)
+            watch.reset()  # it may have missed what came from its first moment on
+            last = 22_000 + GRACE
+            for number in range(moves):
+                await calls_fail(house, "refused", 20_400 + 1_000 * number)
+                house.raw["discovery"] = (house.other, house.register)[number % 2].address
+                os.kill(os.getpid(), signal.SIGHUP)
+                await house.settle()
+            await calls_fail(house, "refused", last + 50)
+            await goes_nowhere(house, "t1")
+
+    for moves in (0, 1, 3):
+        play(partial(test, moves))
