Failing test: a request is closed unread when accept is short of a descriptor

Excluded: ECONNABORTED, ENOBUFS and ENOMEM (none lost). The loop's own way is at fault: it gives up a spare descriptor, accepts and closes. The test lowers the descriptor limit of a real process from outside, dials, and waits for a close or a log line; it fails for clients at once. tests/endings/program.py is the process that it and test_old_list share. One check in test_watch asked for a log line by its old name and could not fail; it asks for the new one.

--- /dev/null
+++ b/tests/endings/program.py
@@ -0,0 +1,75 @@
+"""A process of the program before stand-ins that do as a test tells them; ordered by its log, its figures and bytes."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from endings.house import PATIENCE, End, House, until
+from heronlug.standin.ports import free_port
+
+
+class Program:
+    """One process, whose files and stand-ins are those of a :class:`House`."""
+
+    def __init__(self, folder: Path, house: House, **more: Any) -> None:
+        """``more`` are keys of its configuration."""
+        self.folder, self.house = folder, house
+        self.operators = f"127.0.0.1:{free_port()}"
+        self.config = {**house.raw, "admin_addr": self.operators, **more}
+        self.environ: dict[str, str] = {}
+        self.inherits: tuple[int, ...] = ()
+        self.process: subprocess.Popen[bytes]
+
+    @asynccontextmanager
+    async def open(self) -> AsyncIterator["Program"]:
+        """It runs, and ends well in the end."""
+        path, log = self.folder / "config.json", self.folder / "log"
+        path.write_text(json.dumps(self.config))
+        for standin in (self.house.register, *self.house.hosts.values()):
+            await standin.listen()
+        env = {**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder), **self.environ}
+        command = [sys.executable, "-m", "heronlug"]
+        with (
+            log.open("wb") as out,
+            subprocess.Popen(command, env=env, stdout=out, pass_fds=self.inherits) as self.process,
+        ):
+            try:
+                yield self
+                self.process.send_signal(signal.SIGTERM)
+                assert await asyncio.to_thread(self.process.wait, PATIENCE) == 0
+            finally:
+                self.process.kill()
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        """The whole lines of a kind so far."""
+        lines = (self.folder / "log").read_bytes().rpartition(b"\n")[0].splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == event]
+
+    async def started(self) -> None:
+        await until(lambda: bool(self.logged("started")), "the start")
+
+    async def confirmed(self) -> None:
+        """It serves by the list that discovery has confirmed."""
+        await self.started()
+        await self.house.confirm()
+
+    async def dial(self, address: str = "") -> End:
+        """A connection of a client, or to another address; it may wait to be accepted."""
+        host, port = (address or self.house.listen).split(":")
+        return (await asyncio.get_running_loop().create_connection(End, host, int(port)))[1]
+
+    async def figure(self, name: str) -> int:
+        """One of the figures that an operator reads."""
+        host, port = self.operators.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /stats HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        return int(text.partition(f"\n{name} ")[2].partition("\n")[0])
--- /dev/null
+++ b/tests/endings/test_accept.py
@@ -0,0 +1,77 @@
+"""What waits to be accepted goes on waiting while ``accept`` fails, and is served once it works again.
+
+What users saw: with descriptors short for a moment, one in three requests on new connections ended with the connection
+closed and no answer, so a client could not know whether its request had run.  Order of events: the connection waits in
+the listening socket's queue, its request with it; ``accept`` fails for want of a descriptor.  Cause: the event loop
+then gives up a spare descriptor, accepts what waits, and closes it.
+
+Evidence: of 231 requests 73 were closed unread while ``accept`` failed with ENFILE or EMFILE half of the time, and none
+with each other error, which the loop leaves in the queue.
+"""
+
+import os
+import resource
+import socket
+from pathlib import Path
+
+from endings.house import House, done, message, name_of, play, until
+from endings.program import Program
+from heronlug.standin.ports import free_port
+
+
+class NoDescriptors:
+    """The process can open no further descriptor, from now on until :meth:`over`."""
+
+    def __init__(self, pid: int) -> None:
+        self._pid = pid
+        self._before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        used = {int(name) for name in os.listdir(f"/proc/{pid}/fd")}
+        free = next(number for number in range(len(used) + 1) if number not in used)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (free, self._before[1]))
+
+    def over(self) -> None:
+        resource.prlimit(self._pid, resource.RLIMIT_NOFILE, self._before)
+
+
+def test_a_connection_that_cannot_be_accepted_now_is_accepted_later(tmp_path: Path) -> None:
+    async def test(listener: str) -> None:
+        folder = tmp_path / listener
+        folder.mkdir()
+        house = House(1)
+        program = Program(folder, house)
+        faktory = f"127.0.0.1:{free_port()}"
+        (folder / "state.toml").write_text(f'log_level = "info"\n[faktory]\nlisten = "{faktory}"\n')
+        program.environ["HERONLUG_STATE"] = str(folder / "state.toml")
+        address, sent, answer = {
+            "operators": (program.operators, b"GET /stats HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 200 "),
+            "faktory": (faktory, b"", b"+HI "),
+        }.get(listener, (house.listen, message("t1", "once", 4000), b"HTTP/1.1 200 "))
+        inherited = None
+        if listener == "inherited":
+            host, port = house.listen.split(":")
+            inherited = socket.create_server((host, int(port)))
+            program.inherits = (inherited.fileno(),)
+            program.environ["RELAY_INHERITED_FD"] = str(inherited.fileno())
+        async with program.open():
+            await program.confirmed()
+            warm = await program.dial()
+            warm.send(message("t0", "safe", 4000))
+            end, _ = await house.hosts["h1"].request()
+            end.send(done("t0"))
+            await until(lambda: warm.got.endswith(b"ok"), "the first answer")
+            shortage = NoDescriptors(program.process.pid)
+            client = await program.dial(address)
+            client.send(sent)
+            await until(lambda: client.over or bool(program.logged("accept_failed")), "a failure of accept")
+            assert not client.over
+            assert program.logged("accept_failed")[0]["listener"] == listener.replace("inherited", "clients")
+            shortage.over()
+            if address == house.listen:
+                end, request = await house.hosts["h1"].request()
+                end.send(done(name_of(request)))
+            await until(lambda: client.got.startswith(answer), "an answer")
+        if inherited is not None:
+            inherited.close()
+
+    for listener in ("clients", "inherited", "operators", "faktory"):
+        play(lambda listener=listener: test(listener))  # type: ignore[misc]
--- a/tests/endings/test_old_list.py
+++ b/tests/endings/test_old_list.py
@@ -12,16 +12,12 @@
 """
 
 import asyncio
-import json
-import os
-import signal
 import socket
-import subprocess
-import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from endings.house import PATIENCE, End, House, StandIn, done, message, name_of, play, until
+from endings.program import Program
 from heronlug.standin.ports import free_port
 
 LANES = ("safe", "once", "keyed")
@@ -30,64 +26,39 @@
 
 
 class Restarted:
-    """A process of the program that is given a list of six servers, before stand-ins that do as they are told."""
+    """A process that is given a list of six servers, and the requests of its clients."""
 
-    def __init__(self, folder: Path) -> None:
-        self.house, self.folder = House(6), folder
-        self.operators = f"127.0.0.1:{free_port()}"
+    def __init__(self, folder: Path, **config: str) -> None:
+        self.house = House(6)
+        self.program = Program(folder, self.house, **config)
         self.clients: list[End] = []
 
     async def play(self, test: Callable[["Restarted"], Awaitable[None]]) -> None:
-        house = self.house
-        path = self.folder / "config.json"
-        path.write_text(json.dumps({**house.raw, "admin_addr": self.operators}))
-        for standin in (house.register, *house.hosts.values()):
-            await standin.listen()
-        env = {**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)}
-        with subprocess.Popen([sys.executable, "-m", "heronlug"], env=env, stdout=subprocess.DEVNULL) as process:
-            try:
-                await test(self)
-                process.send_signal(signal.SIGTERM)
-                assert await asyncio.to_thread(process.wait, PATIENCE) == 0
-            finally:
-                process.kill()
+        async with self.program.open():
+            await self.program.started()
+            await test(self)
 
     async def requests(self, count: int) -> None:
-        """So many clients hand in a request each, of all effects in turn."""
+        """So many clients more hand in a request each, of all effects in turn."""
         for number in range(len(self.clients), len(self.clients) + count):
-            client = await self._client()
+            client = await self.program.dial()
             client.send(message(f"t{number}", LANES[number % len(LANES)], 4000))
             self.clients.append(client)
 
-    async def _client(self) -> End:
-        host, port = self.house.listen.split(":")
-        for _ in range(int(PATIENCE * 100)):
-            try:
-                return (await asyncio.get_running_loop().create_connection(End, host, int(port)))[1]
-            except OSError:
-                await asyncio.sleep(0.01)  # it does not listen yet
-        raise AssertionError("never: a listening program")
-
     def at(self, names: tuple[str, ...]) -> list[StandIn]:
         """Those of these servers that a request has come to."""
         return [self.house.hosts[name] for name in names if self.house.hosts[name].requests]
 
     async def placed(self) -> None:
         """Until each request is at a server, or known to wait in the program."""
+        there = waiting = 0
         for _ in range(int(PATIENCE * 100)):
             there = sum(host.requests for host in self.house.hosts.values())
-            if there + await self._waiting() >= len(self.clients):
+            waiting = await self.program.figure("svc_waiting")
+            if there + waiting >= len(self.clients):
                 return
             await asyncio.sleep(0.01)
-        raise AssertionError(f"never: each request placed or waiting: {there} placed, {await self._waiting()} wait")
-
-    async def _waiting(self) -> int:
-        host, port = self.operators.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b"GET /stats HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        text = (await reader.read()).decode()
-        writer.close()
-        return int(text.partition("\nsvc_waiting ")[2].partition("\n")[0])
+        raise AssertionError(f"never: each request placed or waiting: {there} placed, {waiting} wait")
 
     async def served(self, names: tuple[str, ...]) -> None:
         """All requests come to these servers, and are answered."""
@@ -128,9 +99,8 @@
         await restarted.requests(6)
         await restarted.served(GONE + STAY)
 
-    restarted = Restarted(tmp_path)
-    restarted.house.raw["discovery"] = f"127.0.0.1:{free_port()}"  # where nobody listens
-    play(lambda: restarted.play(test))
+    nobody = f"127.0.0.1:{free_port()}"
+    play(lambda: Restarted(tmp_path, discovery=nobody).play(test))
 
 
 def test_a_start_whose_dials_to_discovery_never_come_up_goes_by_the_list(tmp_path: Path) -> None:
@@ -140,14 +110,12 @@
         await restarted.requests(6)
         await restarted.served(GONE + STAY)
 
-    restarted = Restarted(tmp_path)
     with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
         address = full.getsockname()
         waiting = [socket.socket() for _ in range(3)]
         for sock in waiting:  # its queue is full, and the system answers no further dial
             sock.setblocking(False)
             sock.connect_ex(address)
-        restarted.house.raw["discovery"] = f"127.0.0.1:{address[1]}"
-        play(lambda: restarted.play(test))
+        play(lambda: Restarted(tmp_path, discovery=f"127.0.0.1:{address[1]}").play(test))
         for sock in waiting:
             sock.close()
--- a/tests/endings/test_watch.py
+++ b/tests/endings/test_watch.py
@@ -200,7 +200,8 @@
             for number in range(30):
                 await house.pass_time(1_000)
                 await goes(house, f"t{number}", "h1")
-            assert house.clock.at - BEGIN >= 30_000 and not house.logged("list_doubted")
+            assert house.clock.at - BEGIN >= 30_000
+            assert [line["state"] for line in house.logged("list_stale")] == ["unconfirmed"]  # before the first answer
 
     play(test)
 
