What accept cannot take now goes on waiting: an accept loop of our own for each listener

Cause: the event loop's server answers EMFILE and ENFILE by giving up a spare descriptor, accepting what waits and closing it. Change: wire/acceptor.py takes connections off the clients', operators' and Faktory's sockets, own or inherited. A failure for want of a descriptor, memory or buffers leaves the queue alone and tries again after 5 ms, doubling to 100 ms; after 0.5 s without a descriptor the connection that the existing rules name makes room. accept_failed (a line a second at most) and svc_accept_failures tell of it. The Faktory listener refuses until it serves, as before.

--- a/heronlug/life/listener.py
+++ b/heronlug/life/listener.py
@@ -1,10 +1,9 @@
 """The clients' listening socket: our own, or one that was there before us and will be after us."""
 
-import asyncio
 import os
 import socket
-from collections.abc import Callable
 
+from heronlug.wire.acceptor import Acceptor
 from heronlug.wire.ends import waits
 
 BACKLOG = 512
@@ -16,10 +15,10 @@
     What waits in the socket's queue is taken by whoever else holds it, so it is never shut down here.
     """
 
-    def __init__(self, protocol: Callable[[], asyncio.Protocol]) -> None:
-        self._protocol = protocol
-        self._server: asyncio.AbstractServer | None = None
+    def __init__(self, acceptor: Acceptor) -> None:
+        self.acceptor = acceptor
         self.socket: socket.socket | None = None
+        self._backlog = BACKLOG
 
     def fileno(self) -> int:
         """The socket's descriptor, -1 for none."""
@@ -31,28 +30,31 @@
         if not self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             raise OSError(f"descriptor {fd} is no listening socket")
 
-    def bind(self, address: tuple[str, int]) -> None:
-        """A socket of our own; raises ``OSError``."""
-        host, port = address
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    def bind(self, address: tuple[str, int], backlog: int = BACKLOG) -> None:
+        """A socket of our own, which refuses whoever comes before :meth:`accept`; raises ``OSError``."""
+        bound = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        try:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            bound.bind(address)
+        except OSError:
+            bound.close()
+            raise
+        self.socket, self._backlog = bound, backlog
 
     @property
     def waits(self) -> bool:
         """Whether somebody waits in the queue for us to accept, and not for another process that holds it too."""
-        return self._server is not None and waits(self.fileno())
+        return self.acceptor.opening > 0 or (self.acceptor.active and waits(self.fileno()))
 
-    async def accept(self) -> None:
+    def accept(self) -> None:
         """Take clients, unless that is so already."""
-        if self._server is None and self.socket is not None:
-            copy = self.socket.dup()
-            self._server = await asyncio.get_running_loop().create_server(self._protocol, sock=copy, backlog=BACKLOG)
+        if not self.acceptor.active and self.socket is not None:
+            self.socket.listen(self._backlog)
+            self.acceptor.start(self.socket)
 
     def pause(self) -> None:
         """Take none."""
-        server, self._server = self._server, None
-        if server is not None:
-            server.close()
+        self.acceptor.stop()
 
     def close(self) -> None:
         """Leave the socket."""
--- a/heronlug/life/operate.py
+++ b/heronlug/life/operate.py
@@ -60,6 +60,13 @@
             yield from (f'svc_{name}{{type="{lane}"}} {count}' for lane, count in by_class[name].items())
 
 
+def accept_figures(failures: dict[str, int]) -> str:
+    """The lines on calls of accept that failed, by listener."""
+    lines = ["# HELP svc_accept_failures calls of accept that failed", "# TYPE svc_accept_failures counter"]
+    lines += [f'svc_accept_failures{{listener="{name}"}} {count}' for name, count in failures.items()]
+    return "\n".join([*lines, ""])
+
+
 def calls(
     parting: Parting, takes_clients: Callable[[], bool], cores: Callable[[], list[Core]], log: Callable[..., None],
     more: Callable[[], str] = str,
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -23,7 +23,7 @@
 from heronlug.life.files import Files
 from heronlug.life.listener import Listener
 from heronlug.life.log import Log
-from heronlug.life.operate import calls
+from heronlug.life.operate import accept_figures, calls
 from heronlug.life.parting import Parting
 from heronlug.life.reload import Reload
 from heronlug.life.state import EMPTY, State, StateError, digest
@@ -31,6 +31,7 @@
 from heronlug.limits import resolve
 from heronlug.memory.core import Core, Final, HostEntry, Message, Relay
 from heronlug.memory.deadlines import Clock, Deadlines
+from heronlug.wire.acceptor import Acceptor
 from heronlug.wire.admin import MAX_CALLERS, Admin
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
@@ -41,6 +42,7 @@
 from heronlug.wire.south import South
 
 CONFIRM_WITHIN = 3_000.0  # ms that a start waits for discovery to confirm its list before it takes clients
+FAKTORY_BACKLOG = 128
 LATE_TURN = 250.0  # ms that a timer may be late before it is worth a line
 PROGRAM_MB, MIN_HELD = 24.0, 4.0  # what the program takes by itself; bodies of clients may take so much at least
 SPARE_DESCRIPTORS = 64  # for the loop, the log, the inventory, the peers and the listeners
@@ -91,7 +93,7 @@
         self.config, self.log = config, log
         self.running = Running(self)
         self.faktory: Faktory | None = None  # made when it is first listened for, and kept: it owns its jobs
-        self._faktory_server: asyncio.AbstractServer | None = None
+        self._faktory_listener: Listener | None = None
         self.loop = Loop(log)
         self.turn = self.loop.turn
         self.left = asyncio.Event()
@@ -127,14 +129,16 @@
             self.peers.serving, self.peers.leave, self.peers.stay, self.core.give_up_all, self.north.close_idle,
             self.left.set,
         )  # fmt: skip
-        self.listener = Listener(self.north.protocol)
+        self.listener = Listener(Acceptor("clients", self.north.protocol, log))
+        self.listener.acceptor.exhausted = self.north.make_room
+        self.operators = Listener(Acceptor("operators", lambda: self.admin.protocol(), log))
         self.takeover = Takeover(self, deadlines, os.environ.get("TMPDIR"))
         self.core.named = self.takeover.named
         self.member: Any = None  # our membership, where there is a cluster
         self.keep: Any = None  # the file of the list, where one is kept
         if config.paced:
             self.use_register({})
-        table = calls(self.leaving, self._takes_clients, self._cores, log, self._cluster_figures)
+        table = calls(self.leaving, self._takes_clients, self._cores, log, self._more_figures)
         self.admin = Admin(table, deadlines, log, self.turn)
         self.reload = Reload(
             config, partial(files.load, again=True), self._moved, self.running.limit, log,
@@ -188,11 +192,11 @@
         controller = await control.listen(control_path, self.running) if control_path else None
         self.takeover.take_up()
         self.takeover.open_listener()
-        await self.listener.accept()
+        self.listener.accept()
         self.takeover.serving()
-        operators = None
         if self.config.admin is not None:
-            operators = await loop.create_server(self.admin.protocol, *self.config.admin, backlog=MAX_CALLERS)
+            self.operators.bind(self.config.admin, MAX_CALLERS)
+            self.operators.accept()
         gc.collect()
         gc.freeze()
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
@@ -209,9 +213,8 @@
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.takeover.handover.close()
         self.listener.close()
-        if operators is not None:
-            operators.close()
-            self.admin.close()
+        self.operators.close()
+        self.admin.close()
         self.inventory.stop()
         self.peers.close()
         if controller is not None:
@@ -240,32 +243,30 @@
         if self.faktory is None:
             self.faktory = self._make_faktory(wanted)
             self.faktory.recover()
-        if self._faktory_server is not None and self.faktory.terms.listen == wanted.listen:
-            return wanted, self._faktory_server
-        front = self.faktory
-        server = await asyncio.get_running_loop().create_server(
-            front.protocol, *wanted.listen, backlog=128, start_serving=False
-        )
-        return wanted, server
+        if self._faktory_listener is not None and self.faktory.terms.listen == wanted.listen:
+            return wanted, self._faktory_listener
+        listener = Listener(Acceptor("faktory", self.faktory.protocol, self.log))
+        listener.bind(wanted.listen, FAKTORY_BACKLOG)
+        return wanted, listener
 
     def use_faktory(self, listener: Any) -> None:
         """Serve the second front on this listener; without one, only what it has taken is still worked off."""
         front = self.faktory
         if front is None:
             return
-        terms, server = listener or (front.terms, None)
-        if self._faktory_server is not None and self._faktory_server is not server:
-            self._faktory_server.close()
-        self._faktory_server, front.terms = server, terms
-        front.open(server is not None)
-        if server is not None:
-            asyncio.get_running_loop().create_task(server.start_serving())
+        terms, used = listener or (front.terms, None)
+        if self._faktory_listener is not None and self._faktory_listener is not used:
+            self._faktory_listener.close()
+        self._faktory_listener, front.terms = used, terms
+        front.open(used is not None)
+        if used is not None:
+            used.accept()
 
     def drop_faktory(self, listener: Any) -> None:
         """Close what :meth:`open_faktory` has bound, unless it is in use."""
-        _, server = listener
-        if server is not self._faktory_server:
-            server.close()
+        _, bound = listener
+        if bound is not self._faktory_listener:
+            bound.close()
 
     def use_register(self, terms: dict[str, Any]) -> None:
         """Keep to a pace, and keep the list; the code of both is loaded only here."""
@@ -308,8 +309,11 @@
             return rows
         return halls.view(self.core, self.config.zones)
 
-    def _cluster_figures(self) -> str:
-        return str(self.member.cluster.figures()) if self.member is not None else ""
+    def _more_figures(self) -> str:
+        listeners = [self.listener, self.operators, *([self._faktory_listener] if self._faktory_listener else [])]
+        failures = {listener.acceptor.name: listener.acceptor.failures for listener in listeners}
+        cluster = str(self.member.cluster.figures()) if self.member is not None else ""
+        return accept_figures(failures) + cluster
 
     def _use_keys(self, found: dict[int, bytes] | None) -> None:
         if self.member is not None and found is not None:
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -189,7 +189,7 @@
         self.alone()
         self._daemon.leaving.hand_over(None)
         if not self._daemon.leaving.stopping:
-            self._later(self._daemon.listener.accept)
+            self._daemon.listener.accept()
         self._later(self.open_peers)
         self.handover.listen()  # the file that others find us by was its own at last
 
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -437,18 +437,26 @@
             if self.opened_at - self._crowded_at >= CROWD_LOG:
                 self._crowded_at = self.opened_at
                 self.owner.log("too_many_clients", connections=len(self.connections))
-            self._first_to_go(connection).abort()
+            (self._first_to_go() or connection).abort()
         rested = Rank.SERVED if connection.messages else Rank.ASKED
         self.rank(connection, rested if connection.asked else Rank.SILENT)
 
-    def _first_to_go(self, newcomer: Connection) -> Connection:
+    def make_room(self) -> None:
+        """The process has no descriptor left: one connection that owes nothing goes, if there is such a one."""
+        first = self._first_to_go()
+        if first is not None:
+            self.owner.log("too_many_clients", connections=len(self.connections))
+            first.abort()
+
+    def _first_to_go(self) -> Connection | None:
         """The first in rank, but one whose first request may be under way comes after those that asked for nothing."""
         rejected, silent, asked, served = (
             next((one for one in islice(those.values(), LOOKED_AT) if rank is Rank.REJECTED or not one.more), None)
             for rank, those in zip(Rank, self.ranks[: Rank.BUSY], strict=False)
         )
-        fresh = silent is not None and self.opened_at - silent.opened_at < FRESH
-        return rejected or (not fresh and silent) or asked or silent or served or newcomer
+        fresh = silent is not None and self.deadlines.clock() - silent.opened_at < FRESH
+        settled = None if fresh else silent
+        return rejected or settled or asked or silent or served
 
     def rank(self, connection: Connection, rank: int) -> None:
         """Put a connection last in its new rank; -1 is none."""
--- a/tests/endings/test_accept.py
+++ b/tests/endings/test_accept.py
@@ -70,6 +70,8 @@
                 end, request = await house.hosts["h1"].request()
                 end.send(done(name_of(request)))
             await until(lambda: client.got.startswith(answer), "an answer")
+            figure = f'svc_accept_failures{{listener="{listener.replace("inherited", "clients")}"}}'
+            assert await program.figure(figure) >= 1
         if inherited is not None:
             inherited.close()
 
