A judge with clocks of its own; the rig plays dispatchers as the platform configures them

Change: rules/notified.py derives from discovery's records alone when a change counts (written, no watch, a silent watch, its end, out of reach, a process that was away); dispatchers.platform writes the platform's object with the list as last held; the soak draws refusals, hangs, half and dripping answers, and dispatchers away while servers leave.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,14 @@
 .PHONY: build test lint run try soak demo
 
 PYTHON = .venv-dev/bin/python
+# files of tests that run at once: most of their time is waiting, and a file's own tests stay in one process
+TEST_PROCESSES = 5
 
 build: .venv/ready
 	.venv/bin/python -m compileall -q heronlug
 
 test: lint
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 # what is too long for each landing: ten thousand seeds of the cluster's troubles, and more states of its leases
 soak: .venv-dev/ready
--- a/heronlug/life/site.py
+++ b/heronlug/life/site.py
@@ -90,6 +90,18 @@
 
 def read_site(source: Source) -> tuple[Config | None, list[Fault]]:
     """The configuration in a file, or all that is wrong with it."""
+    raw, faults = read_object(source)
+    if raw is None:
+        return None, faults
+    try:
+        watched = raw["discovery"] is not None
+        return replace(parse(raw, source.path, watched=watched), paced=watched), []
+    except ConfigError as error:
+        return None, [Fault(source.path, 0, "", str(error))]
+
+
+def read_object(source: Source) -> tuple[dict[str, Any] | None, list[Fault]]:
+    """The same as the platform's object, or all that is wrong with the file."""
     faults: list[Fault] = []
 
     def form(kind: type[Any], table: Any, *at: str | int) -> Any:
@@ -142,11 +154,7 @@
             faults.append(source.fault((*at, "aim_ms"), wrong, f"{lane.deadline_ms:g} at most"))
     if faults:
         return None, faults
-    try:
-        config = parse(_raw(serve, site, classes, hosts), source.path, watched=serve.discovery is not None)
-        return replace(config, paced=serve.discovery is not None), []
-    except ConfigError as error:
-        return None, [Fault(source.path, 0, "", str(error))]
+    return _raw(serve, site, classes, hosts), []
 
 
 def _address(text: str | None, source: Source, at: tuple[str | int, ...], faults: list[Fault]) -> None:
--- a/heronlug/rig/processes.py
+++ b/heronlug/rig/processes.py
@@ -12,6 +12,8 @@
 import orjson
 from jinja2 import Template
 
+from heronlug.forms import Faults, Source
+from heronlug.life.site import read_object
 from heronlug.rig.script import Script
 from heronlug.standin.ports import starting
 
@@ -97,10 +99,12 @@
         private = self.folder / f"{self.name}.tmp{self.starts}"
         private.mkdir()
         with (self.folder / f"{self.name}.log").open("ab") as log, starting:
+            file, platform = str(self.folder / f"{self.name}.toml"), self.folder / f"{self.name}.json"
+            told = {"RELAY_CONFIG": str(platform), "HERONLUG_STATE": file} if platform.exists() else {}
             self.program = subprocess.Popen(
-                [*HOLD_OFF, sys.executable, "-m", "heronlug", "serve", str(self.folder / f"{self.name}.toml")],
+                [*HOLD_OFF, sys.executable, "-m", "heronlug", *(() if told else ("serve", file))],
                 stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=self.source,
-                env={**os.environ, "TMPDIR": str(private), "HERONLUG_CONTROL": str(private / "control")},
+                env={**os.environ, "TMPDIR": str(private), "HERONLUG_CONTROL": str(private / "control"), **told},
             )  # fmt: skip
 
     def signal(self, number: signal.Signals) -> None:
@@ -191,3 +195,24 @@
                        discovery=discovery, peers=peers, member=member, advertised=advertised, seeds=seeds,
                        more=more)  # fmt: skip
     (process.folder / f"{process.name}.toml").write_text(text)
+
+
+def write_platform_files(process: Process, known: dict[str, Any]) -> None:
+    """The same dispatcher as the platform configures it: its object with a ``known`` list, and a file of its own state.
+
+    Raises :class:`Faults` where its operators' file has any.
+    """
+    path = process.folder / f"{process.name}.toml"
+    source = Source.read(path)
+    raw, faults = read_object(source)
+    if raw is None:
+        raise Faults(faults)
+    (process.folder / f"{process.name}.json").write_bytes(orjson.dumps(raw))
+    write_known(process, known)
+    path.write_text(f'log_level = "{source.table["log_level"]}"\n')
+
+
+def write_known(process: Process, known: dict[str, Any]) -> None:
+    """Another ``known`` list, for the process's next start."""
+    path = process.folder / f"{process.name}.json"
+    path.write_bytes(orjson.dumps({**orjson.loads(path.read_bytes()), "known": known}))
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -6,7 +6,8 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -19,10 +20,25 @@
 from heronlug.rig.history import History
 from heronlug.rig.paths import Path as Between
 from heronlug.rig.paths import Paths
-from heronlug.rig.processes import Process, write_file
+from heronlug.rig.processes import Process, write_file, write_known, write_platform_files
 from heronlug.rig.runners import Requests, Runners, lanes_of
 from heronlug.rig.script import HOSTS, LASTING, PROCESS, REGISTER, FailedTable, Script, Step, choose
-from heronlug.rules import Answered, Called, Checker, Ended, Event, Listed, Started, Stopped, Taken, Violation
+from heronlug.rules import (
+    Answered,
+    Called,
+    Changed,
+    Checker,
+    Ended,
+    Event,
+    Listed,
+    Reachable,
+    Started,
+    Stopped,
+    Taken,
+    Violation,
+    Watching,
+    WatchOver,
+)
 from heronlug.standin.ports import free_port, free_ports
 from heronlug.standin.register import Call, Register
 
@@ -33,6 +49,7 @@
 LISTED_WITHIN = 60.0
 LOOKED_AT = 16  # processes at once
 STOP_WITHIN = 15.0
+CUTS = {"cut", "silent", "refuse", "full"}  # faults of a path on which nothing gets through
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
@@ -114,6 +131,8 @@
         self.register = Register(table.call_ms, table.wait_most_ms, table.turned_ms, script.seed)
         self.register.retry_after = table.retry_after_ms
         self.register.told, self.register.wrote = self._called, self._wrote
+        self.register.unwatched, self.register.changed = self._unwatched, self._listed_as
+        self._unreachable: Counter[str] = Counter()  # by dispatcher: the faults that cut it from discovery now
         self.register.address_of = self._address_of
         self.runners = Runners(script, self.register, self.history, lambda txn: self.clients.at.get(txn, ""),
                                self.paths.gone)  # fmt: skip
@@ -124,6 +143,8 @@
         self.watched_after: dict[str, float] = {}  # and until its first watch waited for news
         self.register.watched = self._watched
         self._doors: dict[str, int] = {}
+        self._down = False
+        self._written: dict[str, tuple[int, dict[str, dict[str, Any]]]] = {}  # by dispatcher: its list as last written
         self._tasks: set[asyncio.Task[None]] = set()
         self._failed: list[str] = []
 
@@ -191,6 +212,10 @@
             write_file(process, script, door=self._doors[name], discovery=where, member=members[name],
                        peers=told if script.dispatchers.peers and count > 1 else [], advertised=seen_members[name],
                        seeds=seeds)  # fmt: skip
+            if script.dispatchers.platform:
+                listed = list(self.register.instances.values())
+                write_platform_files(process, self.register.table(name, self.register.version, listed, True))
+                self._written[name] = self.register.version, {i["instanceId"]: dict(i) for i in listed}
             if number % 20 == 19:
                 await asyncio.sleep(0)
         if script.register.down:
@@ -251,6 +276,10 @@
 
     async def _start_again(self, name: str) -> None:
         await self.behind.caught_up()  # with the end of the process before
+        if name in self._written:
+            version, instances = self._written[name]
+            known = self.register.table(name, version, list(instances.values()), True)
+            write_known(self.processes[name], known)  # the platform gives the list as it was last held
         self._start(name)
 
     def _longest(self) -> float:
@@ -261,12 +290,30 @@
     def _called(self, call: Call) -> None:
         self.history.see(Called(self.history.now(), call.caller, call.whole, call.turned, call.waited))
 
-    def _watched(self, caller: str) -> None:
+    def _watched(self, caller: str, call: int, wait: float) -> None:
+        self.history.see(Watching(self.history.now(), caller, call, wait))
         self.watched_after.setdefault(caller, (self.history.now() - self.history.began) / 1000)
 
+    def _unwatched(self, caller: str, call: int) -> None:
+        self.history.see(WatchOver(self.history.now(), caller, call))
+
+    def _listed_as(self, name: str, lifecycle: str) -> None:
+        self.history.see(Changed(self.history.now(), name, STATES[lifecycle]))
+
+    def _cut_from_discovery(self, names: Iterable[str], on: bool) -> None:
+        """A fault begins or ends that keeps dispatchers from discovery; others may hold meanwhile."""
+        for name in names:
+            self._unreachable[name] += 1 if on else -1
+            if self._unreachable[name] == (1 if on else 0):
+                self.history.see(Reachable(self.history.now(), name, not on))
+
     def _wrote(self, caller: str, instances: list[dict[str, Any]], whole: bool) -> None:
         """The register has told a dispatcher; who goes by another's list counts as told somewhat later."""
         now = self.history.now()
+        if self.script.dispatchers.platform:
+            _, before = self._written.get(caller, (0, {}))
+            listed = {} if whole else before
+            self._written[caller] = self.register.version, listed | {i["instanceId"]: dict(i) for i in instances}
         for instance in instances:
             self.history.see(Listed(now, caller, instance["instanceId"], STATES[instance["lifecycle"]]))
 
@@ -414,6 +461,9 @@
 
     def down(self, down: bool) -> None:
         """The register's process ends, or is there again; dials are refused meanwhile."""
+        if down is not self._down:
+            self._cut_from_discovery(self.processes, down)
+        self._down = down
         if down:
             self.register.close()
             self.paths.gone("register", True)
@@ -439,6 +489,8 @@
         return back
 
     def _fault(self, step: Step, path: Between, forward: bool, on: bool) -> None:
+        if path.name[1] == "register" and step.do in CUTS:
+            self._cut_from_discovery([path.name[0]], on)
         ways = [path.out, path.back] if step.both else [path.out if forward else path.back]
         if step.do == "heal":
             path.refusing = path.full = path.silent = False
--- a/heronlug/rig/script.py
+++ b/heronlug/rig/script.py
@@ -42,6 +42,7 @@
     peers: Flag = True  # they tell each other over UDP, as on the platform
     cluster: Annotated[Literal["", "list", "news"], Meta(description='"", "list" or "news"')] = ""
     seeds: Annotated[int, Meta(ge=0, le=64, description="a whole number, 0 to 64")] = 3  # of the cluster
+    platform: Flag = False  # configured as on the platform, each with the list as it is when the run begins
     log_taken: Flag = False  # each log tells of what is taken; what has no answer there breaks rule 1
     leave_halls: Flag = False  # a hall that fails as one is left as one
     more: str = ""  # TOML that stands at the end of each one's file; {name} and {folder} are put in
--- a/heronlug/rig/soak.py
+++ b/heronlug/rig/soak.py
@@ -1,8 +1,10 @@
 """Random scripts from a seed: fleets, classes and faults, to find what no script that somebody wrote has.
 
-Faults come one upon the other: processes are killed, replaced with the earliest kill, held up; the register is down,
-slow or silent; paths are cut, silent, slow or reset; runners die, drain and come back cold.  Clients use each
-connection until it is closed.  The four rules, read off what clients, runners and the register saw, have to hold.
+Faults come one upon the other: processes are killed, replaced with the earliest kill, held up, away while servers
+leave; service discovery is down, slow, silent, refuses, or answers in half; paths are cut, silent, slow or reset;
+servers die, drain and come back cold.  Clients use each connection until it is closed.  The four rules, read off what
+clients, servers and discovery saw, have to hold.  Most runs are configured as on the platform, where each change of
+the list counts as notified in its time; the others as by operators' files.
 """
 
 from random import Random
@@ -18,8 +20,9 @@
     Step,
 )
 
-SPAN = 16.0  # s
+SPAN = 18.0  # s
 FIRST, LAST = 1.0, 9.0  # s: when steps begin
+PLATFORM = 0.8  # of all runs
 EFFECTS: tuple[Literal["repeatable", "by_key", "once"], ...] = ("repeatable", "by_key", "once")
 
 
@@ -29,8 +32,9 @@
     dispatchers, runners = rng.randint(2, 4), rng.randint(3, 8)
     script = Script(
         name=f"soak-{seed}", span_s=SPAN, seed=seed, halls=["a", "b"][: rng.randint(1, 2)],
-        dispatchers=DispatchersTable(count=dispatchers, peers=rng.random() < 0.5, log_taken=True),
-        register=RegisterTable(call_ms=rng.choice([0.0, 5.0])),
+        dispatchers=DispatchersTable(count=dispatchers, peers=rng.random() < 0.5, log_taken=True,
+                                     platform=rng.random() < PLATFORM),
+        register=RegisterTable(call_ms=rng.choice([0.0, 5.0, 150.0])),
         runners=RunnersTable(count=runners, slots=rng.randint(2, 6), warm_after_ms=5000.0, cold=rng.random() < 0.3),
         classes=[_class(rng, number) for number in range(rng.randint(1, 3))],
         expect=ExpectTable(),
@@ -99,6 +103,31 @@
     return [Step(at_s=at, do="reset", source=["d*"], target=["register"])]
 
 
+def _register_refuses(rng: Random, at: float, script: Script) -> list[Step]:
+    """It is at hand and turns calls away, while watches break and servers drain."""
+    refused = Step(at_s=at, do="turn", share=rng.choice([0.7, 1.0]), for_s=rng.uniform(2, 12))
+    return [refused, *_register_reset(rng, at + 0.1, script), *_runners_drain(rng, at + 0.3, script)]
+
+
+def _register_hangs(rng: Random, at: float, script: Script) -> list[Step]:
+    """It takes calls and says nothing, while watches break and servers drain."""
+    hung = Step(at_s=at, do="hang", for_s=rng.uniform(2, 12))
+    return [hung, *_register_reset(rng, at + 0.1, script), *_runners_drain(rng, at + 0.3, script)]
+
+
+def _register_in_half(rng: Random, at: float, script: Script) -> list[Step]:
+    """Answers stop half-way, or drip."""
+    what, size = rng.choice([("half", 120), ("trickle", 400)])
+    return [Step(at_s=at, do=what, source=["d*"], target=["register"], bytes=size, for_s=rng.uniform(1, 5))]
+
+
+def _away(rng: Random, at: float, script: Script) -> list[Step]:
+    """Dispatchers are away while servers leave, and come back with the list of before."""
+    who, since = _dispatcher(rng, script), min(at, 4.0)
+    gone = Step(at_s=since + 0.4, do="list", who=_some_runners(rng, script), state="left")
+    return [Step(at_s=since, do="kill", who=who, for_s=rng.uniform(7, 10)), gone]
+
+
 def _runners_reset(rng: Random, at: float, script: Script) -> list[Step]:
     return [
         Step(at_s=at + 0.2 * number, do="reset", source=["d*"], target=_some_runners(rng, script))
@@ -135,6 +164,6 @@
 
 FAULTS: tuple[Any, ...] = (
     _killed, _replaced, _replaced, _held_up, _reloaded, _register_down, _register_silent, _register_slow,
-    _register_reset, _runners_reset, _runners_cut, _runners_late, _runners_die, _runners_drain, _runners_drain,
-    _runners_slow,
+    _register_reset, _register_refuses, _register_hangs, _register_in_half, _away, _runners_reset, _runners_cut,
+    _runners_late, _runners_die, _runners_drain, _runners_drain, _runners_slow,
 )  # fmt: skip
--- a/heronlug/rules/__init__.py
+++ b/heronlug/rules/__init__.py
@@ -5,18 +5,23 @@
     Answered,
     Began,
     Called,
+    Changed,
     Dialled,
     Ended,
     Event,
     Listed,
     Load,
+    Reachable,
     Sent,
     Started,
     Stopped,
     Taken,
+    Watching,
+    WatchOver,
     read,
     write,
 )
 
-__all__ = ["Answered", "Began", "Called", "Checker", "Dialled", "Ended", "Event", "Listed", "Load", "Sent", "Started",
-           "Stopped", "Taken", "Violation", "read", "write"]  # fmt: skip
+__all__ = ["Answered", "Began", "Called", "Changed", "Checker", "Dialled", "Ended", "Event", "Listed", "Load",
+           "Reachable", "Sent", "Started", "Stopped", "Taken", "Violation", "WatchOver", "Watching", "read",
+           "write"]  # fmt: skip
--- a/heronlug/rules/checker.py
+++ b/heronlug/rules/checker.py
@@ -2,7 +2,8 @@
 
 1. Every accepted job ends in exactly one final answer, in time.
 2. What must not run twice does not.
-3. A host that a dispatcher was told drains or is gone gets nothing new of it after the grace.
+3. A host that counts as draining or gone for a dispatcher gets nothing new of it after the grace
+   (:mod:`heronlug.rules.notified`).
 4. No cold host is pushed over, by all dispatchers together.
 
 Beside these it counts what spares others: calls of the register and dials at hosts, the most in any window of time.
@@ -19,16 +20,21 @@
     Answered,
     Began,
     Called,
+    Changed,
     Dialled,
     Ended,
     Event,
     Listed,
     Load,
+    Reachable,
     Sent,
     Started,
     Stopped,
     Taken,
+    Watching,
+    WatchOver,
 )
+from heronlug.rules.notified import Notified
 
 TRAIL = 12  # events kept for each open job, and for each host
 KEPT = 200  # violations kept whole; all are counted
@@ -89,7 +95,7 @@
         self._over: dict[str, set[str]] = {}  # by dispatcher: jobs that have had their answer
         self._once: set[str] = set()
         self._ran: dict[str, Began] = {}  # what must not run twice, and has run
-        self._told_off: dict[tuple[str, str], float] = {}
+        self._notified = Notified()
         self._hosts: dict[str, deque[Event]] = {}
         self._last = -inf
 
@@ -114,8 +120,16 @@
                 self._over.setdefault(event.dispatcher, set()).add(event.job)
         elif isinstance(event, Started):
             self._over[event.dispatcher] = set()
-            for key in [key for key in self._told_off if key[0] == event.dispatcher]:
-                del self._told_off[key]  # a new process is told anew
+            self._notified.line(event.dispatcher)  # its clocks run on from process to process
+        elif isinstance(event, Changed):
+            self._trail(event.host).append(event)
+            self._notified.changed(event.at, event.host, event.state)
+        elif isinstance(event, Watching):
+            self._notified.watching(event.at, event.dispatcher, event.call, event.wait)
+        elif isinstance(event, WatchOver):
+            self._notified.watch_over(event.at, event.dispatcher, event.call)
+        elif isinstance(event, Reachable):
+            self._notified.reachable(event.at, event.dispatcher, event.reachable)
         elif isinstance(event, Called):
             self.calls.update(all=1, whole=int(event.whole), turned=int(event.turned))
             for rush in self.call_rush:
@@ -169,11 +183,11 @@
             job.trail.append(event)
         else:
             self._break(1, event.at, f"{event.job} was sent and is not open", (event,))
-        told = self._told_off.get((event.dispatcher, event.host))
-        if told is not None and event.at - told > self.drain_grace:
-            since = event.at - told
-            trail = (*self._trail(event.host), event)
-            self._break(3, event.at, f"{event.host} was sent {event.job} {since:.0f} ms after it was told off", trail)
+        found = self._notified.counts_at(event.dispatcher, event.host)
+        if found is not None and event.at - found[0] > self.drain_grace:
+            since, trail = event.at - found[0], (*self._trail(event.host), event)
+            what = f"{event.host} was sent {event.job} {since:.0f} ms after its change counted as notified, which"
+            self._break(3, event.at, f"{what} {found[1]}", trail)
 
     def _began(self, event: Began) -> None:
         if event.job not in self._once:
@@ -187,11 +201,7 @@
 
     def _listed(self, event: Listed) -> None:
         self._trail(event.host).append(event)
-        key = event.dispatcher, event.host
-        if event.state == "ready":
-            self._told_off.pop(key, None)
-        else:
-            self._told_off.setdefault(key, event.at)
+        self._notified.wrote(event.at, event.dispatcher, event.host, event.state)
 
     def _load(self, event: Load) -> None:
         self.coldest = max(self.coldest, event.share)
--- a/heronlug/rules/events.py
+++ b/heronlug/rules/events.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Iterable, Iterator
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, get_args
 
 import msgspec
 
@@ -78,6 +78,39 @@
     state: str
 
 
+class Changed(NamedTuple):
+    """Service discovery has another state of a server, whether or not anybody has been told."""
+
+    at: float
+    host: str
+    state: str
+
+
+class Watching(NamedTuple):
+    """A call of a dispatcher waits for news at service discovery."""
+
+    at: float
+    dispatcher: str
+    call: int  # which, among all of a run
+    wait: float  # ms that it waits at most
+
+
+class WatchOver(NamedTuple):
+    """That call was answered, or its connection has ended."""
+
+    at: float
+    dispatcher: str
+    call: int
+
+
+class Reachable(NamedTuple):
+    """A dispatcher can reach service discovery from now on, or not any more."""
+
+    at: float
+    dispatcher: str
+    reachable: bool
+
+
 class Load(NamedTuple):
     """What is in a cold host, in shares of what it stands: more than 1 for longer than it may, and it falls over."""
 
@@ -104,11 +137,11 @@
     host: str
 
 
-Event = Started | Stopped | Taken | Answered | Sent | Began | Ended | Listed | Load | Called | Dialled
-KINDS: dict[str, Any] = {
-    kind.__name__: kind
-    for kind in (Started, Stopped, Taken, Answered, Sent, Began, Ended, Listed, Load, Called, Dialled)
-}
+Event = (
+    Started | Stopped | Taken | Answered | Sent | Began | Ended | Listed | Changed | Watching | WatchOver | Reachable
+    | Load | Called | Dialled
+)  # fmt: skip
+KINDS: dict[str, Any] = {kind.__name__: kind for kind in get_args(Event)}
 
 
 def write(event: Event) -> bytes:
--- a/heronlug/standin/register.py
+++ b/heronlug/standin/register.py
@@ -48,10 +48,14 @@
         self.connections: set[Connection] = set()
         self.told: Callable[[Call], None] = lambda call: None
         self.wrote: Callable[[str, list[dict[str, Any]], bool], None] = lambda caller, instances, whole: None
-        self.watched: Callable[[str], None] = lambda caller: None
+        self.watched: Callable[[str, int, float], None] = lambda caller, call, wait: None  # waits so many ms
+        self.unwatched: Callable[[str, int], None] = lambda caller, call: None  # it is answered, or its connection over
+        self.changed: Callable[[str, str], None] = lambda name, lifecycle: None
+        self.half: int | None = None  # of each answer only so many bytes are written
         self.address_of: Callable[[str, str, str], str] = lambda caller, name, address: address
         self._rng = Random(seed)
         self._free_at = 0.0
+        self._watches = 0
         self._changed: list[tuple[int, str]] = []
         self._servers: dict[str, asyncio.AbstractServer] = {}
         self._ports: dict[str, int] = {}
@@ -87,11 +91,18 @@
         given = {"instanceId": name, "lifecycle": "active", "weight": 1.0, "startedAtMs": 0, "cell": 0}
         self.instances[name] = {**given, **self.instances.get(name, {}), **fields}
         self.version += 1
+        self.changed(name, self.instances[name]["lifecycle"])
         self._changed.append((self.version, name))
         del self._changed[:-KEPT]
         for connection in list(self.connections):
             connection.look()
 
+    def watch(self, connection: "Connection") -> None:
+        """A call begins to wait."""
+        self._watches += 1
+        connection.call = self._watches
+        self.watched(connection.caller, connection.call, connection.wait)
+
     def anew(self) -> None:
         """Versions begin again, as after a restart that lost them."""
         self.version = 1
@@ -106,8 +117,12 @@
             names = dict.fromkeys(name for version, name in self._changed if version > after)
             instances, whole = [self.instances[name] for name in names], False
         self.wrote(caller, instances, whole)
+        return orjson.dumps(self.table(caller, self.version, instances, whole))
+
+    def table(self, caller: str, version: int, instances: list[dict[str, Any]], whole: bool) -> dict[str, Any]:
+        """A list in the protocol's form, as a caller sees the addresses."""
         there = [{**i, "hostPort": self.address_of(caller, i["instanceId"], i["hostPort"])} for i in instances]
-        return orjson.dumps({"generation": self.version, "reset": whole, "instances": there})
+        return {"generation": version, "reset": whole, "instances": there}
 
     def watching(self) -> list[str]:
         """The callers whose watch waits for news now."""
@@ -133,10 +148,11 @@
         self._transport: asyncio.Transport | None = None
         self._target = b""
         self._after: int | None = None
-        self._wait = 0.0
+        self.wait = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._owed = False  # a call is not answered yet
         self.parked = False  # it waits for something new
+        self.call = 0  # the number of the call that waits, or waited last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A dispatcher has connected."""
@@ -146,6 +162,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """It has gone."""
         self._register.connections.discard(self)
+        if self.parked:
+            self._register.unwatched(self.caller, self.call)
         self.parked = self._owed = False
         if self._timer is not None:
             self._timer.cancel()
@@ -174,7 +192,7 @@
             self._write(http.response(404))
             return
         self._after = int(query["after"]) if "after" in query else None
-        self._wait = min(WAIT_MOST, float(query.get("wait_ms", 0)))
+        self.wait = min(WAIT_MOST, float(query.get("wait_ms", 0)))
         self._owed = True
         wait = self._register.queue()
         whole = not self._after or self._after > self._register.version
@@ -195,21 +213,25 @@
     def _work(self) -> None:
         """Its turn has come: answered at once, or it waits for something new."""
         self._timer = None
-        if self._after is None or self._wait <= 0 or self._register.version != self._after:
+        if self._after is None or self.wait <= 0 or self._register.version != self._after:
             self._say()
         elif self._owed:
             self.parked = True
-            self._register.watched(self.caller)
-            self._timer = asyncio.get_running_loop().call_later(self._wait / 1000, self._say)
+            self._register.watch(self)
+            self._timer = asyncio.get_running_loop().call_later(self.wait / 1000, self._say)
 
     def _say(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer, self.parked = None, False
+        self._timer = None
         if self._owed and not self._register.silent:
             self._owed = False
             self._register.calls += 1
-            self._write(http.response(200, self._register.answer(self._after, self.caller)))
+            answer = http.response(200, self._register.answer(self._after, self.caller))
+            self._write(answer[: self._register.half])
+            if self.parked:
+                self.parked = False
+                self._register.unwatched(self.caller, self.call)
 
     def _write(self, data: bytes) -> None:
         self._register.wrote_bytes += len(data)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,12 @@
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 MOST_KNOWN = 3
+SLOWEST = (  # files that take a quarter of a minute and more, slowest first: several processes begin with them
+    "tests/rig/test_scripts.py", "tests/arrival/test_broken.py", "tests/rig/test_soak.py", "tests/test_exchanges.py",
+    "tests/halls/test_offers.py", "tests/cluster/test_states.py", "tests/cluster/test_sockets.py",
+    "tests/cluster/test_register.py", "tests/emulator/test_maths.py", "tests/limits/test_load.py",
+)  # fmt: skip
+LAST = len(SLOWEST)
 
 
 class KnownRed(NamedTuple):
@@ -50,7 +56,8 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Pass over the failures of the tests that are listed."""
+    """Begin with the slowest files, and pass over the failures of the tests that are listed."""
+    items.sort(key=lambda item: SLOWEST.index(file) if (file := item.nodeid.partition("::")[0]) in SLOWEST else LAST)
     known = {line.test: line for line in _known_red()}
     found = {item.nodeid for item in items}
     files = {test.partition("::")[0] for test in found}
