--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -10,7 +10,7 @@
 import click
 
 from heronlug.cli.words import print_columns
-from heronlug.rig.rig import Verdict, play
+from heronlug.rig.rig import play
 from heronlug.rig.script import (
     ClassTable,
     DispatchersTable,
@@ -20,6 +20,7 @@
     Script,
     Step,
 )
+from heronlug.rig.verdict import Verdict
 
 SMALL, LARGE = 200, 3200
 DISPATCHERS, SLOTS = 2, 3200  # of all servers together
--- a/heronlug/life/start.py
+++ b/heronlug/life/start.py
@@ -35,10 +35,11 @@
 from heronlug.wire.admin import MAX_CALLERS, Admin
 from heronlug.wire.faktory import Faktory, Terms
 from heronlug.wire.http import split_address
-from heronlug.wire.inventory import SPREAD, Inventory, read_list
+from heronlug.wire.inventory import SPREAD, Inventory
 from heronlug.wire.keeping import open_store
 from heronlug.wire.north import North
 from heronlug.wire.peers import Peers
+from heronlug.wire.server_list import read_list
 from heronlug.wire.south import South
 
 CONFIRM_WITHIN = 3_000.0  # ms that a start waits for discovery to confirm its list before it takes clients
--- a/heronlug/life/takeover.py
+++ b/heronlug/life/takeover.py
@@ -17,11 +17,12 @@
 from heronlug.limits import model
 from heronlug.memory.core import Core, HostEntry, Message
 from heronlug.memory.deadlines import Deadlines
-from heronlug.wire.inventory import BadList, Inventory, write_list
+from heronlug.wire.inventory import Inventory
 from heronlug.wire.north import Connection, North
 from heronlug.wire.partner import MAX_FDS, place
 from heronlug.wire.passing import read_request, write_request
 from heronlug.wire.peers import Peers
+from heronlug.wire.server_list import BadList, write_list
 from heronlug.wire.south import South
 
 PEERS_AGAIN = 500.0  # until the peers' address is tried again, where another process has it
--- a/heronlug/memory/core.py
+++ b/heronlug/memory/core.py
@@ -52,12 +52,12 @@
 
     number: int
     entry: HostEntry
-    told_off_at: float | None = None  # when we were told that it drains or is gone
+    unwanted_since: float | None = None  # when we were notified that it drains or has left
 
     @property
     def ready(self) -> bool:
         """Whether it may be sent anything new."""
-        return self.told_off_at is None
+        return self.unwanted_since is None
 
 
 def _line(host: Host) -> pk.WorkerEntry:
@@ -155,7 +155,7 @@
         self.messages: Slots[Message] = Slots()
         self.relays: Slots[Relay] = Slots()
         self.hosts: dict[int, Host] = {}
-        self.stale = False  # any host may have been told off by now: the list is older than the rules allow
+        self.stale = False  # any host may drain or have left by now: the list is older than the rules allow
         self.dispatcher = Dispatcher(settings, seed)
         self._numbers = Numbers()
         self._left_at: dict[int, float] = {}  # when each host that has left was told of as gone, oldest first
@@ -297,7 +297,7 @@
         """Whether the first byte of a relay may still be written.
 
         Guards the drain and no-repeat rules at the last moment: the decision was right when it was made, but the
-        host may have been told off, or the message closed, while a connection was being made.
+        host may drain or have left, or the message closed, while a connection was being made.
         """
         held_off = self.stale or not relay.host.ready or not self._may_repeat(relay)
         return relay.out and not held_off and not self._left(relay.message)
@@ -421,9 +421,9 @@
     def _tell_state(self, host: Host, now: float) -> None:
         state = host.entry.state
         if state is pk.WorkerState.READY:
-            host.told_off_at = None
-        elif host.told_off_at is None:
-            host.told_off_at = now
+            host.unwanted_since = None
+        elif host.unwanted_since is None:
+            host.unwanted_since = now
         if state is not pk.WorkerState.GONE:
             self._left_at.pop(host.number, None)
         else:
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -8,7 +8,6 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -22,7 +21,8 @@
 from heronlug.rig.paths import Paths
 from heronlug.rig.processes import Process, write_file, write_known, write_platform_files
 from heronlug.rig.runners import Requests, Runners, lanes_of
-from heronlug.rig.script import HOSTS, LASTING, PROCESS, REGISTER, FailedTable, Script, Step, choose
+from heronlug.rig.script import HOSTS, LASTING, PROCESS, REGISTER, Script, Step, choose
+from heronlug.rig.verdict import Run, Verdict, judge
 from heronlug.rules import (
     Answered,
     Called,
@@ -35,7 +35,6 @@
     Started,
     Stopped,
     Taken,
-    Violation,
     Watching,
     WatchOver,
 )
@@ -53,30 +52,6 @@
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
-@dataclass
-class Verdict:
-    """What came of a run."""
-
-    name: str
-    violations: list[Violation] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)  # what was expected and is not so
-    figures: dict[str, Any] = field(default_factory=dict)
-    steps: list[tuple[float, str]] = field(default_factory=list)
-
-    @property
-    def kept(self) -> bool:
-        """Whether all rules and expectations were kept."""
-        return not self.violations and not self.faults
-
-    def text(self) -> str:
-        """For people."""
-        lines = [f"{self.name}: {'kept' if self.kept else 'BROKEN'}"]
-        lines += [f"  rule {v.rule}: {v.what}" for v in self.violations[:20]]
-        lines += [f"  {fault}" for fault in self.faults]
-        lines += [f"  {name}: {value}" for name, value in self.figures.items()]
-        return "\n".join(lines)
-
-
 class Clients(HttpLoad):
     """Load whose jobs are told to the history."""
 
@@ -167,7 +142,12 @@
             reading = self.reading()
             listed = await self._lists()
             await self.behind.caught_up()
-            return self._judge(reading, listed)
+            return judge(
+                Run(
+                    self.script, self.history, self.processes, self.clients.tallies.values(), reading, listed,
+                    self.listed_after, self.lost_with, self.register.wrote_bytes, self._failed,
+                )
+            )  # fmt: skip
         finally:
             await self._close()
 
@@ -516,71 +496,6 @@
             path.silent = on
         path.changed()
 
-    # -- the verdict
-
-    def _judge(self, reading: list[str], listed: dict[str, bool]) -> Verdict:
-        expect, checker = self.script.expect, self.checker
-        verdict = Verdict(self.script.name, checker.finish(self.history.now()), list(self._failed))
-        verdict.steps = self.history.steps
-        dials = {host: rush.most for host, rush in checker.dial_rush.items()}
-        tallies = self.clients.tallies.values()
-        jobs = sum(tally.jobs for tally in tallies)
-        served = sum(tally.finals["on_time"] + tally.finals["late"] for tally in tallies)
-        after = sorted(self.listed_after.values())
-        used = [process.usage() for process in self.processes.values() if process.runs]
-        figures = {
-            "calls": checker.calls["all"], "calls for the whole list": checker.calls["whole"],
-            "calls turned away": checker.calls["turned"], "most calls in 100 ms": checker.call_rush[0].most,
-            "most calls in 1 s": checker.call_rush[1].most, "reading in the end": len(reading),
-            "listed in the end": sum(listed.values()), "running in the end": len(listed),
-            "first and last listed after s": (round(after[0], 2), round(after[-1], 2)) if after else None,
-            "jobs": jobs, "served": served, "lost with their dispatcher": self.lost_with,
-            "most dials at a runner in 1 s": max(dials.values(), default=0), "dials": sum(checker.dials.values()),
-            "most of what a cold runner stands": round(checker.coldest, 2),
-            "CPU s of those that run": round(sum(usage.cpu_s for usage in used), 2),
-            "peak MB of one": round(max((usage.peak_mb for usage in used), default=0.0), 1),
-            "descriptors of one": max((usage.descriptors for usage in used), default=0),
-            "bytes of lists": self.register.wrote_bytes,
-        }  # fmt: skip
-        verdict.figures = figures
-        bounds = {
-            "calls": expect.calls_most, "most calls in 1 s": expect.calls_in_1s_most,
-            "most calls in 100 ms": expect.calls_in_100ms_most, "calls turned away": expect.turned_most,
-            "most dials at a runner in 1 s": expect.dials_in_1s_most,
-        }  # fmt: skip
-        for name, most in bounds.items():
-            if most is not None and figures[name] > most:
-                verdict.faults.append(f"{name}: {figures[name]}, at most {most:g} expected")
-        if expect.listed and not all(listed.values()):
-            without = [name for name, has in listed.items() if not has]
-            verdict.faults.append(f"without the whole list in the end: {', '.join(without)}")
-        if expect.reading is not None and not expect.reading[0] <= len(reading) <= expect.reading[1]:
-            verdict.faults.append(f"reading in the end: {', '.join(reading) or 'nobody'}; {expect.reading} expected")
-        counted = jobs - self.lost_with
-        if expect.served_least is not None and served < expect.served_least * counted:
-            verdict.faults.append(f"served: {served} of {counted}, at least {expect.served_least:g} of them expected")
-        for told in expect.failed:
-            began = [self._failures(process, told) for process in self.processes.values()]
-            name = f"failed relays into {told.hall}, {told.from_s:g} to {told.to_s:g} s"
-            figures[name] = sum(began)
-            if sum(began) > told.most:
-                verdict.faults.append(f"{name}: {sum(began)}, at most {told.most} expected")
-        if self.script.dispatchers.log_taken:
-            for process in self.processes.values():
-                verdict.faults += [f"{process.name} took {name} and never answered" for name in process.unanswered()]
-        for process in self.processes.values():
-            verdict.faults += [f"{process.name}: {line[:400]}" for line in process.faults()]
-        return verdict
-
-    def _failures(self, process: Process, told: FailedTable) -> int:
-        """How many relays a dispatcher began into a hall between two times that it says have failed."""
-        count, began = 0, self.history.began
-        for line in process.lines("relay_ended"):
-            at = (line["at"] * 1000 - line["ms"] - began) / 1000
-            there = self.script.hall(line["host"]) == told.hall and line["outcome"] not in ("moot", "cancelled")
-            count += there and told.from_s <= at < told.to_s
-        return count
-
 
 def play(
     script: Script, folder: Path | None = None, events: Path | None = None, source: Path | None = None
--- /dev/null
+++ b/heronlug/rig/verdict.py
@@ -0,0 +1,135 @@
+"""What came of a run: rules that were broken, expectations that were not met, and figures."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from heronlug.load.tally import Tally
+from heronlug.rig.history import History
+from heronlug.rig.processes import Process
+from heronlug.rig.script import ExpectTable, FailedTable, Script
+from heronlug.rules import Violation
+
+
+@dataclass
+class Verdict:
+    """What came of a run."""
+
+    name: str
+    violations: list[Violation] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # what was expected and is not so
+    figures: dict[str, Any] = field(default_factory=dict)
+    steps: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether all rules and expectations were kept."""
+        return not self.violations and not self.faults
+
+    def text(self) -> str:
+        """For people."""
+        lines = [f"{self.name}: {'kept' if self.kept else 'BROKEN'}"]
+        lines += [f"  rule {v.rule}: {v.what}" for v in self.violations[:20]]
+        lines += [f"  {fault}" for fault in self.faults]
+        lines += [f"  {name}: {value}" for name, value in self.figures.items()]
+        return "\n".join(lines)
+
+
+class Run(NamedTuple):
+    """A run that is over, as the rig saw it."""
+
+    script: Script
+    history: History
+    processes: Mapping[str, Process]
+    tallies: Iterable[Tally]
+    reading: list[str]  # dispatchers that watched discovery in the end
+    listed: dict[str, bool]  # of those that ran in the end, whether they had the whole list
+    listed_after: dict[str, float]  # s until a dispatcher had its list
+    lost_with: int  # requests that ended with their dispatcher
+    list_bytes: int
+    failures: list[str]  # of the rig, and processes that ended by themselves
+
+
+def judge(run: Run) -> Verdict:
+    """The verdict of a run."""
+    checker = run.history.checker
+    verdict = Verdict(run.script.name, checker.finish(run.history.now()), list(run.failures))
+    verdict.steps, verdict.figures = run.history.steps, _figures(run)
+    verdict.faults += _missed(run, verdict.figures)
+    verdict.faults += _failed_relays(run, verdict.figures)
+    for process in run.processes.values():
+        if run.script.dispatchers.log_taken:
+            verdict.faults += [f"{process.name} took {name} and never answered" for name in process.unanswered()]
+        verdict.faults += [f"{process.name}: {line[:400]}" for line in process.faults()]
+    return verdict
+
+
+def _figures(run: Run) -> dict[str, Any]:
+    checker, tallies = run.history.checker, list(run.tallies)
+    dials = {host: rush.most for host, rush in checker.dial_rush.items()}
+    after = sorted(run.listed_after.values())
+    used = [process.usage() for process in run.processes.values() if process.runs]
+    return {
+        "calls": checker.calls["all"], "calls for the whole list": checker.calls["whole"],
+        "calls turned away": checker.calls["turned"], "most calls in 100 ms": checker.call_rush[0].most,
+        "most calls in 1 s": checker.call_rush[1].most, "reading in the end": len(run.reading),
+        "listed in the end": sum(run.listed.values()), "running in the end": len(run.listed),
+        "first and last listed after s": (round(after[0], 2), round(after[-1], 2)) if after else None,
+        "jobs": sum(tally.jobs for tally in tallies),
+        "served": sum(tally.finals["on_time"] + tally.finals["late"] for tally in tallies),
+        "lost with their dispatcher": run.lost_with,
+        "most dials at a runner in 1 s": max(dials.values(), default=0), "dials": sum(checker.dials.values()),
+        "most of what a cold runner stands": round(checker.coldest, 2),
+        "CPU s of those that run": round(sum(usage.cpu_s for usage in used), 2),
+        "peak MB of one": round(max((usage.peak_mb for usage in used), default=0.0), 1),
+        "descriptors of one": max((usage.descriptors for usage in used), default=0),
+        "bytes of lists": run.list_bytes,
+    }  # fmt: skip
+
+
+def _bounds(expect: ExpectTable) -> dict[str, float | None]:
+    return {
+        "calls": expect.calls_most, "most calls in 1 s": expect.calls_in_1s_most,
+        "most calls in 100 ms": expect.calls_in_100ms_most, "calls turned away": expect.turned_most,
+        "most dials at a runner in 1 s": expect.dials_in_1s_most,
+    }  # fmt: skip
+
+
+def _missed(run: Run, figures: dict[str, Any]) -> list[str]:
+    """What was expected of the figures and is not so."""
+    expect, faults = run.script.expect, []
+    for name, most in _bounds(expect).items():
+        if most is not None and figures[name] > most:
+            faults.append(f"{name}: {figures[name]}, at most {most:g} expected")
+    if expect.listed and not all(run.listed.values()):
+        without = [name for name, has in run.listed.items() if not has]
+        faults.append(f"without the whole list in the end: {', '.join(without)}")
+    if expect.reading is not None and not expect.reading[0] <= len(run.reading) <= expect.reading[1]:
+        faults.append(f"reading in the end: {', '.join(run.reading) or 'nobody'}; {expect.reading} expected")
+    counted = figures["jobs"] - run.lost_with
+    if expect.served_least is not None and figures["served"] < expect.served_least * counted:
+        share = f"at least {expect.served_least:g} of them expected"
+        faults.append(f"served: {figures['served']} of {counted}, {share}")
+    return faults
+
+
+def _failed_relays(run: Run, figures: dict[str, Any]) -> list[str]:
+    """The bounds on attempts into a zone that fail; their counts go into the figures."""
+    faults = []
+    for table in run.script.expect.failed:
+        count = sum(_failures(run, process, table) for process in run.processes.values())
+        name = f"failed relays into {table.hall}, {table.from_s:g} to {table.to_s:g} s"
+        figures[name] = count
+        if count > table.most:
+            faults.append(f"{name}: {count}, at most {table.most} expected")
+    return faults
+
+
+def _failures(run: Run, process: Process, table: FailedTable) -> int:
+    """How many attempts a dispatcher began into a zone between two times that it says have failed."""
+    count = 0
+    for line in process.lines("relay_ended"):
+        at = (line["at"] * 1000 - line["ms"] - run.history.began) / 1000
+        there = run.script.hall(line["host"]) == table.hall and line["outcome"] not in ("moot", "cancelled")
+        count += there and table.from_s <= at < table.to_s
+    return count
--- a/heronlug/standin/fleet.py
+++ b/heronlug/standin/fleet.py
@@ -20,7 +20,7 @@
 from heronlug.rules import Began, Dialled, Event, Load
 from heronlug.standin.live import LiveLine
 from heronlug.standin.register import Register
-from heronlug.wire.inventory import STATES
+from heronlug.wire.server_list import STATES
 
 WORDS = {state: word for word, state in STATES.items()}
 PROGRESS = 1000.0  # ms between words of a job that runs
--- a/heronlug/wire/inventory.py
+++ b/heronlug/wire/inventory.py
@@ -3,7 +3,7 @@
 import asyncio
 import errno
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from random import uniform
 from typing import Any, Protocol, cast
 
@@ -12,11 +12,12 @@
 
 from heronlug.arrival.freshness import Event, Freshness, State
 from heronlug.arrival.why import Why
-from heronlug.interface import ListKind, WorkerState
+from heronlug.interface import ListKind
 from heronlug.memory.core import HostEntry
 from heronlug.memory.deadlines import Deadlines, Key
 from heronlug.wire import http
 from heronlug.wire.ends import unread
+from heronlug.wire.server_list import BadList
 
 WAIT = 20_000.0  # a call waits so long for something new
 SPREAD = 0.4  # or for up to so much of it less, each dispatcher in its place: calls of many do not end together
@@ -28,7 +29,6 @@
 MAX_LIST = 8 * 1024 * 1024
 EVENTS = {Why.SLOW: Event.GIVEN_UP, Why.REFUSED: Event.REFUSED, Why.UNREACHABLE: Event.UNREACHABLE}  # else it failed
 UNREACHABLE = {errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT}
-STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
 
 class Pace(Protocol):
@@ -50,74 +50,6 @@
         """When the next may go after one that failed."""
 
 
-class BadList(ValueError):
-    """An answer that is no list; what was held stays."""
-
-
-def read_list(
-    table: Any, zones: list[str], kinds: list[str], to_clock: Callable[[float], float]
-) -> tuple[int, bool, list[HostEntry]]:
-    """Version, whether it is the whole list, and the entries; raises :class:`BadList`.
-
-    All or nothing: half of a list taken in would tell hosts off that are well.
-    """
-    try:
-        version, whole = table["generation"], table["reset"]
-        if type(version) is not int or type(whole) is not bool:
-            raise BadList("generation or reset is of the wrong type")
-        entries = [_entry(line, zones, kinds, to_clock) for line in table["instances"]]
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise BadList(f"{type(error).__name__}: {error}") from None
-    return version, whole, entries
-
-
-def _index(names: list[str], name: object) -> int:
-    """The place of a zone or kind among the settings' names; an unknown one is none of ours."""
-    return names.index(str(name)) if str(name) in names else len(names)
-
-
-def _entry(
-    line: Mapping[str, Any], zones: list[str], kinds: list[str], to_clock: Callable[[float], float]
-) -> HostEntry:
-    started, weight = float(line.get("startedAtMs", 0)), float(line.get("weight", 1.0))
-    if not (math.isfinite(started) and math.isfinite(weight)):
-        raise BadList("a figure is not finite")
-    address = line["hostPort"]
-    http.split_address(address)
-    return HostEntry(
-        name=str(line["instanceId"]),
-        address=address,
-        state=STATES[line["lifecycle"]],
-        zone=_index(zones, line.get("zone")),
-        kind=_index(kinds, line.get("machineType")),
-        cell=int(line.get("cell", 0)),
-        weight=weight,
-        started_at=to_clock(started) if started else 0.0,  # 0 is 'long ago' on every clock
-    )
-
-
-def write_list(
-    version: int, entries: list[HostEntry], zones: list[str], kinds: list[str], gone: bool = False
-) -> dict[str, Any]:
-    """A whole list in the form that is read here; who is gone is on it only if so wanted."""
-    words, listed = {state: word for word, state in STATES.items()}, []
-    for entry in entries:
-        if gone or entry.state is not WorkerState.GONE:
-            listed.append(
-                {
-                    "instanceId": entry.name,
-                    "hostPort": entry.address,
-                    "lifecycle": words[entry.state],
-                    "zone": zones[entry.zone] if entry.zone < len(zones) else None,
-                    "machineType": kinds[entry.kind] if entry.kind < len(kinds) else None,
-                    "cell": entry.cell,
-                    "weight": entry.weight,
-                    "startedAtMs": entry.started_at,
-                }
-            )
-    return {"generation": version, "reset": True, "instances": listed}
-
-
 class _Call(asyncio.Protocol):
     """A connection to discovery, and the call on it."""
 
--- a/tests/endings/test_leaving.py
+++ b/tests/endings/test_leaving.py
@@ -10,9 +10,9 @@
 import pytest
 
 from endings.house import HEAD, TURNED_AWAY, End, House, Kernel, done, line, message, name_of, play, served
-from heronlug.wire.inventory import write_list
 from heronlug.wire.north import Request
 from heronlug.wire.passing import write_request
+from heronlug.wire.server_list import write_list
 
 WAYS = ["fin", "half", "reset", "behind"]
 LONG = 400.0  # ms; the rule gives 300
--- a/tests/rig/test_scripts.py
+++ b/tests/rig/test_scripts.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from heronlug.rig.rig import Verdict, play
+from heronlug.rig.rig import play
 from heronlug.rig.script import load
+from heronlug.rig.verdict import Verdict
 
 FOLDER = Path(__file__).parents[2] / "scenarios" / "rig"
 SOAK: set[str] = set()  # what ``make soak`` alone plays
