The judge's reach is read off the paths; a stand-in that falls silent stays silent

Found on reading the change once more. rig.py counted faults that cut a dispatcher from discovery: a heal, or two cuts over each other, left it out of reach for good, so that rule 3 was not held against it; reach is now derived from the paths and the register. The stand-in of discovery had come to answer, after a silence, calls that had been passed over in it, a weaker fault than before; they stay unanswered again. An unused key of it (half) is gone. too_many_clients is at most a line a second again, one place.

--- a/heronlug/rig/paths.py
+++ b/heronlug/rig/paths.py
@@ -61,6 +61,11 @@
         self.door: Door | None = None
         self.ear: Callable[[], Ear] | None = None  # hears what is written into each connection, when it is written
 
+    @property
+    def blocked(self) -> bool:
+        """Whether nothing gets through to the target, or nothing back."""
+        return self.refusing or self.full or self.silent or self.out.held or self.back.held
+
     def open_to_dials(self) -> str:
         """What becomes of a dial: taken, refused, or nothing at all."""
         if self.refusing or self.gone:
--- a/heronlug/rig/rig.py
+++ b/heronlug/rig/rig.py
@@ -6,7 +6,6 @@
 import subprocess
 import tempfile
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 from random import Random
@@ -48,7 +47,6 @@
 LISTED_WITHIN = 60.0
 LOOKED_AT = 16  # processes at once
 STOP_WITHIN = 15.0
-CUTS = {"cut", "silent", "refuse", "full"}  # faults of a path on which nothing gets through
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
@@ -107,7 +105,7 @@
         self.register.retry_after = table.retry_after_ms
         self.register.told, self.register.wrote = self._called, self._wrote
         self.register.unwatched, self.register.changed = self._unwatched, self._listed_as
-        self._unreachable: Counter[str] = Counter()  # by dispatcher: the faults that cut it from discovery now
+        self._unreachable: set[str] = set()  # dispatchers that discovery is out of reach of, as the judge has it
         self.register.address_of = self._address_of
         self.runners = Runners(script, self.register, self.history, lambda txn: self.clients.at.get(txn, ""),
                                self.paths.gone)  # fmt: skip
@@ -280,12 +278,14 @@
     def _listed_as(self, name: str, lifecycle: str) -> None:
         self.history.see(Changed(self.history.now(), name, STATES[lifecycle]))
 
-    def _cut_from_discovery(self, names: Iterable[str], on: bool) -> None:
-        """A fault begins or ends that keeps dispatchers from discovery; others may hold meanwhile."""
+    def _note_reach(self, names: Iterable[str]) -> None:
+        """Something has befallen discovery, or the paths of these dispatchers to it."""
         for name in names:
-            self._unreachable[name] += 1 if on else -1
-            if self._unreachable[name] == (1 if on else 0):
-                self.history.see(Reachable(self.history.now(), name, not on))
+            cut = "register" in self.script.relays and self.paths.of(name, "register").blocked
+            reachable = not self._down and not cut
+            if reachable is (name in self._unreachable):
+                (self._unreachable.discard if reachable else self._unreachable.add)(name)
+                self.history.see(Reachable(self.history.now(), name, reachable))
 
     def _wrote(self, caller: str, instances: list[dict[str, Any]], whole: bool) -> None:
         """The register has told a dispatcher; who goes by another's list counts as told somewhat later."""
@@ -441,9 +441,8 @@
 
     def down(self, down: bool) -> None:
         """The register's process ends, or is there again; dials are refused meanwhile."""
-        if down is not self._down:
-            self._cut_from_discovery(self.processes, down)
         self._down = down
+        self._note_reach(self.processes)
         if down:
             self.register.close()
             self.paths.gone("register", True)
@@ -469,8 +468,6 @@
         return back
 
     def _fault(self, step: Step, path: Between, forward: bool, on: bool) -> None:
-        if path.name[1] == "register" and step.do in CUTS:
-            self._cut_from_discovery([path.name[0]], on)
         ways = [path.out, path.back] if step.both else [path.out if forward else path.back]
         if step.do == "heal":
             path.refusing = path.full = path.silent = False
@@ -495,6 +492,8 @@
         if step.do == "silent":
             path.silent = on
         path.changed()
+        if path.name[1] == "register":
+            self._note_reach([path.name[0]])
 
 
 def play(
--- a/heronlug/standin/register.py
+++ b/heronlug/standin/register.py
@@ -51,7 +51,6 @@
         self.watched: Callable[[str, int, float], None] = lambda caller, call, wait: None  # waits so many ms
         self.unwatched: Callable[[str, int], None] = lambda caller, call: None  # it is answered, or its connection over
         self.changed: Callable[[str, str], None] = lambda name, lifecycle: None
-        self.half: int | None = None  # of each answer only so many bytes are written
         self.address_of: Callable[[str, str, str], str] = lambda caller, name, address: address
         self._rng = Random(seed)
         self._free_at = 0.0
@@ -152,7 +151,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._owed = False  # a call is not answered yet
         self.parked = False  # it waits for something new
-        self.call = 0  # the number of the call that waits, or waited last
+        self.call = 0  # the number of the call that waits for an answer; 0 for none
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A dispatcher has connected."""
@@ -162,8 +161,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """It has gone."""
         self._register.connections.discard(self)
-        if self.parked:
-            self._register.unwatched(self.caller, self.call)
+        self._end_call()
         self.parked = self._owed = False
         if self._timer is not None:
             self._timer.cancel()
@@ -223,15 +221,18 @@
     def _say(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = None
+        self._timer, self.parked = None, False  # who is silent now has fallen silent for good
         if self._owed and not self._register.silent:
             self._owed = False
             self._register.calls += 1
-            answer = http.response(200, self._register.answer(self._after, self.caller))
-            self._write(answer[: self._register.half])
-            if self.parked:
-                self.parked = False
-                self._register.unwatched(self.caller, self.call)
+            self._write(http.response(200, self._register.answer(self._after, self.caller)))
+            self._end_call()
+
+    def _end_call(self) -> None:
+        """The call that waited is answered, or can be no more."""
+        if self.call:
+            self._register.unwatched(self.caller, self.call)
+            self.call = 0
 
     def _write(self, data: bytes) -> None:
         self._register.wrote_bytes += len(data)
--- a/heronlug/wire/north.py
+++ b/heronlug/wire/north.py
@@ -434,9 +434,7 @@
         connection.ticket = self.connections.put(connection)
         self.opened_at = self.deadlines.clock()
         if len(self.connections) > self.max_connections:
-            if self.opened_at - self._crowded_at >= CROWD_LOG:
-                self._crowded_at = self.opened_at
-                self.owner.log("too_many_clients", connections=len(self.connections))
+            self._note_crowd()
             (self._first_to_go() or connection).abort()
         rested = Rank.SERVED if connection.messages else Rank.ASKED
         self.rank(connection, rested if connection.asked else Rank.SILENT)
@@ -445,9 +443,15 @@
         """The process has no descriptor left: one connection that owes nothing goes, if there is such a one."""
         first = self._first_to_go()
         if first is not None:
-            self.owner.log("too_many_clients", connections=len(self.connections))
+            self._note_crowd()
             first.abort()
 
+    def _note_crowd(self) -> None:
+        now = self.deadlines.clock()
+        if now - self._crowded_at >= CROWD_LOG:
+            self._crowded_at = now
+            self.owner.log("too_many_clients", connections=len(self.connections))
+
     def _first_to_go(self) -> Connection | None:
         """The first in rank, but one whose first request may be under way comes after those that asked for nothing."""
         rejected, silent, asked, served = (
