Log and count why each connection and each request of a process ends

For 37 lost requests the logs of all processes held three lines, too_many_clients, and none that said which request was ended, why, or by whom. Change: each end of a client's connection (client_closed, client_dropped where an answer was owed) and of a server's (host_closed) is logged once, with its address or host, its state, a typed reason and the side that closed it, and counted by reason (svc_clients_closed, svc_hosts_closed). A request that passes to another process is logged on both sides (request_handed_over, request_adopted) with the servers of its attempts; served attempts too (relay_served). started has the pid. The rare lines are at info or warning, the others at debug. Cost on the hot path: not measured yet.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from heronlug.backends.close_reason import CloseReason
 from heronlug.backends.response import AttemptResult, ResponseReader
 from heronlug.balancer.events import Outcome, ProgressKind
 from heronlug.frontends.http.request import forwarded_headers
@@ -83,8 +84,8 @@
     def release(self, connection: "ServerConnection") -> None:
         """Returns a free connection to the pool."""
 
-    def remove(self, connection: "ServerConnection") -> None:
-        """Removes a closed connection from the pool."""
+    def remove(self, connection: "ServerConnection", reason: CloseReason) -> None:
+        """Removes a closed connection from the pool and counts the reason."""
 
     def suspend_reuse(self) -> None:
         """Suspends reuse after a reused connection broke before the server responded to the request."""
@@ -160,7 +161,7 @@
         if self.is_closed:
             return
         if self._response is None:
-            self.close()  # the server sends data although there is no request
+            self.close(CloseReason.PROTOCOL_ERROR)  # the server sends data although there is no request
             return
         try:
             self._response.feed(data)
@@ -168,11 +169,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._end_attempt(Outcome.ERROR)
             self._log_protocol_error(str(error.__context__ or error))
-            self.close()
+            self.close(CloseReason.PROTOCOL_ERROR)
         except Exception as error:  # an unexpected error ends this connection, not the process
             self._pool.log("exception", where="south", error=repr(error))
             self._end_attempt(Outcome.ERROR)
-            self.close()
+            self.close(CloseReason.EXCEPTION)
         self._pool.flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -186,7 +187,7 @@
             self._pool.suspend_reuse()
         never_ran = self._has_unwritten_bytes or not is_active
         self._end_attempt(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
-        self.close()
+        self.close(CloseReason.SERVER_CLOSED)
         self._pool.flush()
 
     # -- Calls by the pool
@@ -228,15 +229,16 @@
         self.attempt = None
         if self.state is ConnectionState.ACTIVE and self.transport is not None:
             shutdown_sending(self.transport)
-        self.close()
+        self.close(CloseReason.CANCELLED)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Closes the connection without reporting an outcome; repeated calls have no effect."""
         if self.is_closed:
             return
+        self._log_end(reason)
         self.state = ConnectionState.CLOSED
         self._pool.deadlines.cancel(self.timer)
-        self._pool.remove(self)
+        self._pool.remove(self, reason)
         if self.transport is not None:
             self.transport.abort()
         elif self.dial_task is not None:
@@ -276,7 +278,7 @@
     def detach(self) -> None:
         """Closes the descriptor after the handover without reporting an outcome."""
         self.attempt = None
-        self.close()
+        self.close(CloseReason.HANDED_OVER)
 
     def resume(self, attempt: Attempt, answered: bool, last: bool) -> None:
         """Continues to read a chunked response; ``answered`` and ``last`` are as in :class:`PausedConnection`."""
@@ -309,7 +311,7 @@
             return
         if not self.has_no_input or not self._pool.core.may_write(attempt):
             self._end_attempt(Outcome.CONNECT_FAILED)
-            self.close()
+            self.close(CloseReason.WRITE_FORBIDDEN)
             return
         last_byte = self._withheld_byte
         self._withheld_byte = b""
@@ -335,6 +337,17 @@
     def _report_progress(self, attempt: Attempt, kind: ProgressKind, share: float) -> None:
         self._pool.core.attempt_progressed(attempt, kind, share)
 
+    def _log_end(self, reason: CloseReason) -> None:
+        self._pool.log(
+            "host_closed",
+            host=self.server.entry.name,
+            address=self.address,
+            state=self.state.name.lower(),
+            why=reason.value,
+            by="host" if reason is CloseReason.SERVER_CLOSED else "dispatcher",
+            id=self.request_id,
+        )
+
     def _log_protocol_error(self, error: str) -> None:
         self._pool.log("bad_host", host=self.server.entry.name, error=error)
 
@@ -357,10 +370,12 @@
         if response.complete and response.keep_alive and not self._withheld_byte:
             self._pool.release(self)
         elif response.complete or self._withheld_byte:
-            self.close()
+            self.close(CloseReason.ANSWERED)
         elif attempt is not None:
             self._pool.deadlines.cancel(self.timer)
-            self.timer = self._pool.deadlines.call_after(LAST_CHUNK_TIMEOUT_MS, self.close)
+            self.timer = self._pool.deadlines.call_after(
+                LAST_CHUNK_TIMEOUT_MS, self.close, CloseReason.ANSWER_UNFINISHED
+            )
         if attempt is not None:
             attempt.exchange = None
             self._pool.core.attempt_ended(attempt, attempt_result.outcome, attempt_result.result)
--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import socket
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
+from heronlug.backends.close_reason import CloseReason
 from heronlug.backends.connection import ServerConnection
 from heronlug.balancer.events import Outcome
 from heronlug.net import http
@@ -40,6 +41,7 @@
         max_connections: Maximum number of connections.
         connections: Open connections by handle, including those being dialled.
         dials: Number of dials since the start.
+        closes: Number of ended connections since the start, by reason.
     """
 
     core: Core
@@ -70,6 +72,7 @@
         self.max_connections = max_connections
         self.connections: SlotTable[ServerConnection] = SlotTable()
         self.dials = 0
+        self.closes: Counter[CloseReason] = Counter()
         self._idle_timeout = IDLE_SHARE * conn_idle
         self._dial_timeout = dial_timeout
         # by server number; the most recently used connection is last
@@ -131,7 +134,7 @@
             server = servers.get(number)
             for connection in list(idle):
                 if server is None or not server.ready or server.entry.address != connection.address:
-                    connection.close()
+                    connection.close(CloseReason.SERVER_NOT_READY)
             if not idle:
                 del self._idle[number]
 
@@ -139,7 +142,7 @@
         """Closes the idle connections to all servers."""
         for idle in self._idle.values():
             for connection in list(idle):
-                connection.close()
+                connection.close(CloseReason.SUCCESSOR_SERVES)
 
     # -- Calls by the connections
 
@@ -171,11 +174,12 @@
             return
         connection.release()
         self.deadlines.cancel(connection.timer)
-        connection.timer = self.deadlines.call_after(self._idle_timeout, connection.close)
+        connection.timer = self.deadlines.call_after(self._idle_timeout, connection.close, CloseReason.IDLE)
         self._idle.setdefault(connection.server.number, deque()).append(connection)
 
-    def remove(self, connection: ServerConnection) -> None:
-        """Removes a closed connection from the pool."""
+    def remove(self, connection: ServerConnection, reason: CloseReason) -> None:
+        """Removes a closed connection from the pool and counts the reason."""
+        self.closes[reason] += 1
         self.connections.remove(connection.handle)
         idle = self._idle.get(connection.server.number)
         if idle and connection in idle:
@@ -198,7 +202,7 @@
             if self._is_usable(connection, attempt, non_idempotent):
                 self.deadlines.cancel(connection.timer)
                 return connection
-            connection.close()
+            connection.close(CloseReason.UNUSABLE)
         return None
 
     def _is_usable(self, connection: ServerConnection, attempt: Attempt, non_idempotent: bool) -> bool:
@@ -230,7 +234,7 @@
         oldest = [idle[0] for idle in self._idle.values() if idle]
         if not oldest:
             return False
-        min(oldest, key=lambda connection: connection.timer or (0.0, 0)).close()
+        min(oldest, key=lambda connection: connection.timer or (0.0, 0)).close(CloseReason.CONNECTION_LIMIT)
         return True
 
     def _dial_for(self, attempt: Attempt) -> None:
@@ -250,7 +254,7 @@
     def _on_dial_failed(self, connection: ServerConnection) -> None:
         attempt = connection.attempt
         connection.attempt = None
-        connection.close()
+        connection.close(CloseReason.DIAL_FAILED)
         if attempt is not None:
             attempt.exchange = None
             self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -6,6 +6,7 @@
 
 from heronlug.frontends.http import responses
 from heronlug.frontends.http.body_memory import BodyMemory
+from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState, next_state
 from heronlug.frontends.http.errors import BadRequestError, IncompleteRequestError
 from heronlug.frontends.http.eviction import EvictionRank
@@ -15,6 +16,7 @@
 from heronlug.frontends.http.request_reader import RequestReader
 from heronlug.frontends.timeout import Timeout
 from heronlug.net.connection_state import has_unread_input, peer_has_closed
+from heronlug.net.http import format_address
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -65,6 +67,9 @@
     def connection_closed(self, connection: "ClientConnection") -> None:
         """Removes an ended connection; repeated calls have no effect."""
 
+    def count_close(self, reason: CloseReason) -> None:
+        """Counts the end of a connection."""
+
     def rank_for_eviction(self, connection: "ClientConnection", rank: EvictionRank) -> None:
         """Sets the eviction rank of a connection."""
 
@@ -82,6 +87,7 @@
     Attributes:
         handle: Handle of the connection in the frontend's connection table.
         transport: Transport of the connection; None until the connection is established.
+        client_address: Address of the client, which identifies the connection in the logs of all processes.
         open_request: Request that the core is serving; None if there is none.
         requests_accepted: Number of requests passed to the core; after a hot restart at least 1 if the previous process
             accepted any.
@@ -96,6 +102,7 @@
         """Creates an unconnected connection; ``on_connected`` is called once the transport is set."""
         self.handle = 0
         self.transport: asyncio.Transport | None = None
+        self.client_address = ""
         self.open_request: Request | None = None
         self.requests_accepted = 0
         self.has_sent_request = False
@@ -107,6 +114,8 @@
         self._reader = RequestReader(self)
         self._pipeline = RequestPipeline()
         self._discarded = 0
+        self._close_reason: CloseReason | None = None  # None until this process ends the connection
+        self._state_at_close = ConnectionState.IDLE
         self._timeout = Timeout(frontend.deadlines)
 
     # -- asyncio
@@ -114,7 +123,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time-out and registers the connection with the frontend."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
+        self.client_address = format_address(transport.get_extra_info("peername"))
         self._timeout.start(IDLE_TIMEOUT_MS if self.has_sent_request else READ_TIMEOUT_MS, self._on_timeout)
+        if self.has_sent_request:
+            self._frontend.log("client_adopted", client=self.client_address)
         self._frontend.connection_opened(self)
         if self._on_connected is not None:
             self._on_connected(self)
@@ -124,7 +136,7 @@
         if self.closing:
             self._discarded += len(data)
             if self._discarded > MAX_DISCARDED_BYTES:
-                self.abort()
+                self.abort(CloseReason.EXCESS_INPUT)
             return
         try:
             self._reader.feed(data)
@@ -132,13 +144,14 @@
             self._reject(error)
         except Exception as error:  # an unexpected error ends this connection, not the process
             self._frontend.log("exception", where="north", error=repr(error))
-            self.abort()
+            self.abort(CloseReason.EXCEPTION)
         else:
             self._serve_next()
         self._frontend.run_due()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the resources of the connection and reports its open request to the core as abandoned."""
+        self.log_end(CloseReason.CLIENT_CLOSED)
         self._apply_event(ConnectionEvent.CLOSED)
         self._reader.close()
         self._timeout.cancel()
@@ -220,17 +233,18 @@
         if keep_alive:
             self._await_next_request()
         elif has_unread_input(self.transport):  # closing now would send a reset, which can discard the response
-            self._linger(self.transport)
+            self._linger(self.transport, CloseReason.ANSWERED)
         else:
-            self._close(self.transport)
+            self._close(self.transport, CloseReason.ANSWERED)
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection if it is idle and has no unanswered input."""
         if self._state is ConnectionState.IDLE and not self.has_unanswered_input and self.transport is not None:
-            self._close(self.transport)
+            self._close(self.transport, reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Ends the connection immediately, without sending buffered bytes."""
+        self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.CLOSED)
         self._frontend.connection_closed(self)
         if self.transport is not None:
@@ -266,7 +280,7 @@
         if self.open_request is not None:
             self._frontend.body_memory.release(self.open_request.payload)
         self.open_request = None
-        self.abort()
+        self.abort(CloseReason.HANDED_OVER)
 
     def resume_request(self, request: Request) -> None:
         """Continues a request that another process read from this connection."""
@@ -275,8 +289,34 @@
         self._timeout.cancel()
         self._frontend.rank_for_eviction(self, EvictionRank.BUSY)
 
+    # -- log
+
+    def log_end(self, reason: CloseReason) -> None:
+        """Logs and counts the end of the connection, for ``reason`` unless this process has ended it before."""
+        self._set_close_reason(reason)
+        final_reason = self._close_reason or reason
+        request_id = self.open_request.request_id if self.open_request is not None else ""
+        self._frontend.count_close(final_reason)
+        by_client = final_reason is CloseReason.CLIENT_CLOSED
+        dropped = not by_client and bool(self.open_request is not None or self._pipeline)
+        self._frontend.log(
+            "client_dropped" if dropped else "client_closed",
+            client=self.client_address,
+            state=self._state_at_close.value,
+            why=final_reason.value,
+            by="client" if by_client else "dispatcher",
+            id=request_id,
+            queued=len(self._pipeline),
+            reading=self._reader.phase.value,
+        )
+
     # -- internals
 
+    def _set_close_reason(self, reason: CloseReason) -> None:
+        if self._close_reason is None:
+            self._close_reason = reason
+            self._state_at_close = self._state
+
     def _apply_event(self, event: ConnectionEvent) -> None:
         self._state = next_state(self._state, event)
 
@@ -317,20 +357,22 @@
             if self.closing:
                 return
         self.transport.write(unserved + responses.rejection_response(error))
-        self._linger(self.transport)
+        self._linger(self.transport, CloseReason.REJECTED)
 
-    def _close(self, transport: asyncio.Transport) -> None:
+    def _close(self, transport: asyncio.Transport, reason: CloseReason) -> None:
         """Closes the connection after the transport has sent its buffered bytes."""
+        self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.CLOSED)
         transport.close()
 
-    def _linger(self, transport: asyncio.Transport) -> None:
+    def _linger(self, transport: asyncio.Transport, reason: CloseReason) -> None:
         """Ends sending but keeps reading for ``LINGER_MS``, so that the last response reaches the client."""
+        self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.LAST_RESPONSE_WRITTEN)
         if not transport.is_closing():
             transport.write_eof()
         self._frontend.rank_for_eviction(self, EvictionRank.REJECTED)
-        self._timeout.start(LINGER_MS, self.abort)
+        self._timeout.start(LINGER_MS, lambda: self.abort(reason))
 
     def _on_timeout(self) -> None:
         """Rejects a request that is incomplete when its time is over; closes a connection without input."""
@@ -339,4 +381,4 @@
         elif self.has_unanswered_input:  # bytes have just arrived and are read in this turn of the loop
             self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
         else:
-            self.abort()
+            self.abort(CloseReason.IDLE)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
 from heronlug.balancer.settings import Settings
 from heronlug.frontends.http import responses
 from heronlug.frontends.http.body_memory import BodyMemory
+from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.errors import DuplicateRequestIdError
 from heronlug.frontends.http.eviction import NEW_CONNECTION_GRACE_MS, EvictionOrder, EvictionRank
@@ -52,6 +54,7 @@
         max_connections: Maximum number of connections; a new connection above the limit evicts another connection.
         body_memory: Memory limit of all request bodies.
         connections: Open connections by handle.
+        closes: Number of ended connections since the start, by reason.
         last_client_at: Time at which a connection last sent its first request for a server, in ms.
     """
 
@@ -70,6 +73,7 @@
         self.max_connections = max_connections
         self.body_memory = BodyMemory(max_body_bytes)
         self.connections: SlotTable[ClientConnection] = SlotTable()
+        self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
         self._owner = owner
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock)
@@ -100,7 +104,7 @@
         connection.handle = self.connections.add(connection)
         if len(self.connections) > self.max_connections:
             self._log_exhaustion()
-            (self._eviction_order.first() or connection).abort()
+            (self._eviction_order.first() or connection).abort(CloseReason.CONNECTION_LIMIT)
         self.rank_for_eviction(connection, _initial_rank(connection))
 
     def connection_closed(self, connection: ClientConnection) -> None:
@@ -108,6 +112,10 @@
         self._eviction_order.move(connection, None)
         self.connections.remove(connection.handle)
 
+    def count_close(self, reason: CloseReason) -> None:
+        """Counts the end of a connection."""
+        self.closes[reason] += 1
+
     def rank_for_eviction(self, connection: ClientConnection, rank: EvictionRank) -> None:
         """Sets the eviction rank of a connection."""
         self._eviction_order.move(connection, rank)
@@ -117,14 +125,19 @@
         connection = self._eviction_order.first()
         if connection is not None:
             self._log_exhaustion()
-            connection.abort()
+            connection.abort(CloseReason.NO_DESCRIPTOR)
 
     def close_idle(self) -> None:
         """Closes idle connections, except new connections whose first request may still be in transit."""
         grace_start = self.deadlines.clock() - NEW_CONNECTION_GRACE_MS
         for connection in self.connections:
             if connection.has_sent_request or connection.opened_at < grace_start:
-                connection.close_if_idle()
+                connection.close_if_idle(CloseReason.DRAINED)
+
+    def log_process_end(self) -> None:
+        """Logs the connections that are open when the process ends."""
+        for connection in self.connections:
+            connection.log_end(CloseReason.PROCESS_ENDED)
 
     def _log_exhaustion(self) -> None:
         now = self.deadlines.clock()
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -27,7 +27,13 @@
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown, ShutdownHooks
 from heronlug.lifecycle.hot_restart.state_transfer import StateTransfer
 from heronlug.lifecycle.log import Log
-from heronlug.lifecycle.operations import OperatorCalls, accept_failure_metrics
+from heronlug.lifecycle.operations import (
+    CLIENTS_CLOSED,
+    SERVERS_CLOSED,
+    OperatorCalls,
+    accept_failure_metrics,
+    close_metrics,
+)
 from heronlug.lifecycle.peer_messages import PeerMessages
 from heronlug.lifecycle.readiness import Readiness
 from heronlug.lifecycle.running_state import RunningState
@@ -210,7 +216,7 @@
             self.admin_listener.accept()
         gc.collect()
         gc.freeze()
-        self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)))
+        self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)), pid=os.getpid())
         # A reload needs a running configuration, so earlier signals were only recorded.
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.begin)
         if startup_signals.reload_requested:
@@ -240,6 +246,7 @@
 
         Until this step the listener has accepted late clients, unless a successor has accepted them.
         """
+        self.frontend.log_process_end()
         self.hot_restart.close()
         self.listener.close()
         self.admin_listener.close()
@@ -266,7 +273,11 @@
         if self.faktory.listener is not None:
             listeners.append(self.faktory.listener)
         failures = {listener.acceptor.name: listener.acceptor.failures for listener in listeners}
-        return accept_failure_metrics(failures) + self.cluster.metrics()
+        closes = [
+            close_metrics(CLIENTS_CLOSED, self.frontend.closes),
+            close_metrics(SERVERS_CLOSED, self.backend.closes),
+        ]
+        return accept_failure_metrics(failures) + "".join(closes) + self.cluster.metrics()
 
     def _log_exception(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -14,6 +14,11 @@
 EVENT_LEVELS = {
     "taken": LEVELS["debug"],
     "client_gone": LEVELS["debug"],
+    "client_adopted": LEVELS["debug"],
+    "client_closed": LEVELS["debug"],
+    "host_closed": LEVELS["debug"],
+    "relay_served": LEVELS["debug"],
+    "client_dropped": LEVELS["warning"],
     "exception": LEVELS["warning"],
     "overdue": LEVELS["warning"],
     "inventory_failed": LEVELS["warning"],
--- a/heronlug/lifecycle/operations.py
+++ b/heronlug/lifecycle/operations.py
@@ -1,8 +1,8 @@
 """Answers the calls of operators on the admin endpoint, including the metrics in the Prometheus text format."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Literal
+from typing import Any, Literal
 
 from heronlug.lifecycle.admin import Answer, CallKey, Calls
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown
@@ -36,6 +36,10 @@
 POSTPONED = Metric("attempts_postponed", "counter", "attempts that waited until a list that had come was read")
 SLOW_EVENTS = Metric("slow_events", "counter", "events that held the loop up for 100 ms or more")
 QUEUED = Metric("waiting", "gauge", "jobs that wait for a runner")
+HANDED_OVER = Metric("handed_over", "counter", "jobs that another process of this dispatcher goes on with")
+ADOPTED = Metric("adopted", "counter", "jobs that came from another process of this dispatcher")
+CLIENTS_CLOSED = Metric("clients_closed", "counter", "connections of clients that have ended, by reason")
+SERVERS_CLOSED = Metric("hosts_closed", "counter", "connections to runners that have ended, by reason")
 
 
 def format_metrics(cores: Iterable[Core]) -> str:
@@ -74,6 +78,8 @@
     yield POSTPONED, sum(core.postponed for core in cores)
     yield SLOW_EVENTS, sum(core.events.slow_events for core in cores)
     yield QUEUED, sum(core.dispatcher.queue_length for core in cores)
+    yield HANDED_OVER, sum(core.handed_over for core in cores)
+    yield ADOPTED, sum(core.adopted for core in cores)
 
 
 def _metric_header(metric: Metric) -> Iterator[str]:
@@ -88,6 +94,12 @@
     return "\n".join([*_metric_header(metric), *lines, ""])
 
 
+def close_metrics(metric: Metric, counts: Mapping[Any, int]) -> str:
+    """Returns the lines that count ended connections by reason; ``counts`` may lack reasons that never occurred."""
+    lines = [f'svc_{metric.name}{{why="{reason}"}} {count}' for reason, count in sorted(counts.items())]
+    return "\n".join([*_metric_header(metric), *lines, ""])
+
+
 class OperatorCalls:
     """The calls of operators; each call is idempotent."""
 
--- a/heronlug/net/http.py
+++ b/heronlug/net/http.py
@@ -73,6 +73,11 @@
     return host.strip("[]"), int(port)
 
 
+def format_address(address: tuple[str, int] | None) -> str:
+    """Returns an address of a socket as ``host:port``; an empty string if there is none."""
+    return f"{address[0]}:{address[1]}" if address else ""
+
+
 class Lines:
     """Splits a stream of chunks of any length into lines."""
 
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -76,6 +76,8 @@
         answer_counts: Number of final answers since the start, by class index and kind.
         dispatches: Number of attempts that were written completely.
         postponed: Number of attempts that have waited until an update of the endpoint list was read.
+        handed_over: Number of requests that another process has continued.
+        adopted: Number of requests continued from another process.
     """
 
     def __init__(
@@ -120,6 +122,8 @@
         self.answer_counts = [dict.fromkeys(FinalAnswer, 0) for _ in self.class_names]
         self.dispatches = 0
         self.postponed = 0
+        self.handed_over = 0
+        self.adopted = 0
         self._log, self._subscribe, self._send_peer_message = log, subscribe, send_peer_message
         self._retry_after = max_retry_after / 2
         self.events = EventQueue(Dispatcher(settings, seed), deadlines.clock, self._execute, self._log_slow_event)
@@ -211,6 +215,14 @@
             if attempt.in_flight:
                 attempt.handle = self.attempts.add(attempt)
             snapshots.append(snapshot._replace(server=number))
+        self._log(
+            "request_adopted",
+            message=request.handle,
+            id=request.request_id,
+            hosts=request.hosts_in_flight,
+            left=round(request.give_up_at - self.deadlines.clock()),
+        )
+        self.adopted += 1
         arrival = _arrival_event(request, workload)
         self.events.handle(RequestAdopted(arrival, request.accepted_at, tuple(snapshots), not_before))
 
@@ -228,6 +240,8 @@
 
     def hand_over(self, request: Request) -> None:
         """Forgets a request that another process continues, without an answer and without ending its attempts."""
+        self._log("request_handed_over", message=request.handle, id=request.request_id, hosts=request.hosts_in_flight)
+        self.handed_over += 1
         request.client_gone = True
         self.requests.count_closed()
         for attempt in request.attempts:
@@ -320,11 +334,13 @@
         attempt.in_flight, attempt.may_have_run = False, outcome not in NEVER_RAN
         self.attempts.remove(attempt.handle)
         request, now = attempt.request, self.deadlines.clock()
+        elapsed = round(now - attempt.sent_at, 1)
         if outcome != Outcome.SERVED:
-            elapsed = round(now - attempt.sent_at, 1)
             self._log_attempt("relay_ended", attempt, outcome=outcome.log_name, ms=elapsed)
-        elif not request.closed:
-            self._close(request, FinalAnswer.SERVED, result)
+        else:
+            self._log_attempt("relay_served", attempt, ms=elapsed)
+            if not request.closed:
+                self._close(request, FinalAnswer.SERVED, result)
         latency = max(0.0, now - attempt.sent_at)
         self.events.handle(
             AttemptEnded(request.handle, attempt.number, attempt.server.number, outcome, latency, request.closed)
--- a/heronlug/requests/model.py
+++ b/heronlug/requests/model.py
@@ -124,6 +124,11 @@
         """Returns whether the request needs no final answer from this process any longer."""
         return self.client_gone or self.final_answer is not None
 
+    @property
+    def hosts_in_flight(self) -> list[str]:
+        """Returns the names of the servers of the attempts in flight, in the order of the attempts."""
+        return [attempt.server.entry.name for attempt in self.attempts if attempt.in_flight]
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
