--- /dev/null
+++ b/heronlug/faults/upgrades/processes.py
@@ -0,0 +1,224 @@
+"""Starts, upgrades and ends the processes of one dispatcher."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from heronlug.conformance.process_logs import ProcessLog
+from heronlug.faults.upgrades.plan import Moment, SuccessorFault, Upgrade
+from heronlug.standins.ports import process_start_lock
+
+LIMITED_EXEC = ("/bin/sh", "-c", 'ulimit -n "$0"; exec "$@"')
+"""Command prefix that limits the number of file descriptors of the process, as the platform does."""
+KILL_AFTER_S = 3.7
+"""Earliest SIGKILL after SIGTERM, in seconds: the longest deadline, counted as 3 s at most, plus 0.7 s."""
+POLL_S = 0.005
+"""Seconds between two checks of a condition."""
+READY_WITHIN_S = 20.0
+"""Maximum seconds until a new process is ready, beside a busy machine."""
+STOPPED_FOR_S = 2.0
+"""Seconds after which a stopped successor is killed."""
+
+
+@dataclass
+class RunningProcess:
+    """A process of the dispatcher.
+
+    Attributes:
+        number: Number of the process in the order of starts, from 0.
+        child: The process.
+        log_path: File with its log.
+        started_at: Unix time of the start, in seconds.
+        term_at: Unix time of SIGTERM, in seconds; 0 before.
+        killed: Whether a fault of the plan killed the process.
+        killed_at_grace_end: Whether the process was still running when the platform's time to stop was over.
+    """
+
+    number: int
+    child: subprocess.Popen[bytes]
+    log_path: Path
+    started_at: float
+    term_at: float = 0.0
+    killed: bool = False
+    killed_at_grace_end: bool = False
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is running."""
+        return self.child.poll() is None
+
+    def logged_events(self) -> list[dict[str, Any]]:
+        """Returns all complete lines of the log."""
+        lines = self.log_path.read_bytes().rpartition(b"\n")[0].splitlines()
+        return [orjson.loads(line) for line in lines if line.startswith(b"{")]
+
+    def other_lines(self) -> list[str]:
+        """Returns the lines of the log that are no events, such as a traceback."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return [line for line in lines if line and not line.startswith("{")]
+
+    def has_logged(self, event: str) -> bool:
+        """Returns whether the log has an event with this name."""
+        return f'"event":"{event}"'.encode() in self.log_path.read_bytes()
+
+    def as_log(self) -> ProcessLog:
+        """Returns the log for the checker."""
+        return ProcessLog(f"process {self.number}", self.logged_events(), self.killed)
+
+
+@dataclass
+class UpgradedDispatcher:
+    """The processes of one dispatcher, of which at most one serves new clients.
+
+    Attributes:
+        folder: Folder for configuration and logs.
+        configuration: The platform's configuration.
+        sources: Folders of the versions of the program that the processes run in turn; None stands for this version.
+        single_core: Whether all processes run on one core.
+        processes: All processes in the order of their starts.
+        failures: What went wrong with the processes themselves.
+    """
+
+    folder: Path
+    configuration: dict[str, Any]
+    sources: tuple[Path | None, ...] = (None,)
+    single_core: bool = False
+    processes: list[RunningProcess] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> RunningProcess:
+        """Starts a process and waits until it serves.
+
+        Raises:
+            TimeoutError: if the process does not serve in time.
+        """
+        process = self._start()
+        await _until(lambda: process.has_logged("started"), READY_WITHIN_S, f"process {process.number} serves")
+        return process
+
+    async def upgrade(self, upgrade: Upgrade) -> None:
+        """Starts a process beside the one that serves, which gets SIGTERM once the new one serves.
+
+        With a fault, the new process fails at its moment; a later upgrade then replaces the predecessor.
+        """
+        predecessor = next(process for process in reversed(self.processes) if process.running and not process.term_at)
+        successor = self._start()
+        faulty = upgrade.fault is not SuccessorFault.NONE
+        if faulty and upgrade.moment is Moment.STARTING:
+            await self._break(successor, upgrade.fault)
+            return
+        await _until(
+            lambda: successor.has_logged("started") or not successor.running,
+            READY_WITHIN_S,
+            f"process {successor.number} serves",
+        )
+        if faulty and upgrade.moment is Moment.SERVING:
+            await asyncio.sleep(upgrade.term_after_s)
+            await self._break(successor, upgrade.fault)
+            return
+        await asyncio.sleep(upgrade.term_after_s)
+        self.terminate(predecessor)
+        if faulty:
+            await asyncio.sleep(upgrade.term_after_s / 10)
+            await self._break(successor, upgrade.fault)
+            await self.start()
+
+    def terminate(self, process: RunningProcess) -> None:
+        """Sends SIGTERM to a process, and SIGKILL at the earliest time that the platform allows."""
+        process.term_at = time.time()
+        process.child.send_signal(signal.SIGTERM)
+        task = asyncio.get_running_loop().create_task(self._kill_at_grace_end(process))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """Ends the process that serves, and waits until all processes have ended."""
+        for process in self.processes:
+            if process.running and not process.term_at:
+                self.terminate(process)
+        while any(process.running for process in self.processes):
+            await asyncio.sleep(POLL_S)
+        for process in self.processes:
+            status = process.child.returncode
+            if status and not process.killed and not process.killed_at_grace_end:
+                self.failures.append(f"process {process.number} ended with status {status}")
+            self.failures += [f"process {process.number}: {line}" for line in process.other_lines()[:5]]
+
+    def close(self) -> None:
+        """Kills the processes that are still running."""
+        for process in self.processes:
+            if process.running:
+                process.child.kill()
+                process.child.wait()
+
+    def running_pids(self) -> list[int]:
+        """Returns the ids of the running processes."""
+        return [process.child.pid for process in self.processes if process.running]
+
+    def _start(self) -> RunningProcess:
+        number = len(self.processes)
+        log_path = self.folder / f"process-{number}.log"
+        source = self.sources[number % len(self.sources)]
+        sockets = self.configuration["limits"]["sockets"]
+        with log_path.open("wb") as log, process_start_lock:
+            child = subprocess.Popen(
+                [*LIMITED_EXEC, str(sockets), sys.executable, "-m", "heronlug"],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                cwd=source,
+                env={**os.environ, **self._environment(number)},
+            )
+        if self.single_core:
+            os.sched_setaffinity(child.pid, {min(os.sched_getaffinity(0))})
+        self.processes.append(RunningProcess(number, child, log_path, time.time()))
+        return self.processes[-1]
+
+    def _environment(self, number: int) -> dict[str, str]:
+        """Writes the files of a process and returns its environment."""
+        config, state = self.folder / "config.json", self.folder / "state.toml"
+        config.write_bytes(orjson.dumps(self.configuration))
+        state.write_text('log_level = "debug"\n')
+        return {
+            "RELAY_CONFIG": str(config),
+            "HERONLUG_STATE": str(state),
+            "HERONLUG_CONTROL": str(self.folder / f"control-{number}"),
+            "TMPDIR": str(self.folder),
+        }
+
+    async def _break(self, process: RunningProcess, fault: SuccessorFault) -> None:
+        process.killed = True
+        if fault is SuccessorFault.STOPPED:
+            process.child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(STOPPED_FOR_S)
+        process.child.kill()
+        await asyncio.to_thread(process.child.wait)
+
+    async def _kill_at_grace_end(self, process: RunningProcess) -> None:
+        end = process.term_at + KILL_AFTER_S
+        while process.running and time.time() < end:
+            await asyncio.sleep(POLL_S)
+        if process.running:
+            process.killed_at_grace_end = True
+            process.child.kill()
+            await asyncio.to_thread(process.child.wait)
+
+
+async def _until(condition: Callable[[], bool], seconds: float, description: str) -> None:
+    """Waits for a condition; raises ``TimeoutError`` if it does not become true in time."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            msg = f"never: {description}"
+            raise TimeoutError(msg)
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/heronlug/faults/upgrades/run.py
@@ -0,0 +1,227 @@
+"""Plays an upgrade run with real processes, and judges it."""
+
+import asyncio
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import uvloop
+
+from heronlug.conformance.process_logs import check_process_logs
+from heronlug.faults.upgrades.clients import Crowd, End, RequestRecord
+from heronlug.faults.upgrades.plan import UpgradePlan
+from heronlug.faults.upgrades.processes import UpgradedDispatcher
+from heronlug.faults.upgrades.usage import UsageSampler
+from heronlug.standins.discovery import StandInDiscovery
+from heronlug.standins.ports import free_port
+from heronlug.standins.server import Begun, Behaviour, StandInServer
+
+EFFECTS = {"safe": "repeatable", "once": "once", "keyed": "by_key"}
+"""Effect of each request class in the settings."""
+MEMORY_MB = 192
+"""Memory limit of the dispatcher, in MB."""
+
+
+@dataclass
+class UpgradeReport:
+    """The result of an upgrade run.
+
+    Attributes:
+        plan: Plan of the run.
+        records: All requests of all clients.
+        violations: What broke a rule, one line each.
+        figures: Figures of the run by name.
+    """
+
+    plan: UpgradePlan
+    records: list[RequestRecord]
+    violations: list[str] = field(default_factory=list)
+    figures: dict[str, Any] = field(default_factory=dict)
+
+    def count(self, end: End) -> int:
+        """Returns the number of requests with this end."""
+        return sum(record.end is end for record in self.records)
+
+    def text(self) -> str:
+        """Returns the report as text, with at most 20 violations."""
+        lines = [f"seed {self.plan.seed}: {'BROKEN' if self.violations else 'kept'}"]
+        lines += [f"  {line}" for line in self.violations[:20]]
+        lines += [f"  {name}: {value}" for name, value in self.figures.items()]
+        return "\n".join(lines)
+
+
+class UpgradeRun:
+    """One run: stand-ins, the dispatcher's processes, and the clients."""
+
+    def __init__(self, plan: UpgradePlan, folder: Path, sources: tuple[Path | None, ...] = (None,)) -> None:
+        """Prepares a run with its files in ``folder``; the versions of the program in ``sources`` are used in turn."""
+        self.plan = plan
+        self._rng = Random(plan.seed)
+        self._discovery = StandInDiscovery()
+        self._servers = [StandInServer(self._behaviour) for _ in range(plan.servers)]
+        self._port = free_port()
+        self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core)
+        self._crowd = Crowd(plan, self._port)
+        self._usage = UsageSampler(self._dispatcher.running_pids)
+
+    async def play(self) -> UpgradeReport:
+        """Plays the run.
+
+        Raises:
+            TimeoutError: if a process does not serve in time.
+        """
+        sampling = asyncio.create_task(self._usage.run())
+        try:
+            await self._open()
+            await self._dispatcher.start()
+            load = asyncio.create_task(self._crowd.run())
+            began_at = asyncio.get_running_loop().time()
+            for upgrade in self.plan.upgrades:
+                await asyncio.sleep(max(0.0, began_at + upgrade.at_s - asyncio.get_running_loop().time()))
+                await self._dispatcher.upgrade(upgrade)
+            await load
+            await self._dispatcher.stop()
+            return self._report()
+        finally:
+            sampling.cancel()
+            self._dispatcher.close()
+            self._discovery.close()
+            for server in self._servers:
+                server.close()
+
+    async def _open(self) -> None:
+        for number, server in enumerate(self._servers):
+            port = await server.open()
+            self._discovery.put(f"s{number}", hostPort=f"127.0.0.1:{port}", zone="a", machineType="m1")
+        discovery = f"127.0.0.1:{await self._discovery.open()}"
+        self._dispatcher.configuration = self._configuration(discovery)
+
+    def _behaviour(self, begun: Begun) -> Behaviour:
+        if sum(server.running for server in self._servers) >= self.plan.servers * self.plan.slots:
+            return Behaviour(0.0, "turned_away")
+        return Behaviour(self._rng.uniform(*self.plan.run_s))
+
+    def _configuration(self, discovery: str) -> dict[str, Any]:
+        known = self._discovery.table("", self._discovery.version, [*self._discovery.instances.values()], True)
+        return {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self._port}",
+            "discovery": discovery,
+            "seed": f"{self.plan.seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self.plan.sockets},
+            "known": known,
+            "settings": _settings(self.plan),
+        }
+
+    def _mark_crossed_requests(self) -> None:
+        """Marks lost requests on kept connections that no process has taken, and of which no answer had begun.
+
+        The protocol lets the dispatcher close a connection between two requests; the client then sends such a request
+        once more.
+        """
+        logs = [process.logged_events() for process in self._dispatcher.processes]
+        taken = {line["id"] for lines in logs for line in lines if line["event"] == "taken"}
+        for record in self._crowd.records:
+            crossed = not record.first and not record.answer_begun and record.request_id not in taken
+            if record.end is End.LOST and crossed:
+                record.end = End.CROSSED
+
+    def _report(self) -> UpgradeReport:
+        self._mark_crossed_requests()
+        report = UpgradeReport(self.plan, self._crowd.records)
+        report.violations += self._dispatcher.failures
+        report.violations += [
+            f"{record.request_id} ({record.class_name}, {record.kind.value}) of {record.client_address}, sent "
+            f"{record.sent_at:.3f}: {record.end.value if record.end else 'no end'} at {record.ended_at:.3f}"
+            for record in self._crowd.records
+            if record.end in (None, End.LOST, End.TIMEOUT, End.BAD)
+        ]
+        report.violations += self._repeated_executions()
+        report.violations += check_process_logs([process.as_log() for process in self._dispatcher.processes])
+        if self._usage.peak_descriptors > self.plan.sockets:
+            parts = " + ".join(map(str, self._usage.peak_parts))
+            report.violations.append(f"descriptors: {parts} held at once, at most {self.plan.sockets} allowed")
+        ends = Counter(record.end.value if record.end else "none" for record in self._crowd.records)
+        report.figures = {
+            "requests": len(self._crowd.records),
+            **dict(sorted(ends.items())),
+            "refused connects": self._crowd.refused_connects,
+            "processes": len(self._dispatcher.processes),
+            "killed at the end of the grace": sum(p.killed_at_grace_end for p in self._dispatcher.processes),
+            "peak descriptors": self._usage.peak_descriptors,
+            "peak private MB": round(self._usage.peak_memory_mb, 1),
+        }
+        return report
+
+    def _repeated_executions(self) -> list[str]:
+        """Returns a line for each request of class ``once`` that began more than once."""
+        began: Counter[str] = Counter()
+        for server in self._servers:
+            began += server.begun
+        once = {record.request_id for record in self._crowd.records if record.class_name == "once"}
+        return [f"{name} began {count} times" for name, count in began.items() if count > 1 and name in once]
+
+
+def _settings(plan: UpgradePlan) -> dict[str, Any]:
+    return {
+        "instances": 1,
+        "position": 0,
+        "zone": 0,
+        "zones": ["a"],
+        "skus": ["m1"],
+        "discovery": "on_request",
+        "tick": 5.0,
+        "lanes": [
+            {
+                "name": name,
+                "deadline": deadline_s * 1000,
+                "effect": EFFECTS[name],
+                "goal_time": 2000.0,
+                "worth": 1.0,
+                **({"repeat_window": 9000.0} if EFFECTS[name] == "by_key" else {}),
+            }
+            for name, deadline_s in plan.deadlines_s.items()
+        ],
+        "family_info": {"class_stretch": [0, 0, 0], "tells_start": True, "progress": 1000.0},
+        "limits": {
+            "attempts_cap": 6,
+            "second_copies": False,
+            "may_cancel": True,
+            "may_tell": False,
+            "conn_idle": 10000.0,
+            "dial_timeout": 1000.0,
+            "max_retry_after": 2000.0,
+            "retry_after": True,
+        },
+        "safety": {
+            "answer_slack": 50.0,
+            "ask_every": 10000.0,
+            "cold_from": 0.2,
+            "drain_grace": 2500.0,
+            "overload_for": 3000.0,
+            "tip_multiple": 3.0,
+            "warm_after": 20000.0,
+        },
+    }
+
+
+def play(plan: UpgradePlan, folder: Path | None = None, sources: tuple[Path | None, ...] = (None,)) -> UpgradeReport:
+    """Plays a plan and returns its report.
+
+    Args:
+        plan: The plan.
+        folder: Folder for configuration and logs; None uses a temporary folder that is deleted afterwards.
+        sources: Folders of the versions of the program, which the processes run in turn; None runs this version.
+    """
+
+    async def _play(run_folder: Path) -> UpgradeReport:
+        return await UpgradeRun(plan, run_folder, sources).play()
+
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return uvloop.run(_play(folder))
+    with tempfile.TemporaryDirectory(prefix="heronlug-upgrades-") as name:
+        return uvloop.run(_play(Path(name)))
--- /dev/null
+++ b/heronlug/faults/upgrades/usage.py
@@ -0,0 +1,56 @@
+"""Samples from ``/proc`` what the processes of a dispatcher hold together."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+SAMPLE_INTERVAL_S = 0.02
+"""Seconds between two samples."""
+
+
+@dataclass
+class UsageSampler:
+    """Peaks of descriptors and memory over all processes of a dispatcher.
+
+    Attributes:
+        pids: Returns the ids of the running processes.
+        peak_descriptors: Largest number of descriptors that the processes held together.
+        peak_memory_mb: Largest anonymous resident memory of all processes together, in MB.
+        peak_parts: Number of descriptors of each process at that peak.
+    """
+
+    pids: Callable[[], list[int]]
+    peak_descriptors: int = 0
+    peak_memory_mb: float = 0.0
+    peak_parts: list[int] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Samples until the task is cancelled."""
+        while True:
+            self.sample()
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    def sample(self) -> None:
+        """Takes one sample."""
+        parts = [descriptors_of(pid) for pid in self.pids()]
+        if sum(parts) > self.peak_descriptors:
+            self.peak_descriptors, self.peak_parts = sum(parts), parts
+        self.peak_memory_mb = max(self.peak_memory_mb, sum(private_memory_mb(pid) for pid in self.pids()))
+
+
+def descriptors_of(pid: int) -> int:
+    """Returns the number of open file descriptors of a process; 0 if it has ended."""
+    try:
+        return len(list(Path(f"/proc/{pid}/fd").iterdir()))
+    except OSError:
+        return 0
+
+
+def private_memory_mb(pid: int) -> float:
+    """Returns the anonymous resident memory of a process in MB; 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    return next((int(line.split()[1]) / 1024 for line in status.splitlines() if line.startswith("RssAnon:")), 0.0)
--- /dev/null
+++ b/tests/faults/test_upgrades.py
@@ -0,0 +1,24 @@
+"""Replaces the process of a dispatcher under load, with real processes, and checks that no request is lost."""
+
+from random import Random
+
+from heronlug.faults.upgrades.plan import ClientKind, UpgradePlan, series
+from heronlug.faults.upgrades.run import play
+
+SHORT_DEADLINES_S = {"safe": 4.0, "once": 5.0, "keyed": 6.0}
+"""Deadlines of the request classes, in seconds, all longer than the time that a process has to stop."""
+
+
+def test_upgrade_with_more_clients_than_half_of_the_limit_drops_no_request() -> None:
+    """Guards against a successor that closes connections with a request because they exceed its limit of clients."""
+    plan = UpgradePlan(
+        seed=1,
+        span_s=9.0,
+        clients={ClientKind.STEADY: 300},
+        pause_s=(0.0, 0.02),
+        run_s=(0.1, 0.6),
+        deadlines_s=SHORT_DEADLINES_S,
+        upgrades=series(4, 1.0, 2.0, Random(1)),
+    )
+    report = play(plan)
+    assert not report.violations, report.text()
