Let new clients wait at the limit of connections, and close none that owes an answer

Cause: HttpFrontend.connection_opened closed a connection at each one above the limit: the first in the order of eviction or, if there was none, the connection that had just been opened, whatever was on it. A connection that comes from another process is opened in the same way, with its request not yet attached, and the limit is halved in an upgrade. Evidence: client_dropped, why connection_limit, in the successor for each lost request; 0 lost with fewer clients than half. Change: a limit is kept before accept and nowhere else. At the limit a new connection stays in the listener's queue until one that owes nothing is closed; while all are at work, answers end their connections in turn. A silent connection is left alone for its first 100 ms, and no served one goes in its place meanwhile.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -64,8 +64,11 @@
     def connection_opened(self, connection: "ClientConnection") -> None:
         """Registers a new connection."""
 
+    def connection_aborted(self, connection: "ClientConnection") -> None:
+        """Records that a connection is about to be closed."""
+
     def connection_closed(self, connection: "ClientConnection") -> None:
-        """Removes an ended connection; repeated calls have no effect."""
+        """Removes an ended connection."""
 
     def count_close(self, reason: CloseReason) -> None:
         """Counts the end of a connection."""
@@ -246,7 +249,7 @@
         """Ends the connection immediately, without sending buffered bytes."""
         self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.CLOSED)
-        self._frontend.connection_closed(self)
+        self._frontend.connection_aborted(self)
         if self.transport is not None:
             self.transport.abort()
 
--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -82,8 +82,8 @@
     def first(self) -> Connection | None:
         """Returns the connection to evict, or None.
 
-        A silent connection within ``NEW_CONNECTION_GRACE_MS`` of its connect is evicted only after all rejected and
-        health-checked connections, because its first request may still be in transit.
+        A silent connection is not evicted within ``NEW_CONNECTION_GRACE_MS`` of its connect, because its first request
+        may still be in transit. Served connections are kept until its grace is over.
         """
         silent = self._first_of(EvictionRank.SILENT)
         in_grace = silent is not None and self._clock() - silent.opened_at < NEW_CONNECTION_GRACE_MS
@@ -91,10 +91,15 @@
             self._first_of(EvictionRank.REJECTED)
             or (None if in_grace else silent)
             or self._first_of(EvictionRank.HEALTH_CHECKED)
-            or silent
-            or self._first_of(EvictionRank.SERVED)
+            or (None if in_grace else self._first_of(EvictionRank.SERVED))
         )
 
+    @property
+    def all_served(self) -> bool:
+        """Returns whether every connection carries a request or has carried one."""
+        unserved = (EvictionRank.REJECTED, EvictionRank.SILENT, EvictionRank.HEALTH_CHECKED)
+        return not any(self._by_rank[rank] for rank in unserved)
+
     def _first_of(self, rank: EvictionRank) -> Connection | None:
         candidates = islice(self._by_rank[rank].values(), CANDIDATES_PER_RANK)
         evictable = (
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -51,7 +51,8 @@
         policy: Reads and checks the headers of requests.
         deadlines: Scheduler for time-outs.
         run_due: Runs the deadlines that are due; called after each I/O event.
-        max_connections: Maximum number of connections; a new connection above the limit evicts another connection.
+        max_connections: Maximum number of connections; a new connection above the limit waits for room.
+        clients_wait: Returns whether a new connection waits for room.
         body_memory: Memory limit of all request bodies.
         connections: Open connections by handle.
         closes: Number of ended connections since the start, by reason.
@@ -71,12 +72,14 @@
         self.deadlines = owner.core.deadlines
         self.run_due = run_due
         self.max_connections = max_connections
+        self.clients_wait: Callable[[], bool] = lambda: False
         self.body_memory = BodyMemory(max_body_bytes)
         self.connections: SlotTable[ClientConnection] = SlotTable()
         self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
         self._owner = owner
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock)
+        self._aborted: set[int] = set()  # handles of connections that are aborted and not closed yet
         self._adoptions: set[asyncio.Task[object]] = set()
         self._exhaustion_logged_at = 0.0
 
@@ -97,19 +100,19 @@
         return ClientConnection(self)
 
     def connection_opened(self, connection: ClientConnection) -> None:
-        """Registers a new connection.
-
-        Above the limit another connection is evicted, or the new connection itself is aborted if none is evictable.
-        """
+        """Registers a new connection."""
         connection.handle = self.connections.add(connection)
-        if len(self.connections) > self.max_connections:
-            self._log_exhaustion()
-            (self._eviction_order.first() or connection).abort(CloseReason.CONNECTION_LIMIT)
         self.rank_for_eviction(connection, _initial_rank(connection))
 
+    def connection_aborted(self, connection: ClientConnection) -> None:
+        """Records that a connection is about to be closed; its descriptor is free once it is closed."""
+        self._eviction_order.move(connection, None)
+        self._aborted.add(connection.handle)
+
     def connection_closed(self, connection: ClientConnection) -> None:
-        """Removes an ended connection; repeated calls have no effect."""
+        """Removes an ended connection."""
         self._eviction_order.move(connection, None)
+        self._aborted.discard(connection.handle)
         self.connections.remove(connection.handle)
 
     def count_close(self, reason: CloseReason) -> None:
@@ -120,12 +123,29 @@
         """Sets the eviction rank of a connection."""
         self._eviction_order.move(connection, rank)
 
+    def has_room(self, opening: int) -> bool:
+        """Returns whether another connection may be accepted besides the known ones and ``opening`` further ones."""
+        return len(self.connections) + opening < self.max_connections
+
+    def make_room(self, opening: int) -> bool:
+        """Aborts a connection that owes nothing; returns False if there is none.
+
+        While connections are being closed or opened, no further one is aborted: the former make room, and the latter
+        are the first to go.
+        """
+        self._log_exhaustion()
+        return bool(self._aborted or opening) or self._evict(CloseReason.CONNECTION_LIMIT)
+
     def evict_one(self) -> None:
         """Aborts one connection without unanswered requests, if any, when the process has no free file descriptor."""
+        self._log_exhaustion()
+        self._evict(CloseReason.NO_DESCRIPTOR)
+
+    def _evict(self, reason: CloseReason) -> bool:
         connection = self._eviction_order.first()
         if connection is not None:
-            self._log_exhaustion()
-            connection.abort(CloseReason.NO_DESCRIPTOR)
+            connection.abort(reason)
+        return connection is not None
 
     def close_idle(self) -> None:
         """Closes idle connections, except new connections whose first request may still be in transit."""
@@ -230,9 +250,12 @@
     def _keeps_alive(self, request: HttpRequest, connection: AnswerableConnection) -> bool:
         """Returns whether a connection stays open after this answer.
 
-        During a drain, a connection stays open only until all received input is answered.
+        During a drain, or while new clients wait and every connection is in use, a connection stays open only until all
+        received input is answered.
         """
-        return request.keep_alive and not (self._owner.sends_clients_away() and not connection.has_unanswered_input)
+        makes_room = self.clients_wait() and self._eviction_order.all_served
+        ends_when_idle = self._owner.sends_clients_away() or makes_room
+        return request.keep_alive and not (ends_when_idle and not connection.has_unanswered_input)
 
 
 def _initial_rank(connection: ClientConnection) -> EvictionRank:
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -125,7 +125,9 @@
         )
         self.transport.frontend = self.frontend
         self.listener = Listener(Acceptor("clients", self.frontend.protocol, self.log))
-        self.listener.acceptor.on_exhausted = self.frontend.evict_one
+        acceptor = self.listener.acceptor
+        acceptor.owner, acceptor.on_exhausted = self.frontend, self.frontend.evict_one
+        self.frontend.clients_wait = lambda: acceptor.waiting_for_room
 
     def _make_shutdown(self) -> None:
         """Creates the graceful shutdown and the state transfer of hot restarts."""
--- a/heronlug/net/acceptor.py
+++ b/heronlug/net/acceptor.py
@@ -2,13 +2,15 @@
 
 When no descriptor is left, the event loop's built-in server frees a spare descriptor, accepts the waiting connections
 and closes them, so requests that have reached the machine get no answer. Here, an accept that fails for lack of a
-resource leaves the queue unchanged and is retried after a backoff that doubles up to a bound.
+resource leaves the queue unchanged and is retried after a backoff that doubles up to a bound. Connections beyond the
+limit of their owner wait in the queue too.
 """
 
 import asyncio
 import errno
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from heronlug.requests.interfaces import EventLog
 
@@ -21,6 +23,9 @@
 MAX_BACKOFF_S = 0.1
 """Maximum delay before accept is retried."""
 
+ROOM_RETRY_S = 0.01
+"""Delay before a connection that waits for room is considered again."""
+
 LOG_INTERVAL_S = 1.0
 """Minimum time between two logged failures."""
 
@@ -44,6 +49,36 @@
     """Does not evict any connection; the default of :attr:`Acceptor.on_exhausted`."""
 
 
+class ConnectionOwner(Protocol):
+    """Limits the number of connections that are accepted."""
+
+    def has_room(self, opening: int) -> bool:
+        """Returns whether another connection may be accepted.
+
+        Args:
+            opening: Number of accepted connections that the owner does not know yet.
+        """
+
+    def make_room(self, opening: int) -> bool:
+        """Begins to close a connection that owes nothing; returns whether another attempt makes sense at once.
+
+        Args:
+            opening: Number of accepted connections that the owner does not know yet.
+        """
+
+
+class UnlimitedOwner:
+    """Accepts any number of connections; the default of :attr:`Acceptor.owner`."""
+
+    def has_room(self, opening: int) -> bool:
+        """Returns True."""
+        return True
+
+    def make_room(self, opening: int) -> bool:
+        """Returns True."""
+        return True
+
+
 class Acceptor:
     """Accepts connections from one listening socket, which the caller owns and closes.
 
@@ -51,6 +86,8 @@
         name: Name of the listener in the log.
         failures: Number of failed calls of accept since the start.
         on_exhausted: Called to evict a connection while no descriptor has been free for ``EXHAUSTED_AFTER_S``.
+        owner: Limits the number of connections.
+        waiting_for_room: Whether a connection waits in the queue because the owner has no room.
     """
 
     def __init__(self, name: str, protocol_factory: ProtocolFactory, log: EventLog) -> None:
@@ -58,6 +95,8 @@
         self.name = name
         self.failures = 0
         self.on_exhausted: Callable[[], None] = do_nothing
+        self.owner: ConnectionOwner = UnlimitedOwner()
+        self.waiting_for_room = False
         self._protocol_factory = protocol_factory
         self._log = log
         self._socket: socket.socket | None = None
@@ -91,6 +130,7 @@
             asyncio.get_running_loop().remove_reader(self._socket)
         self._retry_timer = None
         self._socket = None
+        self.waiting_for_room = False
 
     def _watch_socket(self) -> None:
         self._retry_timer = None
@@ -99,7 +139,13 @@
 
     def _accept_batch(self, listening_socket: socket.socket) -> None:
         """Accepts queued connections, up to ``BATCH_SIZE``; the rest wait for the next iteration of the loop."""
+        self.waiting_for_room = not self.owner.has_room(self.opening)
+        if self.waiting_for_room:
+            self._wait_for_room(listening_socket)
+            return
         for _ in range(BATCH_SIZE):
+            if not self.owner.has_room(self.opening):
+                return
             try:
                 connection, _ = listening_socket.accept()
             except (BlockingIOError, InterruptedError):
@@ -114,6 +160,14 @@
             self._exhausted_since = None
             self._open(connection)
 
+    def _wait_for_room(self, listening_socket: socket.socket) -> None:
+        """Makes room for the first connection in the queue, or looks again later if every connection is in use."""
+        if self.owner.make_room(self.opening):
+            return  # the socket stays readable, so the next iteration of the loop looks again
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listening_socket)
+        self._retry_timer = loop.call_later(ROOM_RETRY_S, self._watch_socket)
+
     def _open(self, connection: socket.socket) -> None:
         connection.setblocking(False)
         loop = asyncio.get_running_loop()
