Share the limits of a dispatcher among its processes by need, not by half

Body memory was not divided at all, and bodies of adopted requests were not counted. Cause: StateTransfer._divide_limits gave each process half, and nothing moved with what was handed over. Change: a new process has no room until the old one gives it what it does not need (clients, server connections, open requests, body memory); what is handed over takes its room along; the giver lowers its limit first, so the sum never exceeds the total, also in a chain of three. The processes name this feature in a news message before the hello, which earlier versions accept and ignore; beside these each keeps to half, as before. Without an answer for 1 s a new process takes half. The compatibility test expects the additional packet, and the recorded ones byte for byte.

--- a/heronlug/frontends/http/body_memory.py
+++ b/heronlug/frontends/http/body_memory.py
@@ -29,6 +29,11 @@
         if self.used > self.limit:
             raise BodyMemoryExhaustedError
 
+    def adopt(self, request: HttpRequest) -> None:
+        """Counts the body of a request that another process has read."""
+        request.reserved_bytes = len(request.body)
+        self.used += request.reserved_bytes
+
     def release(self, request: HttpRequest) -> None:
         """Drops the body of a request that needs no further forwarding and releases its reserved bytes."""
         self.used -= request.reserved_bytes
--- a/heronlug/lifecycle/faktory_service.py
+++ b/heronlug/lifecycle/faktory_service.py
@@ -48,6 +48,7 @@
         self.listener: Listener | None = None
         self._config = config
         self._http_core = http_core
+        self._max_open = http_core.max_open  # an upgrade changes the limit of the other frontend
         self._deadlines = deadlines
         self._log = log
         self._turn = turn
@@ -133,7 +134,7 @@
             frontend,
             self._deadlines,
             log=self._log,
-            max_open=self._http_core.max_open,
+            max_open=self._max_open,
             max_retry_after=self._config.max_come_back,
             plugins=self._http_core.plugins,
         )
--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -7,6 +7,7 @@
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.frontend import HttpFrontend
 from heronlug.lifecycle.hot_restart.messages import Message, ReadList, RequestHandover
+from heronlug.lifecycle.hot_restart.shared_limits import Room, room_of_client, room_of_request
 from heronlug.requests.core import Core
 from heronlug.requests.model import Request
 
@@ -21,16 +22,28 @@
         backend: ConnectionPool,
         read_list: ReadList,
         log: Callable[..., None],
+        receive_room: Callable[[Room], None],
     ) -> None:
-        """Creates an adopter that uses these parts; ``read_list`` decodes the servers of a request's attempts."""
+        """Creates an adopter that uses these parts.
+
+        Args:
+            core: The core of the HTTP frontend.
+            frontend: The HTTP frontend.
+            backend: The connection pool.
+            read_list: Decodes the servers of a request's attempts.
+            log: Logs events.
+            receive_room: Called with the room that each connection or request takes along.
+        """
         self._core = core
         self._frontend = frontend
         self._backend = backend
         self._read_list = read_list
         self._log = log
+        self._receive_room = receive_room
 
     def adopt_client(self, fd: int, served: bool) -> None:
         """Adopts a client connection; ``served`` is true if an answer has already been sent on the connection."""
+        self._receive_room(room_of_client())
         self._frontend.adopt(socket.socket(fileno=fd), served)
 
     def adopt_request(self, message: Message, fds: list[int]) -> None:
@@ -51,6 +64,8 @@
                 sock.close()
             self._log("handover_failed", error=repr(error))
             return
+        self._receive_room(room_of_request(len(servers), len(handover.request.body)))
+        self._frontend.body_memory.adopt(handover.request)
         self._frontend.adopt(client, True, lambda connection: self._resume_request(connection, handover, servers))
 
     def _resume_request(
--- a/heronlug/lifecycle/hot_restart/channel.py
+++ b/heronlug/lifecycle/hot_restart/channel.py
@@ -106,6 +106,7 @@
 
     Attributes:
         closed: Whether this end is closed.
+        features: Names of the features of the other process, as far as it has named them.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
             on_disconnected: Called once with the reason when the connection has ended, but not after :meth:`close`.
         """
         self.closed = False
+        self.features: frozenset[str] = frozenset()
         self._sock = sock
         self._on_message = on_message
         self._on_disconnected = on_disconnected
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -1,5 +1,6 @@
 """Hands requests and client connections over to the successor process."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from heronlug.config.platform import Config
@@ -9,6 +10,7 @@
 from heronlug.lifecycle.hot_restart.channel import MAX_FDS
 from heronlug.lifecycle.hot_restart.messages import ExchangeState, RequestHandover
 from heronlug.lifecycle.hot_restart.session import HotRestart
+from heronlug.lifecycle.hot_restart.shared_limits import Room, room_of_client, room_of_request
 from heronlug.requests.core import Core
 from heronlug.requests.model import Request
 
@@ -24,22 +26,42 @@
     """Hands over idle client connections and, during a planned stop, requests in progress."""
 
     def __init__(
-        self, config: Config, core: Core, frontend: HttpFrontend, shutdown: GracefulShutdown, session: HotRestart
+        self,
+        config: Config,
+        core: Core,
+        frontend: HttpFrontend,
+        shutdown: GracefulShutdown,
+        session: HotRestart,
+        give_room: Callable[[Room], None],
     ) -> None:
-        """Creates a sender that hands over the requests and connections of these parts through ``session``."""
+        """Creates a sender.
+
+        Args:
+            config: The configuration, which names zones and kinds of servers.
+            core: The core of the HTTP frontend.
+            frontend: The HTTP frontend.
+            shutdown: Says whether requests in progress are handed over.
+            session: Sends the messages to the successor.
+            give_room: Called with the room that each connection or request takes along.
+        """
         self._config = config
         self._core = core
         self._frontend = frontend
         self._shutdown = shutdown
         self._session = session
+        self._give_room = give_room
 
     def hand_over(self) -> None:
         """Hands over every connection and request that is ready; called repeatedly until the process has none left."""
-        self._frontend.hand_over_idle(self._session.hand_over_client)
+        self._frontend.hand_over_idle(self._hand_over_client)
         if self._shutdown.stopping:
             for request in self._core.requests:
                 self._hand_over_request(request)
 
+    def _hand_over_client(self, fd: int, served: bool) -> None:
+        self._give_room(room_of_client())
+        self._session.hand_over_client(fd, served)
+
     def _hand_over_request(self, request: Request) -> None:
         """Hands over a request that may outlast this process; does nothing while a connection is not ready."""
         attempts = self._core.attempt_snapshots(request)
@@ -59,6 +81,7 @@
             ],
         )
         message = handover.encode(self._config.zones, self._config.kinds)
+        self._give_room(room_of_request(len(paused_exchanges), len(request.payload.body)))
         server_fds = [connection.fd for connection in paused_exchanges]
         self._session.hand_over_request(message, [connections.client.pause_for_handover(), *server_fds])
         self._core.hand_over(request)
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -17,6 +17,7 @@
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.frontends.http.request_table import read_request, write_request
 from heronlug.lifecycle.hot_restart.errors import IncompatiblePeerError, MalformedMessageError
+from heronlug.lifecycle.hot_restart.shared_limits import Resource, Room
 from heronlug.requests.model import ListedServer
 
 VERSION = 1
@@ -42,11 +43,40 @@
     REQUEST = "message"
     """The old process hands over a request in progress, with its connections."""
     REQUEST_UPDATE = "news"
-    """Either process has accepted or finished requests, or reports its slots in flight."""
+    """Either process has accepted or finished requests, reports its slots in flight, or names its features."""
+    ROOM = "room"
+    """The old process gives room of its limits to the new one; only sent with :attr:`Feature.ROOM`."""
     GOODBYE = "bye"
     """The old process has handed over everything and exits."""
 
 
+class Feature(StrEnum):
+    """What a process can do beyond the first version of the messages; processes of that version ignore the names."""
+
+    ROOM = "room"
+    """Shares the limits of the dispatcher by messages, instead of half for each process."""
+
+
+def features() -> Message:
+    """Returns the update that names the features of this process; sent before the hello or the state."""
+    return {"kind": MessageKind.REQUEST_UPDATE, "features": list(Feature)}
+
+
+def room(amounts: Room) -> Message:
+    """Returns the message that gives room to the new process."""
+    return {"kind": MessageKind.ROOM, **{resource.value: amount for resource, amount in amounts.items()}}
+
+
+def read_room(message: Message) -> Room:
+    """Decodes given room; raises :class:`MalformedMessageError` if an amount is not a whole number of 0 or more."""
+    amounts = {resource: message.get(resource, 0) for resource in Resource}
+    for resource, amount in amounts.items():
+        if isinstance(amount, bool) or not isinstance(amount, int) or amount < 0:
+            msg = f"room: {resource}: {amount!r} is not accepted, expected a whole number of 0 or more"
+            raise MalformedMessageError(msg)
+    return amounts
+
+
 def hello(name: str) -> Message:
     """Returns a request for the state of the dispatcher with this name."""
     return {"kind": MessageKind.HELLO, "version": VERSION, "name": name}
@@ -97,17 +127,20 @@
         opened: Ids of the requests that the other process has accepted.
         ended: Ids of the requests that the other process has removed.
         counts: A peer message with the slots in flight of the other process; None if the update has no counts.
+        features: Names of the features of the other process; empty if the update names none.
     """
 
     opened: tuple[str, ...]
     ended: tuple[str, ...]
     counts: bytes | None
+    features: frozenset[str] = frozenset()
 
     @classmethod
     def decode(cls, message: Message) -> "RequestUpdate":
         """Decodes an update; raises ``TypeError`` or ``ValueError`` if the message is malformed."""
         counts = bytes.fromhex(message["counts"]) if "counts" in message else None
-        return cls(_strings(message.get("opened")), _strings(message.get("ended")), counts)
+        features = frozenset(_strings(message.get("features")))
+        return cls(_strings(message.get("opened")), _strings(message.get("ended")), counts, features)
 
 
 @dataclass(frozen=True)
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -14,7 +14,8 @@
 from heronlug.lifecycle.hot_restart import channel, messages
 from heronlug.lifecycle.hot_restart.channel import PeerProcess
 from heronlug.lifecycle.hot_restart.errors import UnexpectedMessageError
-from heronlug.lifecycle.hot_restart.messages import Message, MessageKind
+from heronlug.lifecycle.hot_restart.messages import Feature, Message, MessageKind, RequestUpdate
+from heronlug.lifecycle.hot_restart.shared_limits import Room
 from heronlug.requests.deadlines import Deadlines
 
 STATE_TIMEOUT_MS = 1000.0
@@ -59,8 +60,11 @@
     def predecessor_ended(self) -> None:
         """Restores the full limits of this process after the predecessor has ended."""
 
-    def receive_request_update(self, message: Message) -> None:
-        """Applies a request update; raises ``TypeError`` or ``ValueError`` if the message is malformed."""
+    def receive_request_update(self, update: RequestUpdate) -> None:
+        """Applies a request update."""
+
+    def receive_room(self, room: Room) -> None:
+        """Raises the limits of this process by room that the predecessor has given."""
 
     def adopt_client(self, fd: int, served: bool) -> None:
         """Adopts a client connection; ``served`` is true if an answer has been sent on the connection."""
@@ -109,6 +113,7 @@
             return None
         self._received_state = asyncio.get_running_loop().create_future()
         self.predecessor = PeerProcess(sock, self._receive, self._handle_disconnect)
+        self.predecessor.send(messages.features())
         self.predecessor.send(messages.hello(self._name))
         timeout = self._deadlines.call_after(STATE_TIMEOUT_MS, self._handle_state_timeout, self.predecessor)
         self._turn()
@@ -122,6 +127,11 @@
             self.predecessor.close()
             self.predecessor = None
 
+    @property
+    def predecessor_shares_limits(self) -> bool:
+        """Returns whether the predecessor gives room of its limits to this process."""
+        return self.predecessor is not None and Feature.ROOM in self.predecessor.features
+
     def announce_serving(self) -> None:
         """Notifies the predecessor that this process accepts clients."""
         if self.predecessor is not None:
@@ -146,6 +156,16 @@
         """Returns whether a successor accepts clients in place of this process."""
         return self.successor is not None
 
+    @property
+    def successor_shares_limits(self) -> bool:
+        """Returns whether the successor waits for room of the limits of this process."""
+        return self.successor is not None and Feature.ROOM in self.successor.features
+
+    def give_room(self, room: Room) -> None:
+        """Gives room of the limits of this process to the successor."""
+        if self.successor is not None:
+            self.successor.send(messages.room(room))
+
     def hand_over_client(self, fd: int, served: bool) -> None:
         """Sends a client connection to the successor; ``served`` is true if an answer was sent on the connection."""
         if self.successor is not None:
@@ -210,7 +230,7 @@
         try:
             kind = message["kind"]
             if kind == MessageKind.REQUEST_UPDATE:
-                self._handler.receive_request_update(message)
+                self._receive_request_update(process, RequestUpdate.decode(message))
             elif process is self.predecessor:
                 self._receive_from_predecessor(process, kind, received)
             elif process in self._joining:
@@ -222,6 +242,13 @@
             received.close()
         self._turn()
 
+    def _receive_request_update(self, process: PeerProcess, update: RequestUpdate) -> None:
+        if update.features:
+            process.features = update.features
+            if process in self._joining:
+                process.send(messages.features())
+        self._handler.receive_request_update(update)
+
     def _receive_from_predecessor(self, process: PeerProcess, kind: object, received: ReceivedMessage) -> None:
         """Handles a message of the old process."""
         message = received.message
@@ -232,6 +259,8 @@
             received.take_fds()
         elif kind == MessageKind.REQUEST and received.fds:
             self._handler.adopt_request(message, received.take_fds())
+        elif kind == MessageKind.ROOM:
+            self._handler.receive_room(messages.read_room(message))
         elif kind == MessageKind.GOODBYE:
             process.close()
             self._handle_disconnect(process, "parted")
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -1,7 +1,6 @@
 """Implements the steps of a hot restart in the new process and in the old process."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from heronlug.backends.pool import ConnectionPool
@@ -18,12 +17,16 @@
 from heronlug.lifecycle.hot_restart.inherited_sockets import LISTENER_SOCKET, PEER_SOCKET, InheritedSockets
 from heronlug.lifecycle.hot_restart.messages import Message, ProcessState, RequestUpdate
 from heronlug.lifecycle.hot_restart.session import HotRestart
+from heronlug.lifecycle.hot_restart.shared_limits import Room, SharedLimits, room_of_client
 from heronlug.net.listener import Listener
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.model import ListedServer
 
+ROOM_TIMEOUT_MS = 1000.0
+"""Time after which a new process no longer waits for room of the predecessor's limits, in ms."""
+
 
 class RestartedParts(Protocol):
     """The parts of a dispatcher that take part in a hot restart."""
@@ -46,21 +49,6 @@
         """Runs the due deadlines; must be called after every external event."""
 
 
-@dataclass(frozen=True)
-class SharedLimits:
-    """Limits that apply to all processes of a dispatcher together.
-
-    Attributes:
-        clients: Maximum number of client connections.
-        servers: Maximum number of server connections.
-        requests: Maximum number of open requests.
-    """
-
-    clients: int
-    servers: int
-    requests: int
-
-
 class StateTransfer:
     """Takes the state over from the predecessor at the start, and hands it over to the successor later.
 
@@ -82,12 +70,17 @@
         self._deadlines = deadlines
         self.session = HotRestart(self, config.name, path, deadlines, parts.log, parts.turn)
         self._sockets = InheritedSockets(config, parts.listener, parts.peers, deadlines, parts.log, parts.turn)
+        self._limits = SharedLimits(parts.frontend, parts.backend, parts.core, parts.listener.acceptor)
         self._request_adopter = RequestAdopter(
-            parts.core, parts.frontend, parts.backend, parts.discovery.client.parse_list, parts.log
+            parts.core,
+            parts.frontend,
+            parts.backend,
+            parts.discovery.client.parse_list,
+            parts.log,
+            self._receive_moved_room,
         )
-        self._request_sender = RequestSender(config, parts.core, parts.frontend, parts.shutdown, self.session)
-        self._total_limits = SharedLimits(
-            parts.frontend.max_connections, parts.backend.max_connections, parts.core.max_open
+        self._request_sender = RequestSender(
+            config, parts.core, parts.frontend, parts.shutdown, self.session, self._give_moved_room
         )
         self._predecessor_state: ProcessState | None = None  # None once the state has been used
 
@@ -108,7 +101,10 @@
             return
         self._parts.core.requests.peer_process_ids.update(state.request_ids)
         self._predecessor_state = state
-        self._divide_limits(2)
+        if self.session.predecessor_shares_limits:
+            self._limits.await_room()
+        else:
+            self._limits.receive_half()
 
     async def open_peers(self) -> None:
         """Opens the peer socket; while another process uses the address, starts without the socket and retries."""
@@ -155,6 +151,13 @@
         """Notifies the predecessor that this process accepts clients, and listens for a successor."""
         self.session.announce_serving()
         self.session.listen()
+        self._deadlines.call_after(ROOM_TIMEOUT_MS, self._end_wait_for_room)
+
+    def _end_wait_for_room(self) -> None:
+        """Takes half of the limits if the predecessor has given no room, because it hangs."""
+        if self.session.predecessor is not None and not self._limits.has_room:
+            self._parts.log("no_room_given")
+            self._limits.receive_half()
 
     # -- while there are two processes
 
@@ -174,15 +177,24 @@
 
     def successor_serves(self) -> None:
         """Hands idle clients over to the successor; requests in progress end in this process unless a stop begins."""
-        self._divide_limits(2)
         self._parts.listener.pause()
         self._parts.peers.close()
         self._parts.backend.close_idle()
-        self._parts.shutdown.hand_over(self._request_sender.hand_over)
+        if not self.session.successor_shares_limits:
+            self._limits.give_half()
+        self._parts.shutdown.hand_over(self._hand_over)
+
+    def _hand_over(self) -> None:
+        """Gives the room to the successor that this process does not need, and hands over what is ready."""
+        if self.session.successor_shares_limits and (room := self._limits.unneeded()):
+            self._limits.give(room)
+            self.session.give_room(room)
+        self._request_sender.hand_over()
 
     def successor_lost(self) -> None:
         """Accepts clients again after the successor has ended before this process."""
-        self.predecessor_ended()
+        self._parts.core.peer_process_ended()
+        self._limits.successor_ended()
         self._parts.shutdown.hand_over(None)
         if not self._parts.shutdown.stopping:
             self._parts.listener.accept()
@@ -190,13 +202,29 @@
         self.session.listen()  # the successor had replaced the socket file with its own
 
     def predecessor_ended(self) -> None:
-        """Discards the requests of the other process and restores the full limits, since no other process is left."""
+        """Discards the requests of the predecessor and takes all room that it had."""
         self._parts.core.peer_process_ended()
-        self._divide_limits(1)
+        self._limits.predecessor_ended()
+
+    def receive_room(self, room: Room) -> None:
+        """Raises the limits of this process by room that the predecessor has given."""
+        self._limits.receive(room)
+
+    def _receive_moved_room(self, room: Room) -> None:
+        """Raises the limits by the room that a connection or request takes along.
 
-    def receive_request_update(self, message: Message) -> None:
-        """Applies a request update; raises ``TypeError`` or ``ValueError`` if the message is malformed."""
-        update = RequestUpdate.decode(message)
+        A predecessor that does not share its limits keeps its half of them, but accepts no clients in place of those
+        that it hands over.
+        """
+        self._limits.receive(room if self.session.predecessor_shares_limits else room_of_client())
+
+    def _give_moved_room(self, room: Room) -> None:
+        """Lowers the limits by the room that a connection or request takes along."""
+        if self.session.successor_shares_limits:
+            self._limits.give(room)
+
+    def receive_request_update(self, update: RequestUpdate) -> None:
+        """Applies a request update."""
         core = self._parts.core
         core.requests.peer_process_ids.update(update.opened)
         core.requests.peer_process_ids.difference_update(update.ended)
@@ -218,9 +246,3 @@
 
     def _uses_peer_socket(self) -> bool:
         return not self.session.handed_over
-
-    def _divide_limits(self, processes: int) -> None:
-        """Divides the limits equally among this many processes."""
-        self._parts.frontend.max_connections = self._total_limits.clients // processes
-        self._parts.backend.max_connections = self._total_limits.servers // processes
-        self._parts.core.max_open = self._total_limits.requests // processes
--- a/heronlug/net/acceptor.py
+++ b/heronlug/net/acceptor.py
@@ -132,6 +132,12 @@
         self._socket = None
         self.waiting_for_room = False
 
+    def look_again(self) -> None:
+        """Considers a connection that waits for room again, because there may be room now."""
+        if self.waiting_for_room and self._retry_timer is not None:
+            self._retry_timer.cancel()
+            self._watch_socket()
+
     def _watch_socket(self) -> None:
         self._retry_timer = None
         if self._socket is not None:
--- a/tests/compatibility/test_recorded_forms.py
+++ b/tests/compatibility/test_recorded_forms.py
@@ -18,6 +18,7 @@
 
 from compatibility.samples import (
     DATA_FOLDER,
+    FEATURES_PACKET,
     HELLO_PACKET,
     KEYS,
     MACHINE_TYPES,
@@ -183,6 +184,7 @@
         sock, _ = listening_socket.accept()
         with sock:
             sock.setblocking(False)
+            assert await receive(sock) == FEATURES_PACKET  # earlier versions ignore unknown keys of this kind
             assert await receive(sock) == HELLO_PACKET
             socket.send_fds(sock, [state.data.encode()], descriptors)
             await asyncio.wait_for(joining, 5)
