--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -275,6 +275,11 @@
             raise RuntimeError(msg)
         return PausedConnection(fd, response.begun, response.closes_connection)
 
+    def reclaim(self) -> None:
+        """Reads again after another process has not taken over the connection."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def detach(self) -> None:
         """Closes the descriptor after the handover without reporting an outcome."""
         self.attempt = None
--- a/heronlug/faults/upgrades/clients.py
+++ b/heronlug/faults/upgrades/clients.py
@@ -42,6 +42,9 @@
     CROSSED = "crossed"
     """A kept connection was closed while the request was in transit, unread: the client sends it once more."""
 
+    KILLED = "killed"
+    """The process that had the connection was killed outright."""
+
     TIMEOUT = "timeout"
     """No answer within the deadline of the request class."""
 
@@ -239,7 +242,7 @@
 
     async def _read_answers(self, connection: ClientConnection, records: list[RequestRecord]) -> bool:
         connection.parser.statuses.clear()
-        wait_s = min(self.plan.deadlines_s[record.class_name] for record in records)
+        wait_s = max(self.plan.deadlines_s[record.class_name] for record in records)  # answers come in order
         try:
             async with asyncio.timeout(wait_s + LATE_S):
                 for record in records:
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -13,7 +13,7 @@
 from heronlug.conformance.process_logs import check_process_logs
 from heronlug.faults.upgrades.clients import Crowd, End, RequestRecord
 from heronlug.faults.upgrades.plan import UpgradePlan
-from heronlug.faults.upgrades.processes import UpgradedDispatcher
+from heronlug.faults.upgrades.processes import RunningProcess, UpgradedDispatcher
 from heronlug.faults.upgrades.usage import UsageSampler
 from heronlug.standins.discovery import StandInDiscovery
 from heronlug.standins.ports import free_port
@@ -116,21 +116,28 @@
             "settings": _settings(self.plan),
         }
 
-    def _mark_crossed_requests(self) -> None:
-        """Marks lost requests on kept connections that no process has taken, and of which no answer had begun.
+    def _classify_lost_requests(self) -> None:
+        """Marks lost requests that the dispatcher need not answer.
 
-        The protocol lets the dispatcher close a connection between two requests; the client then sends such a request
-        once more.
+        The protocol lets the dispatcher close a connection between two requests: a request in transit, which no process
+        has taken and of which no answer has begun, is sent once more. A request whose connection was in a process that
+        was killed outright ends with that process.
         """
-        logs = [process.logged_events() for process in self._dispatcher.processes]
-        taken = {line["id"] for lines in logs for line in lines if line["event"] == "taken"}
+        processes = self._dispatcher.processes
+        lines = [line for process in processes for line in process.logged_events()]
+        taken = {line["id"] for line in lines if line["event"] == "taken"}
+        owners = _connection_owners(processes)
         for record in self._crowd.records:
-            crossed = not record.first and not record.answer_begun and record.request_id not in taken
-            if record.end is End.LOST and crossed:
+            if record.end is not End.LOST:
+                continue
+            owner = owners.get(record.client_address)
+            if owner is not None and processes[owner].killed:
+                record.end = End.KILLED
+            elif not record.first and not record.answer_begun and record.request_id not in taken:
                 record.end = End.CROSSED
 
     def _report(self) -> UpgradeReport:
-        self._mark_crossed_requests()
+        self._classify_lost_requests()
         report = UpgradeReport(self.plan, self._crowd.records)
         report.violations += self._dispatcher.failures
         report.violations += [
@@ -165,6 +172,27 @@
         return [f"{name} began {count} times" for name, count in began.items() if count > 1 and name in once]
 
 
+def _connection_owners(processes: list[RunningProcess]) -> dict[str, int]:
+    """Returns the number of the last process that had each connection, by the address of its client.
+
+    A connection that was handed over belongs to the latest process that had been started by then, even if that process
+    ended before it could write its log.
+    """
+    owners: dict[str, int] = {}
+    latest: dict[str, float] = {}
+    for process in processes:
+        for line in process.logged_events():
+            if line["event"] in ("client_opened", "client_adopted"):
+                owner = process.number
+            elif line["event"] == "client_closed" and line["why"] == "handed_over":
+                owner = max(other.number for other in processes if other.started_at < line["at"])
+            else:
+                continue
+            if line["at"] >= latest.get(line["client"], 0.0):
+                owners[line["client"]], latest[line["client"]] = owner, line["at"]
+    return owners
+
+
 def _settings(plan: UpgradePlan) -> dict[str, Any]:
     return {
         "instances": 1,
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -64,6 +64,9 @@
     def connection_opened(self, connection: "ClientConnection") -> None:
         """Registers a new connection."""
 
+    def connection_reclaimed(self, connection: "ClientConnection") -> None:
+        """Sets the eviction rank of a connection that another process has not taken over."""
+
     def connection_aborted(self, connection: "ClientConnection") -> None:
         """Records that a connection is about to be closed."""
 
@@ -95,6 +98,7 @@
         requests_accepted: Number of requests passed to the core; after a hot restart at least 1 if the previous process
             accepted any.
         has_sent_request: Whether the client has sent a complete request, including health checks.
+        adopted: Whether another process has opened the connection.
         opened_at: Time at which the connection was opened, in ms.
         rank: Rank in the eviction order; None if the connection is not in the order.
     """
@@ -109,6 +113,7 @@
         self.open_request: Request | None = None
         self.requests_accepted = 0
         self.has_sent_request = False
+        self.adopted = False
         self.opened_at = frontend.deadlines.clock()
         self.rank: EvictionRank | None = None
         self._frontend = frontend
@@ -127,9 +132,9 @@
         """Starts the time-out and registers the connection with the frontend."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
         self.client_address = format_address(transport.get_extra_info("peername"))
-        self._timeout.start(IDLE_TIMEOUT_MS if self.has_sent_request else READ_TIMEOUT_MS, self._on_timeout)
-        if self.has_sent_request:
-            self._frontend.log("client_adopted", client=self.client_address)
+        self._start_waiting()
+        event = "client_adopted" if self.adopted else "client_opened"
+        self._frontend.log(event, client=self.client_address)
         self._frontend.connection_opened(self)
         if self._on_connected is not None:
             self._on_connected(self)
@@ -212,6 +217,11 @@
         """Returns whether the connection has stopped serving requests."""
         return self._state in (ConnectionState.LINGERING, ConnectionState.CLOSED)
 
+    @property
+    def age_ms(self) -> float:
+        """Returns the time since the connection was opened, in ms."""
+        return self._frontend.deadlines.clock() - self.opened_at
+
     @property
     def has_unanswered_input(self) -> bool:
         """Returns whether the client has sent unanswered input, including bytes that are unread in the socket."""
@@ -255,14 +265,19 @@
 
     # -- hot restart
 
-    def can_hand_over(self) -> bool:
+    def can_hand_over(self, silent: bool = False) -> bool:
         """Returns whether another process can continue the connection.
 
-        The client must have sent a complete request, no request may be partly read or waiting in the pipeline, and no
-        response may be partly written; a request that is being served does not prevent a handover.
+        No request may be partly read or waiting in the pipeline, and no response may be partly written; a request that
+        is being served does not prevent a handover.
+
+        Args:
+            silent: Whether the other process also continues connections whose client has not sent a complete request.
         """
         transport = self.transport
-        if self._pipeline or self._reader.reading or self.closing or not self.has_sent_request or transport is None:
+        if self._state not in (ConnectionState.IDLE, ConnectionState.SERVING) or transport is None:
+            return False
+        if self._pipeline or self._reader.reading or not (self.has_sent_request or silent):
             return False
         return not transport.is_closing() and transport.get_write_buffer_size() == 0
 
@@ -276,8 +291,21 @@
             msg = "the client connection has no transport and cannot be handed over"
             raise ConnectionError(msg)
         self.transport.pause_reading()
+        self._apply_event(ConnectionEvent.OFFERED)
+        self._timeout.cancel()
+        self._frontend.rank_for_eviction(self, EvictionRank.BUSY)
         return int(self.transport.get_extra_info("socket").fileno())
 
+    def reclaim(self) -> None:
+        """Reads again after another process has not taken over the connection."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        if self._state is ConnectionState.OFFERED:
+            self._apply_event(ConnectionEvent.RECLAIMED)
+            self._frontend.connection_reclaimed(self)
+            self._start_waiting()
+
     def detach(self) -> None:
         """Closes this process's descriptor without writing, after another process has taken over the connection."""
         if self.open_request is not None:
@@ -315,6 +343,11 @@
 
     # -- internals
 
+    def _start_waiting(self) -> None:
+        """Starts the time-out for the next request; that for the first request runs from the connect."""
+        timeout_ms = IDLE_TIMEOUT_MS if self.has_sent_request else max(0.0, READ_TIMEOUT_MS - self.age_ms)
+        self._timeout.start(timeout_ms, self._on_timeout)
+
     def _set_close_reason(self, reason: CloseReason) -> None:
         if self._close_reason is None:
             self._close_reason = reason
--- a/heronlug/frontends/http/connection_state.py
+++ b/heronlug/frontends/http/connection_state.py
@@ -9,6 +9,9 @@
     IDLE = "idle"
     """No request is being served; a request may be partly read."""
 
+    OFFERED = "offered"
+    """The idle connection is offered to another process and is not read."""
+
     SERVING = "serving"
     """A request is being served; later requests wait in the pipeline."""
 
@@ -22,6 +25,8 @@
 class ConnectionEvent(Enum):
     """Event that can change the state of a client connection."""
 
+    OFFERED = "offered"
+    RECLAIMED = "reclaimed"
     REQUEST_STARTED = "request started"
     ANSWERED = "answered"
     LAST_RESPONSE_WRITTEN = "last response written"
@@ -30,10 +35,15 @@
 
 TRANSITIONS = {
     ConnectionState.IDLE: {
+        ConnectionEvent.OFFERED: ConnectionState.OFFERED,
         ConnectionEvent.REQUEST_STARTED: ConnectionState.SERVING,
         ConnectionEvent.LAST_RESPONSE_WRITTEN: ConnectionState.LINGERING,
         ConnectionEvent.CLOSED: ConnectionState.CLOSED,
     },
+    ConnectionState.OFFERED: {
+        ConnectionEvent.RECLAIMED: ConnectionState.IDLE,
+        ConnectionEvent.CLOSED: ConnectionState.CLOSED,
+    },
     ConnectionState.SERVING: {
         ConnectionEvent.ANSWERED: ConnectionState.IDLE,
         ConnectionEvent.LAST_RESPONSE_WRITTEN: ConnectionState.LINGERING,
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -104,6 +104,10 @@
         connection.handle = self.connections.add(connection)
         self.rank_for_eviction(connection, _initial_rank(connection))
 
+    def connection_reclaimed(self, connection: ClientConnection) -> None:
+        """Sets the eviction rank of a connection that another process has not taken over."""
+        self.rank_for_eviction(connection, _initial_rank(connection))
+
     def connection_aborted(self, connection: ClientConnection) -> None:
         """Records that a connection is about to be closed; its descriptor is free once it is closed."""
         self._eviction_order.move(connection, None)
@@ -167,19 +171,12 @@
 
     # -- hot restart
 
-    def hand_over_idle(self, hand_over: Callable[[int, bool], None]) -> None:
-        """Hands the idle connections over to another process.
-
-        Args:
-            hand_over: Called with each socket descriptor and whether the connection has carried a request for a server.
-        """
-        for connection in self.connections:
-            if connection.can_hand_over() and not connection.serving:
-                hand_over(connection.pause_for_handover(), connection.requests_accepted > 0)
-                connection.detach()
-
     def adopt(
-        self, sock: socket.socket, served: bool, on_connected: Callable[[ClientConnection], None] | None = None
+        self,
+        sock: socket.socket,
+        served: bool,
+        on_connected: Callable[[ClientConnection], None] | None = None,
+        silent_ms: float | None = None,
     ) -> None:
         """Takes over a connection from another process.
 
@@ -187,11 +184,14 @@
             sock: Socket of the connection.
             served: Whether the connection has carried a request for a server.
             on_connected: Called with the connection once its transport is set.
+            silent_ms: Age of a connection without any request, in ms; None if its client has sent a request.
         """
         sock.setblocking(False)
         connection = ClientConnection(self, on_connected)
-        connection.has_sent_request = True
+        connection.adopted = True
+        connection.has_sent_request = silent_ms is None
         connection.requests_accepted = int(served)
+        connection.opened_at -= silent_ms or 0.0
         loop = asyncio.get_running_loop()
         task: asyncio.Task[object] = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
         self._adoptions.add(task)
--- a/heronlug/lifecycle/graceful_shutdown.py
+++ b/heronlug/lifecycle/graceful_shutdown.py
@@ -138,6 +138,11 @@
         self._hand_over_clients = hand_over
         self._begin_checks()
 
+    def hand_over_now(self) -> None:
+        """Hands clients over without waiting for the next check; does nothing without a successor."""
+        if self._hand_over_clients is not None:
+            self._hand_over_clients()
+
     def stop(self) -> bool:
         """Begins a planned stop and returns True; returns False if a stop is already in progress."""
         if self.stopping:
--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -1,12 +1,18 @@
 """Adopts the requests and client connections that the previous process hands over."""
 
+import os
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from heronlug.backends.pool import ConnectionPool
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.frontend import HttpFrontend
-from heronlug.lifecycle.hot_restart.messages import Message, ReadList, RequestHandover
+from heronlug.lifecycle.hot_restart import messages
+from heronlug.lifecycle.hot_restart.channel import ReceivedMessage
+from heronlug.lifecycle.hot_restart.errors import HandoverError
+from heronlug.lifecycle.hot_restart.incoming_transfers import PreparedHandover
+from heronlug.lifecycle.hot_restart.messages import MessageKind, ReadList, RequestHandover
 from heronlug.lifecycle.hot_restart.shared_limits import Room, room_of_client, room_of_request
 from heronlug.requests.core import Core
 from heronlug.requests.model import Request
@@ -21,7 +27,6 @@
         frontend: HttpFrontend,
         backend: ConnectionPool,
         read_list: ReadList,
-        log: Callable[..., None],
         receive_room: Callable[[Room], None],
     ) -> None:
         """Creates an adopter that uses these parts.
@@ -31,39 +36,59 @@
             frontend: The HTTP frontend.
             backend: The connection pool.
             read_list: Decodes the servers of a request's attempts.
-            log: Logs events.
             receive_room: Called with the room that each connection or request takes along.
         """
         self._core = core
         self._frontend = frontend
         self._backend = backend
         self._read_list = read_list
-        self._log = log
         self._receive_room = receive_room
 
-    def adopt_client(self, fd: int, served: bool) -> None:
-        """Adopts a client connection; ``served`` is true if an answer has already been sent on the connection."""
-        self._receive_room(room_of_client())
-        self._frontend.adopt(socket.socket(fileno=fd), served)
+    def prepare(self, received: ReceivedMessage) -> PreparedHandover:
+        """Decodes a client connection or a request in progress, and takes its descriptors.
 
-    def adopt_request(self, message: Message, fds: list[int]) -> None:
-        """Adopts a request in progress.
+        Raises:
+            HandoverError: if the message is malformed or descriptors are missing; the descriptors are then not taken.
+        """
+        if received.fds_cut_off:
+            msg = "descriptors are missing: this process has none free"
+            raise HandoverError(msg)
+        if received.message["kind"] == MessageKind.CLIENT:
+            return self._prepare_client(received)
+        return self._prepare_request(received)
 
-        A malformed message is logged, and its connections are closed.
+    def _prepare_client(self, received: ReceivedMessage) -> "AdoptableClient":
+        if len(received.fds) != 1:
+            msg = f"expected 1 descriptor for a client connection, got {len(received.fds)}"
+            raise HandoverError(msg)
+        served = received.message.get("served") is True
+        silent_ms = messages.read_silent_age(received.message)
+        (client,) = _sockets(received)
+        return AdoptableClient(self, client, served, silent_ms)
 
-        Args:
-            message: The handed-over request.
-            fds: The descriptor of the client connection, then those of the servers of the attempts in flight.
-        """
-        client, *servers = [socket.socket(fileno=fd) for fd in fds]
+    def _prepare_request(self, received: ReceivedMessage) -> "AdoptableRequest":
+        classes = self._core.settings.classes
         try:
-            classes = self._core.settings.classes
-            handover = RequestHandover.decode(message, len(servers), self._read_list, classes)
+            handover = RequestHandover.decode(received.message, len(received.fds) - 1, self._read_list, classes)
         except (KeyError, TypeError, ValueError, IndexError) as error:
-            for sock in (client, *servers):
-                sock.close()
-            self._log("handover_failed", error=repr(error))
-            return
+            msg = f"malformed request: {error!r}"
+            raise HandoverError(msg) from error
+        client, *servers = _sockets(received)
+        return AdoptableRequest(self, handover, client, servers)
+
+    def adopt_client(self, client: socket.socket, served: bool, silent_ms: float | None) -> None:
+        """Adopts a client connection.
+
+        Args:
+            client: Socket of the connection.
+            served: Whether an answer has already been sent on the connection.
+            silent_ms: Age of a connection without any request, in ms; None if its client has sent a request.
+        """
+        self._receive_room(room_of_client())
+        self._frontend.adopt(client, served, silent_ms=silent_ms)
+
+    def adopt_request(self, handover: RequestHandover, client: socket.socket, servers: list[socket.socket]) -> None:
+        """Adopts a request in progress; ``servers`` are the connections of its attempts in flight."""
         self._receive_room(room_of_request(len(servers), len(handover.request.body)))
         self._frontend.body_memory.adopt(handover.request)
         self._frontend.adopt(client, True, lambda connection: self._resume_request(connection, handover, servers))
@@ -97,3 +122,61 @@
                 self._backend.adopt(attempt, sock, exchange.answered, exchange.last)
             else:
                 sock.close()
+
+
+@dataclass(frozen=True)
+class AdoptableClient:
+    """A client connection that this process can continue."""
+
+    adopter: RequestAdopter
+    client: socket.socket
+    served: bool
+    silent_ms: float | None
+
+    def adopt(self) -> None:
+        """Continues the connection."""
+        self.adopter.adopt_client(self.client, self.served, self.silent_ms)
+
+    def close(self) -> None:
+        """Closes the descriptor of this process."""
+        self.client.close()
+
+
+@dataclass(frozen=True)
+class AdoptableRequest:
+    """A request in progress, with its connections, that this process can continue."""
+
+    adopter: RequestAdopter
+    handover: RequestHandover
+    client: socket.socket
+    servers: list[socket.socket]
+
+    def adopt(self) -> None:
+        """Continues the request."""
+        self.adopter.adopt_request(self.handover, self.client, self.servers)
+
+    def close(self) -> None:
+        """Closes the descriptors of this process."""
+        for sock in (self.client, *self.servers):
+            sock.close()
+
+
+def _sockets(received: ReceivedMessage) -> list[socket.socket]:
+    """Takes the descriptors of a message as sockets.
+
+    Raises:
+        HandoverError: if a descriptor is not a socket; all descriptors are then closed.
+    """
+    sockets: list[socket.socket] = []
+    fds = received.take_fds()
+    try:
+        for fd in fds:
+            sockets.append(socket.socket(fileno=fd))
+    except OSError as error:
+        for fd in fds[len(sockets) :]:
+            os.close(fd)
+        for sock in sockets:
+            sock.close()
+        msg = f"a descriptor is not a socket: {error}"
+        raise HandoverError(msg) from error
+    return sockets
--- a/heronlug/lifecycle/hot_restart/channel.py
+++ b/heronlug/lifecycle/hot_restart/channel.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import os
 import socket
 import struct
@@ -28,6 +29,10 @@
 """Maximum number of descriptors that accompany a message."""
 PACKETS_PER_TURN = 64
 """Number of packets read before control returns to the event loop."""
+SHORTAGE_ERRORS = frozenset({errno.ETOOMANYREFS, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of a send that report a shortage, such as too many descriptors in transit, which soon ends."""
+SHORTAGE_RETRY_S = 0.01
+"""Delay before a send that failed because of a shortage is repeated."""
 LISTEN_BACKLOG = 4
 """Number of processes that may wait for their connection to be accepted."""
 PARTIAL_MARKER = b"+"
@@ -93,6 +98,32 @@
     return bool(user == os.getuid())
 
 
+@dataclass
+class ReceivedMessage:
+    """A received message, which owns its descriptors until they are taken.
+
+    Attributes:
+        message: The message.
+        fds: The descriptors that accompany the message.
+        fds_cut_off: Whether the kernel has discarded descriptors, because this process has none free.
+    """
+
+    message: dict[str, Any]
+    fds: list[int]
+    fds_cut_off: bool = False
+
+    def take_fds(self) -> list[int]:
+        """Returns the descriptors; the caller owns them from now on."""
+        fds = self.fds
+        self.fds = []
+        return fds
+
+    def close(self) -> None:
+        """Closes the descriptors that have not been taken."""
+        for fd in self.take_fds():
+            os.close(fd)
+
+
 @dataclass(frozen=True)
 class _Packet:
     """A packet to send, with the descriptors that accompany and belong to the packet."""
@@ -112,15 +143,14 @@
     def __init__(
         self,
         sock: socket.socket,
-        on_message: Callable[["PeerProcess", dict[str, Any], list[int]], None],
+        on_message: Callable[["PeerProcess", ReceivedMessage], None],
         on_disconnected: Callable[["PeerProcess", str], None],
     ) -> None:
         """Starts to read from a connected socket.
 
         Args:
             sock: A non-blocking socket, owned by this object from now on.
-            on_message: Called with each message and its descriptors, which the callee then owns; an exception of the
-                callee ends the connection.
+            on_message: Called with each message; an exception of the callee ends the connection.
             on_disconnected: Called once with the reason when the connection has ended, but not after :meth:`close`.
         """
         self.closed = False
@@ -134,11 +164,15 @@
         self._loop.add_reader(sock.fileno(), self._read)
 
     def send(self, message: dict[str, Any], fds: list[int] | None = None) -> None:
-        """Sends a message; the descriptors are duplicated, so the caller may close its own copies at once."""
+        """Sends a message; the descriptors are duplicated, so the caller may close its own copies at once.
+
+        Raises:
+            OSError: if no descriptor is free for a copy; then nothing is sent.
+        """
         if self.closed:
             return
         data = orjson.dumps(message)
-        copies = [os.dup(fd) for fd in fds or ()]
+        copies = _duplicate(fds or [])
         while len(data) > MAX_FRAGMENT_BYTES:
             self._outgoing.append(_Packet(PARTIAL_MARKER + data[:MAX_FRAGMENT_BYTES], []))
             data = data[MAX_FRAGMENT_BYTES:]
@@ -179,14 +213,23 @@
             self._loop.remove_writer(self._sock.fileno())
             self._drop_outgoing()
         except OSError as error:
-            self._loop.call_soon(self._end, repr(error))
+            if error.errno in SHORTAGE_ERRORS:
+                self._loop.call_later(SHORTAGE_RETRY_S, self._retry_write)
+            else:
+                self._loop.call_soon(self._end, repr(error))
+
+    def _retry_write(self) -> None:
+        if not self.closed:
+            self._write()
 
     def _read(self) -> None:
         for _ in range(PACKETS_PER_TURN):
             if self.closed:
                 return
             try:
-                data, fds, _, _ = socket.recv_fds(self._sock, MAX_FRAGMENT_BYTES + 1, MAX_FDS, socket.MSG_CMSG_CLOEXEC)
+                data, fds, flags, _ = socket.recv_fds(
+                    self._sock, MAX_FRAGMENT_BYTES + 1, MAX_FDS, socket.MSG_CMSG_CLOEXEC
+                )
             except (BlockingIOError, InterruptedError):
                 return
             except ConnectionResetError:
@@ -201,11 +244,11 @@
                 self._end("closed")
                 return
             try:
-                self._receive(data, fds)
+                self._receive(data, fds, bool(flags & socket.MSG_CTRUNC))
             except Exception as error:  # malformed data from another process must not end this process
                 self._end(repr(error))
 
-    def _receive(self, data: bytes, fds: list[int]) -> None:
+    def _receive(self, data: bytes, fds: list[int], fds_cut_off: bool) -> None:
         """Handles a packet, and passes its message to the callback once the message is complete."""
         try:
             message = self._assemble(data)
@@ -215,7 +258,11 @@
         if message is None:
             _close_all(fds)  # only the last packet of a message carries valid descriptors
             return
-        self._on_message(self, message, fds)
+        received = ReceivedMessage(message, fds, fds_cut_off)
+        try:
+            self._on_message(self, received)
+        finally:
+            received.close()
 
     def _assemble(self, data: bytes) -> dict[str, Any] | None:
         """Returns the message that this packet completes; None if further packets follow."""
@@ -237,6 +284,18 @@
         return message
 
 
+def _duplicate(fds: list[int]) -> list[int]:
+    """Returns duplicates of the descriptors; raises ``OSError``, without any duplicate left, if none is free."""
+    copies: list[int] = []
+    try:
+        for fd in fds:
+            copies.append(os.dup(fd))
+    except OSError:
+        _close_all(copies)
+        raise
+    return copies
+
+
 def _close_all(fds: list[int]) -> None:
     for fd in fds:
         os.close(fd)
--- a/heronlug/lifecycle/hot_restart/errors.py
+++ b/heronlug/lifecycle/hot_restart/errors.py
@@ -15,3 +15,7 @@
 
 class IncompatiblePeerError(HotRestartError):
     """The other process belongs to another dispatcher or uses another version of the messages."""
+
+
+class HandoverError(HotRestartError):
+    """A connection or request of the predecessor cannot be continued in this process."""
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -1,16 +1,18 @@
 """Hands requests and client connections over to the successor process."""
 
-from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from heronlug.backends.connection import ServerConnection
 from heronlug.config.platform import Config
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.frontend import HttpFrontend
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown
+from heronlug.lifecycle.hot_restart import messages
 from heronlug.lifecycle.hot_restart.channel import MAX_FDS
 from heronlug.lifecycle.hot_restart.messages import ExchangeState, RequestHandover
-from heronlug.lifecycle.hot_restart.session import HotRestart
-from heronlug.lifecycle.hot_restart.shared_limits import Room, room_of_client, room_of_request
+from heronlug.lifecycle.hot_restart.outgoing_transfers import OutgoingTransfers
+from heronlug.lifecycle.hot_restart.shared_limits import room_of_client, room_of_request
 from heronlug.requests.core import Core
 from heronlug.requests.model import Request
 
@@ -22,6 +24,54 @@
     servers: list[Any]  # one connection per attempt in flight, in the order of the attempts
 
 
+@dataclass(frozen=True)
+class OfferedClient:
+    """An idle client connection that is offered to the successor."""
+
+    connection: ClientConnection
+
+    def describe(self) -> dict[str, str]:
+        """Returns the fields that identify the connection in the log."""
+        return {"client": self.connection.client_address}
+
+    def release(self) -> None:
+        """Closes the descriptor of this process."""
+        self.connection.detach()
+
+    def reclaim(self) -> None:
+        """Reads from the connection again."""
+        self.connection.reclaim()
+
+
+@dataclass(frozen=True)
+class OfferedRequest:
+    """A request that is offered to the successor with its connections."""
+
+    core: Core
+    request: Request
+    client: ClientConnection
+    servers: list[ServerConnection]
+
+    def describe(self) -> dict[str, str]:
+        """Returns the fields that identify the request in the log."""
+        return {"client": self.client.client_address, "id": self.request.request_id}
+
+    def release(self) -> None:
+        """Forgets the request and closes the descriptors of this process."""
+        self.request.withdraw_offer = None
+        self.core.hand_over(self.request)
+        self.client.detach()
+        for exchange in self.servers:
+            exchange.detach()
+
+    def reclaim(self) -> None:
+        """Reads from the connections of the request again."""
+        self.request.withdraw_offer = None
+        self.client.reclaim()
+        for exchange in self.servers:
+            exchange.reclaim()
+
+
 class RequestSender:
     """Hands over idle client connections and, during a planned stop, requests in progress."""
 
@@ -31,8 +81,7 @@
         core: Core,
         frontend: HttpFrontend,
         shutdown: GracefulShutdown,
-        session: HotRestart,
-        give_room: Callable[[Room], None],
+        transfers: OutgoingTransfers,
     ) -> None:
         """Creates a sender.
 
@@ -41,31 +90,40 @@
             core: The core of the HTTP frontend.
             frontend: The HTTP frontend.
             shutdown: Says whether requests in progress are handed over.
-            session: Sends the messages to the successor.
-            give_room: Called with the room that each connection or request takes along.
+            transfers: The offers to the successor.
         """
         self._config = config
         self._core = core
         self._frontend = frontend
         self._shutdown = shutdown
-        self._session = session
-        self._give_room = give_room
+        self._transfers = transfers
 
     def hand_over(self) -> None:
-        """Hands over every connection and request that is ready; called repeatedly until the process has none left."""
-        self._frontend.hand_over_idle(self._hand_over_client)
-        if self._shutdown.stopping:
-            for request in self._core.requests:
-                self._hand_over_request(request)
-
-    def _hand_over_client(self, fd: int, served: bool) -> None:
-        self._give_room(room_of_client())
-        self._session.hand_over_client(fd, served)
-
-    def _hand_over_request(self, request: Request) -> None:
-        """Hands over a request that may outlast this process; does nothing while a connection is not ready."""
-        attempts = self._core.attempt_snapshots(request)
-        connections = self._pausable_connections(request)
+        """Offers connections and requests that are ready; called repeatedly until the process has none left."""
+        for connection in self._frontend.connections:
+            if self._transfers.full:
+                return
+            if connection.can_hand_over(self._transfers.confirmed) and not connection.serving:
+                self._offer_client(connection)
+        if not self._shutdown.stopping:
+            return
+        for request in self._core.requests:
+            if self._transfers.full:
+                return
+            self._offer_request(request)
+
+    def _offer_client(self, connection: ClientConnection) -> None:
+        if connection.has_sent_request:
+            message = messages.client(connection.requests_accepted > 0)
+        else:
+            message = messages.silent_client(connection.age_ms)
+        fds = [connection.pause_for_handover()]
+        self._transfers.offer(message, fds, OfferedClient(connection), room_of_client())
+
+    def _offer_request(self, request: Request) -> None:
+        """Offers a request that may outlast this process; does nothing while a connection is not ready."""
+        connections = self._pausable_connections(request) if request.withdraw_offer is None else None
+        attempts = self._core.attempt_snapshots(request) if connections is not None else None
         if attempts is None or connections is None:
             return
         paused_exchanges = [exchange.pause_for_handover() for exchange in connections.servers]
@@ -81,13 +139,12 @@
             ],
         )
         message = handover.encode(self._config.zones, self._config.kinds)
-        self._give_room(room_of_request(len(paused_exchanges), len(request.payload.body)))
-        server_fds = [connection.fd for connection in paused_exchanges]
-        self._session.hand_over_request(message, [connections.client.pause_for_handover(), *server_fds])
-        self._core.hand_over(request)
-        connections.client.detach()
-        for exchange in connections.servers:
-            exchange.detach()
+        fds = [connections.client.pause_for_handover(), *(connection.fd for connection in paused_exchanges)]
+        item = OfferedRequest(self._core, request, connections.client, connections.servers)
+        room = room_of_request(len(paused_exchanges), len(request.payload.body))
+        number = self._transfers.offer(message, fds, item, room)
+        if number is not None:
+            request.withdraw_offer = lambda: self._transfers.withdraw(number)
 
     def _pausable_connections(self, request: Request) -> _PausableConnections | None:
         """Returns the connections of a request; None while a connection is in the middle of a read or write.
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -46,6 +46,14 @@
     """Either process has accepted or finished requests, reports its slots in flight, or names its features."""
     ROOM = "room"
     """The old process gives room of its limits to the new one; only sent with :attr:`Feature.ROOM`."""
+    ACCEPTED = "accepted"
+    """The new process can continue an offered connection or request; only sent with :attr:`Feature.CONFIRM`."""
+    DECLINED = "declined"
+    """The new process cannot continue an offered connection or request; only sent with :attr:`Feature.CONFIRM`."""
+    COMMITTED = "committed"
+    """The old process has let go of what the new one has accepted; only sent with :attr:`Feature.CONFIRM`."""
+    WITHDRAWN = "withdrawn"
+    """The old process continues what it had offered; only sent with :attr:`Feature.CONFIRM`."""
     GOODBYE = "bye"
     """The old process has handed over everything and exits."""
 
@@ -55,6 +63,8 @@
 
     ROOM = "room"
     """Shares the limits of the dispatcher by messages, instead of half for each process."""
+    CONFIRM = "confirm"
+    """Confirms each handover, so that exactly one process continues what is handed over, even if the other ends."""
 
 
 def features() -> Message:
@@ -99,6 +109,50 @@
     return {"kind": MessageKind.CLIENT, "served": served}
 
 
+def silent_client(age_ms: float) -> Message:
+    """Returns the message for a client connection without any request; only sent with :attr:`Feature.CONFIRM`."""
+    return {**client(False), "silent_ms": age_ms}
+
+
+def read_silent_age(message: Message) -> float | None:
+    """Returns the age of a connection without any request, in ms; None if its client has sent a request."""
+    return _milliseconds(message["silent_ms"]) if "silent_ms" in message else None
+
+
+def with_transfer(message: Message, transfer: int) -> Message:
+    """Returns a message that offers a connection or request under a number, which the other process confirms."""
+    return {**message, "transfer": transfer}
+
+
+def read_transfer(message: Message) -> int:
+    """Returns the number of a transfer; raises :class:`MalformedMessageError` if it is not a positive whole number."""
+    number: object = message["transfer"]
+    if isinstance(number, bool) or not isinstance(number, int) or number < 1:
+        msg = f"transfer: {number!r} is not accepted, expected a whole number of 1 or more"
+        raise MalformedMessageError(msg)
+    return number
+
+
+def accepted(transfer: int) -> Message:
+    """Returns the message that accepts an offered connection or request."""
+    return {"kind": MessageKind.ACCEPTED, "transfer": transfer}
+
+
+def declined(transfer: int, reason: str) -> Message:
+    """Returns the message that declines an offered connection or request."""
+    return {"kind": MessageKind.DECLINED, "transfer": transfer, "why": reason}
+
+
+def committed(transfer: int) -> Message:
+    """Returns the message after which the new process continues a connection or request."""
+    return {"kind": MessageKind.COMMITTED, "transfer": transfer}
+
+
+def withdrawn(transfer: int) -> Message:
+    """Returns the message that takes an offer back."""
+    return {"kind": MessageKind.WITHDRAWN, "transfer": transfer}
+
+
 def goodbye() -> Message:
     """Returns the last message of the old process."""
     return {"kind": MessageKind.GOODBYE}
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -5,14 +5,12 @@
 """
 
 import asyncio
-import os
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from heronlug.lifecycle.hot_restart import channel, messages
-from heronlug.lifecycle.hot_restart.channel import PeerProcess
+from heronlug.lifecycle.hot_restart.channel import PeerProcess, ReceivedMessage
 from heronlug.lifecycle.hot_restart.errors import UnexpectedMessageError
 from heronlug.lifecycle.hot_restart.messages import Feature, Message, MessageKind, RequestUpdate
 from heronlug.lifecycle.hot_restart.shared_limits import Room
@@ -26,25 +24,6 @@
 """Maximum number of connected processes that do not accept clients yet."""
 
 
-@dataclass
-class ReceivedMessage:
-    """A received message, which owns its descriptors until they are taken."""
-
-    message: Message
-    fds: list[int]
-
-    def take_fds(self) -> list[int]:
-        """Returns the descriptors; the caller owns them from now on."""
-        fds = self.fds
-        self.fds = []
-        return fds
-
-    def close(self) -> None:
-        """Closes the descriptors that have not been taken."""
-        for fd in self.take_fds():
-            os.close(fd)
-
-
 class HandoverHandler(Protocol):
     """Callbacks of a session for the messages and the end of another process."""
 
@@ -66,11 +45,11 @@
     def receive_room(self, room: Room) -> None:
         """Raises the limits of this process by room that the predecessor has given."""
 
-    def adopt_client(self, fd: int, served: bool) -> None:
-        """Adopts a client connection; ``served`` is true if an answer has been sent on the connection."""
+    def receive_handover(self, received: ReceivedMessage) -> None:
+        """Adopts a client connection or a request, or confirms that this process can do so."""
 
-    def adopt_request(self, message: Message, fds: list[int]) -> None:
-        """Adopts a request in progress and takes ownership of its descriptors."""
+    def receive_confirmation(self, message: Message) -> None:
+        """Handles a confirmation of a handover, in either direction."""
 
 
 class HotRestart:
@@ -127,10 +106,14 @@
             self.predecessor.close()
             self.predecessor = None
 
-    @property
-    def predecessor_shares_limits(self) -> bool:
-        """Returns whether the predecessor gives room of its limits to this process."""
-        return self.predecessor is not None and Feature.ROOM in self.predecessor.features
+    def predecessor_has(self, feature: Feature) -> bool:
+        """Returns whether there is a predecessor with this feature."""
+        return self.predecessor is not None and feature in self.predecessor.features
+
+    def send_to_predecessor(self, message: Message) -> None:
+        """Sends a message to the predecessor, if there is one."""
+        if self.predecessor is not None:
+            self.predecessor.send(message)
 
     def announce_serving(self) -> None:
         """Notifies the predecessor that this process accepts clients."""
@@ -156,25 +139,25 @@
         """Returns whether a successor accepts clients in place of this process."""
         return self.successor is not None
 
-    @property
-    def successor_shares_limits(self) -> bool:
-        """Returns whether the successor waits for room of the limits of this process."""
-        return self.successor is not None and Feature.ROOM in self.successor.features
+    def successor_has(self, feature: Feature) -> bool:
+        """Returns whether there is a successor with this feature."""
+        return self.successor is not None and feature in self.successor.features
 
-    def give_room(self, room: Room) -> None:
-        """Gives room of the limits of this process to the successor."""
-        if self.successor is not None:
-            self.successor.send(messages.room(room))
+    def send_to_successor(self, message: Message, fds: list[int] | None = None) -> None:
+        """Sends a message to the successor, if there is one.
 
-    def hand_over_client(self, fd: int, served: bool) -> None:
-        """Sends a client connection to the successor; ``served`` is true if an answer was sent on the connection."""
+        Raises:
+            OSError: if no descriptor is free for the copies that are sent; then nothing is sent.
+        """
         if self.successor is not None:
-            self.successor.send(messages.client(served), [fd])
+            self.successor.send(message, fds)
 
-    def hand_over_request(self, message: Message, fds: list[int]) -> None:
-        """Sends a request in progress to the successor."""
+    def abandon_successor(self, reason: str) -> None:
+        """Disconnects from the successor, which does not answer."""
         if self.successor is not None:
-            self.successor.send(message, fds)
+            process = self.successor
+            process.close()
+            self._handle_disconnect(process, reason)
 
     async def say_goodbye(self) -> None:
         """Waits until the successor has read all messages, since unread messages could be lost at the exit."""
@@ -224,22 +207,21 @@
         else:
             self._joining.add(PeerProcess(sock, self._receive, self._handle_disconnect))
 
-    def _receive(self, process: PeerProcess, message: Message, fds: list[int]) -> None:
+    def _receive(self, process: PeerProcess, received: ReceivedMessage) -> None:
         """Handles a message; an exception for a malformed or unexpected message ends the connection."""
-        received = ReceivedMessage(message, fds)
-        try:
-            kind = message["kind"]
-            if kind == MessageKind.REQUEST_UPDATE:
-                self._receive_request_update(process, RequestUpdate.decode(message))
-            elif process is self.predecessor:
-                self._receive_from_predecessor(process, kind, received)
-            elif process in self._joining:
-                self._receive_from_joining(process, kind, message)
-            else:
-                msg = f"message kind {kind!r} is not accepted from the successor"
-                raise UnexpectedMessageError(msg)
-        finally:
-            received.close()
+        message = received.message
+        kind = message["kind"]
+        if kind == MessageKind.REQUEST_UPDATE:
+            self._receive_request_update(process, RequestUpdate.decode(message))
+        elif process is self.predecessor:
+            self._receive_from_predecessor(process, kind, received)
+        elif process in self._joining:
+            self._receive_from_joining(process, kind, message)
+        elif kind in (MessageKind.ACCEPTED, MessageKind.DECLINED):
+            self._handler.receive_confirmation(message)
+        else:
+            msg = f"message kind {kind!r} is not accepted from the successor"
+            raise UnexpectedMessageError(msg)
         self._turn()
 
     def _receive_request_update(self, process: PeerProcess, update: RequestUpdate) -> None:
@@ -254,11 +236,10 @@
         message = received.message
         if kind == MessageKind.STATE and self._received_state is not None and not self._received_state.done():
             self._received_state.set_result(ReceivedMessage(message, received.take_fds()))
-        elif kind == MessageKind.CLIENT and len(received.fds) == 1:
-            self._handler.adopt_client(received.fds[0], message["served"] is True)
-            received.take_fds()
-        elif kind == MessageKind.REQUEST and received.fds:
-            self._handler.adopt_request(message, received.take_fds())
+        elif kind in (MessageKind.CLIENT, MessageKind.REQUEST):
+            self._handler.receive_handover(received)
+        elif kind in (MessageKind.COMMITTED, MessageKind.WITHDRAWN):
+            self._handler.receive_confirmation(message)
         elif kind == MessageKind.ROOM:
             self._handler.receive_room(messages.read_room(message))
         elif kind == MessageKind.GOODBYE:
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -16,6 +16,8 @@
 
 SPARE_SERVER_CONNECTIONS = 4
 """Server connections that an old process keeps for retries and hedged requests."""
+THIRD_PROCESS_DESCRIPTORS = 24
+"""Descriptors that a third process of a dispatcher needs for itself; the limits leave room for those of two."""
 SPARE_BODIES = 4
 """Request bodies of the largest size for which an old process keeps memory."""
 
@@ -96,6 +98,7 @@
             Resource.BODY_BYTES: frontend.body_memory.limit,
         }
         self._shares = {resource: _Share(total) for resource, total in self._totals.items()}
+        self._has_predecessor = False
 
     @property
     def has_room(self) -> bool:
@@ -106,6 +109,7 @@
 
     def await_room(self) -> None:
         """Gives up all room until the predecessor gives some."""
+        self._has_predecessor = True
         self._set_received({})
 
     def receive(self, room: Room) -> None:
@@ -116,10 +120,12 @@
 
     def receive_half(self) -> None:
         """Takes half of each limit, beside a predecessor that does not share its limits."""
+        self._has_predecessor = True
         self._set_received({resource: total // 2 for resource, total in self._totals.items()})
 
     def predecessor_ended(self) -> None:
         """Takes all room that the predecessor had."""
+        self._has_predecessor = False
         self._set_received(self._totals)
 
     # -- towards the successor
@@ -153,10 +159,10 @@
     def _needed(self) -> Room:
         """Returns what this process needs for its connections, and for the requests that may still arrive on them."""
         clients = len(self._frontend.connections) + self._acceptor.opening
-        open_requests = self._core.requests.open_count
+        withheld = THIRD_PROCESS_DESCRIPTORS // 2 if self._has_predecessor else 0
         return {
-            Resource.CLIENTS: clients,
-            Resource.SERVERS: max(len(self._backend.connections), open_requests) + SPARE_SERVER_CONNECTIONS,
+            Resource.CLIENTS: clients + withheld,
+            Resource.SERVERS: len(self._backend.connections) + SPARE_SERVER_CONNECTIONS + withheld,
             Resource.REQUESTS: len(self._core.requests) + clients,
             Resource.BODY_BYTES: self._frontend.body_memory.used + SPARE_BODIES * MAX_BODY,
         }
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -12,10 +12,12 @@
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown
 from heronlug.lifecycle.hot_restart import messages
 from heronlug.lifecycle.hot_restart.adopted_requests import RequestAdopter
-from heronlug.lifecycle.hot_restart.channel import socket_path
+from heronlug.lifecycle.hot_restart.channel import ReceivedMessage, socket_path
 from heronlug.lifecycle.hot_restart.handed_over_requests import RequestSender
+from heronlug.lifecycle.hot_restart.incoming_transfers import IncomingTransfers
 from heronlug.lifecycle.hot_restart.inherited_sockets import LISTENER_SOCKET, PEER_SOCKET, InheritedSockets
-from heronlug.lifecycle.hot_restart.messages import Message, ProcessState, RequestUpdate
+from heronlug.lifecycle.hot_restart.messages import Feature, Message, MessageKind, ProcessState, RequestUpdate
+from heronlug.lifecycle.hot_restart.outgoing_transfers import OutgoingTransfers
 from heronlug.lifecycle.hot_restart.session import HotRestart
 from heronlug.lifecycle.hot_restart.shared_limits import Room, SharedLimits, room_of_client
 from heronlug.net.listener import Listener
@@ -71,17 +73,18 @@
         self.session = HotRestart(self, config.name, path, deadlines, parts.log, parts.turn)
         self._sockets = InheritedSockets(config, parts.listener, parts.peers, deadlines, parts.log, parts.turn)
         self._limits = SharedLimits(parts.frontend, parts.backend, parts.core, parts.listener.acceptor)
-        self._request_adopter = RequestAdopter(
+        adopter = RequestAdopter(
             parts.core,
             parts.frontend,
             parts.backend,
             parts.discovery.client.parse_list,
-            parts.log,
             self._receive_moved_room,
         )
-        self._request_sender = RequestSender(
-            config, parts.core, parts.frontend, parts.shutdown, self.session, self._give_moved_room
+        self._incoming = IncomingTransfers(adopter.prepare, self.session.send_to_predecessor, parts.log)
+        self._outgoing = OutgoingTransfers(
+            self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more
         )
+        self._sender = RequestSender(config, parts.core, parts.frontend, parts.shutdown, self._outgoing)
         self._predecessor_state: ProcessState | None = None  # None once the state has been used
 
     # -- the start of a process
@@ -101,7 +104,7 @@
             return
         self._parts.core.requests.peer_process_ids.update(state.request_ids)
         self._predecessor_state = state
-        if self.session.predecessor_shares_limits:
+        if self.session.predecessor_has(Feature.ROOM):
             self._limits.await_room()
         else:
             self._limits.receive_half()
@@ -180,19 +183,24 @@
         self._parts.listener.pause()
         self._parts.peers.close()
         self._parts.backend.close_idle()
-        if not self.session.successor_shares_limits:
+        if not self.session.successor_has(Feature.ROOM):
             self._limits.give_half()
         self._parts.shutdown.hand_over(self._hand_over)
 
     def _hand_over(self) -> None:
         """Gives the room to the successor that this process does not need, and hands over what is ready."""
-        if self.session.successor_shares_limits and (room := self._limits.unneeded()):
+        if self.session.successor_has(Feature.ROOM) and (room := self._limits.unneeded()):
             self._limits.give(room)
-            self.session.give_room(room)
-        self._request_sender.hand_over()
+            self.session.send_to_successor(messages.room(room))
+        self._sender.hand_over()
+
+    def _hand_over_more(self) -> None:
+        """Hands over what is ready in the next turn, after the successor has answered all offers."""
+        self._deadlines.call_after(0.0, self._parts.shutdown.hand_over_now)
 
     def successor_lost(self) -> None:
-        """Accepts clients again after the successor has ended before this process."""
+        """Takes back all offers and accepts clients again after the successor has ended before this process."""
+        self._outgoing.withdraw_all()
         self._parts.core.peer_process_ended()
         self._limits.successor_ended()
         self._parts.shutdown.hand_over(None)
@@ -202,7 +210,8 @@
         self.session.listen()  # the successor had replaced the socket file with its own
 
     def predecessor_ended(self) -> None:
-        """Discards the requests of the predecessor and takes all room that it had."""
+        """Discards the requests and offers of the predecessor and takes all room that it had."""
+        self._incoming.withdraw_all()
         self._parts.core.peer_process_ended()
         self._limits.predecessor_ended()
 
@@ -216,11 +225,11 @@
         A predecessor that does not share its limits keeps its half of them, but accepts no clients in place of those
         that it hands over.
         """
-        self._limits.receive(room if self.session.predecessor_shares_limits else room_of_client())
+        self._limits.receive(room if self.session.predecessor_has(Feature.ROOM) else room_of_client())
 
     def _give_moved_room(self, room: Room) -> None:
         """Lowers the limits by the room that a connection or request takes along."""
-        if self.session.successor_shares_limits:
+        if self.session.successor_has(Feature.ROOM):
             self._limits.give(room)
 
     def receive_request_update(self, update: RequestUpdate) -> None:
@@ -231,13 +240,22 @@
         if update.counts is not None:
             core.peer_message(core.settings.position, update.counts)
 
-    def adopt_client(self, fd: int, served: bool) -> None:
-        """Adopts a client connection; ``served`` is true if an answer has been sent on the connection."""
-        self._request_adopter.adopt_client(fd, served)
-
-    def adopt_request(self, message: Message, fds: list[int]) -> None:
-        """Adopts a request in progress and takes ownership of its descriptors."""
-        self._request_adopter.adopt_request(message, fds)
+    def receive_handover(self, received: ReceivedMessage) -> None:
+        """Adopts a client connection or a request, or confirms that this process can do so."""
+        self._incoming.receive(received)
+
+    def receive_confirmation(self, message: Message) -> None:
+        """Handles a confirmation of a handover, in either direction."""
+        number = messages.read_transfer(message)
+        match message["kind"]:
+            case MessageKind.ACCEPTED:
+                self._outgoing.accept(number)
+            case MessageKind.DECLINED:
+                self._outgoing.decline(number, str(message.get("why", "")))
+            case MessageKind.COMMITTED:
+                self._incoming.commit(number)
+            case MessageKind.WITHDRAWN:
+                self._incoming.withdraw(number)
 
     def request_id_changed(self, request_id: str, opened: bool) -> None:
         """Notifies the other processes that a request of this process was accepted or removed."""
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -16,6 +16,7 @@
     "client_gone": LEVELS["debug"],
     "client_adopted": LEVELS["debug"],
     "client_closed": LEVELS["debug"],
+    "client_opened": LEVELS["debug"],
     "host_closed": LEVELS["debug"],
     "relay_served": LEVELS["debug"],
     "client_dropped": LEVELS["warning"],
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -262,6 +262,7 @@
     def client_left(self, request: Request) -> None:
         """Closes a request whose client has disconnected, without a final answer."""
         if not request.closed:
+            request.keep()
             request.client_gone = True
             self.requests.count_closed()
             self._log("client_gone", message=request.handle, id=request.request_id)
@@ -331,6 +332,7 @@
         """
         if not attempt.in_flight:
             return
+        attempt.request.keep()
         attempt.in_flight, attempt.may_have_run = False, outcome not in NEVER_RAN
         self.attempts.remove(attempt.handle)
         request, now = attempt.request, self.deadlines.clock()
@@ -423,6 +425,7 @@
             )
             self.events.append(never_began)
             return
+        request.keep()
         attempt = Attempt(request, len(request.attempts), server, now)
         request.attempts.append(attempt)
         attempt.handle = self.attempts.add(attempt)
@@ -450,6 +453,7 @@
 
     def _cancel_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.in_flight:
+            attempt.request.keep()
             self.transport.cancel(attempt)
             self.attempt_ended(attempt, outcome)
 
@@ -484,6 +488,7 @@
         self, request: Request, final: FinalAnswer, body: bytes, retry_after: float = 0.0, reason: str = ""
     ) -> None:
         """Gives the final answer of a request; all final answers are sent from here."""
+        request.keep()
         request.final_answer = final
         self.requests.count_closed()
         self.count_answer(request.class_index, final)
--- a/heronlug/requests/model.py
+++ b/heronlug/requests/model.py
@@ -1,5 +1,6 @@
 """Defines requests, attempts and servers as the core stores them.  All times are milliseconds."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, NamedTuple
@@ -105,6 +106,7 @@
             process gives no final answer.
         attempts: Attempts in the order of their numbers.
         deadline_key: Key of the deadline at ``give_up_at``.
+        withdraw_offer: Takes the request back while it is offered to another process; None while it is not.
     """
 
     payload: Any
@@ -118,12 +120,18 @@
     client_gone: bool = False
     attempts: list["Attempt"] = field(default_factory=list)
     deadline_key: Key | None = None
+    withdraw_offer: Callable[[], None] | None = None
 
     @property
     def closed(self) -> bool:
         """Returns whether the request needs no final answer from this process any longer."""
         return self.client_gone or self.final_answer is not None
 
+    def keep(self) -> None:
+        """Takes the request back if it is offered to another process, because this process has to act on it."""
+        if self.withdraw_offer is not None:
+            self.withdraw_offer()
+
     @property
     def hosts_in_flight(self) -> list[str]:
         """Returns the names of the servers of the attempts in flight, in the order of the attempts."""
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -320,7 +320,11 @@
         )
 
     def _adopt_connection(
-        self, sock: socket.socket, served: bool, on_adopted: Callable[[Any], None] | None = None
+        self,
+        sock: socket.socket,
+        served: bool,
+        on_adopted: Callable[[Any], None] | None = None,
+        silent_ms: float | None = None,
     ) -> None:
         sock.close()
         if on_adopted is not None:
@@ -342,7 +346,7 @@
         self.core.attempt_progressed(message.attempts[1], ProgressKind.STARTED)
 
 
-FEATURES_PACKET = Packet('.{"kind":"news","features":["room"]}', 0)
+FEATURES_PACKET = Packet('.{"kind":"news","features":["room","confirm"]}', 0)
 HELLO_PACKET = Packet('.{"kind":"hello","version":1,"name":"d1"}', 0)
 SERVING_PACKET = Packet('.{"kind":"serving"}', 0)
 
@@ -366,7 +370,13 @@
     """Returns the packets of an old process to a new one that joins, serves, and receives a client and a request."""
     process = RestartProcess(str(folder))
     process.run_request()
-    process.application.frontend.hand_over_idle.side_effect = lambda pass_on: pass_on(process.descriptors()[0], True)
+    client = process.connection()
+    client.serving, client.requests_accepted, client.pause_for_handover.return_value = (
+        False,
+        1,
+        process.descriptors()[0],
+    )
+    process.application.frontend.connections = [client]
     process.takeover.session.listen()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
         sock.connect(str(next(folder.glob("heronlug-*"))))
--- a/tests/end_to_end/test_client_leaves.py
+++ b/tests/end_to_end/test_client_leaves.py
@@ -25,6 +25,8 @@
 from heronlug.discovery.endpoint_list import write_list
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.frontends.http.request_table import write_request
+from heronlug.lifecycle.hot_restart.channel import ReceivedMessage
+from heronlug.lifecycle.hot_restart.messages import MessageKind
 from heronlug.requests.model import Workload
 
 ENDINGS = ["fin", "half", "reset", "behind"]
@@ -279,17 +281,16 @@
             request.workload = Workload()
             if ending:
                 client.leave(ending)
-            harness.application.state_transfer.adopt_request(
-                {
-                    "request": write_request(request),
-                    "give_up_at": harness.clock.time_ms + 4_000,
-                    "taken_at": harness.clock.time_ms,
-                    "hosts": write_list(0, [], [], []),
-                    "attempts": [],
-                    "wires": [],
-                },
-                [accepted.detach()],
-            )
+            message = {
+                "kind": MessageKind.REQUEST,
+                "request": write_request(request),
+                "give_up_at": harness.clock.time_ms + 4_000,
+                "taken_at": harness.clock.time_ms,
+                "hosts": write_list(0, [], [], []),
+                "attempts": [],
+                "wires": [],
+            }
+            harness.application.state_transfer.receive_handover(ReceivedMessage(message, [accepted.detach()]))
             harness.stall(STALL_MS)
             await harness.settle()
             assert no_request_pending(harness) is bool(ending)
--- a/tests/faults/test_upgrades.py
+++ b/tests/faults/test_upgrades.py
@@ -22,3 +22,18 @@
     )
     report = play(plan)
     assert not report.violations, report.text()
+
+
+def test_processes_together_hold_no_more_descriptors_than_allowed() -> None:
+    """Guards against copies of handed-over connections that exceed the limit, and connections closed to avoid that."""
+    plan = UpgradePlan(
+        seed=2,
+        span_s=7.0,
+        sockets=256,
+        clients={ClientKind.STEADY: 90, ClientKind.SILENT: 60},
+        pause_s=(0.0, 0.02),
+        deadlines_s=SHORT_DEADLINES_S,
+        upgrades=series(3, 1.0, 2.0, Random(2)),
+    )
+    report = play(plan)
+    assert not report.violations, report.text()
--- a/tests/lifecycle/test_hot_restart.py
+++ b/tests/lifecycle/test_hot_restart.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import socket
 import unittest
 from typing import Any, cast
@@ -19,7 +18,7 @@
 from heronlug.balancer.settings import Effect
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.frontends.http.request_table import read_request, write_request
-from heronlug.lifecycle.hot_restart.channel import PeerProcess
+from heronlug.lifecycle.hot_restart.channel import PeerProcess, ReceivedMessage
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.model import ListedServer, Workload
@@ -237,10 +236,8 @@
             received: list[tuple[dict[str, Any], int]] = []
             ended = asyncio.get_running_loop().create_future()
 
-            def on_message(_: PeerProcess, message: dict[str, Any], fds: list[int], received: Any = received) -> None:
-                received.append((message, len(fds)))
-                for fd in fds:
-                    os.close(fd)
+            def on_message(_: PeerProcess, message: ReceivedMessage, received: Any = received) -> None:
+                received.append((message.message, len(message.fds)))
 
             other_process = PeerProcess(own_socket, on_message, lambda _, why, ended=ended: ended.set_result(why))  # type: ignore[misc]
             other_process.send({"news": 1})
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -28,7 +28,9 @@
 
     async def test() -> None:
         old, new = RestartProcess(str(tmp_path)), RestartProcess(str(tmp_path))
-        old.application.frontend.connections = old.application.backend.connections = [0] * 7
+        busy = MagicMock()
+        busy.can_hand_over.return_value = False
+        old.application.frontend.connections = old.application.backend.connections = [busy] * 7
         old.takeover.session.listen()
         await new.takeover.join()
         assert new.application.frontend.max_connections == 0
