Count the time left of a request from the arrival of its last byte

What callers saw: answers after their deadline, up to the time for which the request had waited unread (in the queue of the listener at the limit, in a connection that is being offered to a successor that hangs, behind another request of the same connection, in a loop that had no core). Cause: RequestPolicy's time left was counted from when the request was read, and for a pipelined request from when its turn came. Change: the kernel tells how long ago the last bytes arrived (TCP_INFO, one system call for each request); the time left is counted from there until the request is accepted. Where the system does not tell, nothing changes.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -15,7 +15,7 @@
 from heronlug.frontends.http.request_policy import RequestPolicy
 from heronlug.frontends.http.request_reader import RequestReader
 from heronlug.frontends.timeout import Timeout
-from heronlug.net.connection_state import has_unread_input, peer_has_closed
+from heronlug.net.connection_state import has_unread_input, input_age_ms, peer_has_closed
 from heronlug.net.http import format_address
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
@@ -199,6 +199,7 @@
             BadRequestError: The request violates the protocol or the pipeline is full.
         """
         request.connection = self
+        request.received_at = self._last_input_at()
         self.has_sent_request = True
         self._timeout.cancel()
         if not responses.is_health_check(request):
@@ -343,6 +344,11 @@
 
     # -- internals
 
+    def _last_input_at(self) -> float:
+        """Returns the time at which the last bytes arrived, which may have waited for this process to read them."""
+        now = self._frontend.deadlines.clock()
+        return now if self.transport is None else now - input_age_ms(self.transport)
+
     def _start_waiting(self) -> None:
         """Starts the time-out for the next request; that for the first request runs from the connect."""
         timeout_ms = IDLE_TIMEOUT_MS if self.has_sent_request else max(0.0, READ_TIMEOUT_MS - self.age_ms)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -218,7 +218,7 @@
         accepted = self.core.accept(
             request,
             request.class_index,
-            request.remaining_ms,
+            request.remaining_ms - (self.deadlines.clock() - request.received_at),
             request_id=request.request_id,
             size=len(request.body),
             workload=request.workload,
--- a/heronlug/frontends/http/request.py
+++ b/heronlug/frontends/http/request.py
@@ -38,7 +38,8 @@
         headers: Headers by lower-case name.
         request_id: Id that the client gave the request (X-Txn).
         class_index: Index of the request class in the settings, or ``NO_CLASS``.
-        remaining_ms: Time left for the answer when the request was read, in ms.
+        remaining_ms: Time left for the answer when the last byte of the request arrived, in ms.
+        received_at: Time at which the last byte of the request arrived, in ms.
         workload: Resources and attributes of the work as stated by the client.
         keep_alive: Whether the client allows the connection to be reused.
         reserved_bytes: Bytes of the body that count against the body memory limit.
@@ -52,6 +53,7 @@
     request_id: str = ""
     class_index: int = NO_CLASS
     remaining_ms: float = 0.0
+    received_at: float = 0.0
     workload: Workload = field(default_factory=Workload)
     keep_alive: bool = True
     reserved_bytes: int = 0
--- a/tests/end_to_end/harness.py
+++ b/tests/end_to_end/harness.py
@@ -212,6 +212,7 @@
         other_discovery: a second stand-in for service discovery, which a reload can configure.
         servers: the stand-ins for servers by name (``h1``, ``h2``, ...).
         raw: the configuration, as the file contains it.
+        input_age_ms: time for which the bytes of clients have waited in the kernel when they are read.
     """
 
     def __init__(self, servers: int = 2, **changes: Any) -> None:
@@ -233,6 +234,7 @@
             **changes,
         }
         self.level = "debug"
+        self.input_age_ms = 0.0
         self.application: Application
         self._serving: asyncio.Task[None]
 
@@ -350,6 +352,10 @@
             if folder is not None:
                 os.environ["TMPDIR"] = folder
         self._serving = asyncio.get_running_loop().create_task(self.application.run(EMPTY, ""))
+        kernel_clock = mock.patch(
+            "heronlug.frontends.http.connection.input_age_ms", side_effect=lambda transport: self.input_age_ms
+        )
+        kernel_clock.start()
         await until(lambda: bool(self.logged("started") or self._serving.done()), "the start")
         await self.settle()
         try:
@@ -359,6 +365,7 @@
         finally:
             self.application.stopped.set()
             await asyncio.wait_for(self._serving, TIMEOUT_S)
+            kernel_clock.stop()
         assert not self.logged("exception"), self.logged("exception")
 
     @property
--- a/tests/faults/test_upgrades.py
+++ b/tests/faults/test_upgrades.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from heronlug.faults.upgrades.plan import ClientKind, UpgradePlan, series
+from heronlug.faults.upgrades.plan import ClientKind, Moment, SuccessorFault, Upgrade, UpgradePlan, series
 from heronlug.faults.upgrades.run import play
 
 SHORT_DEADLINES_S = {"safe": 4.0, "once": 5.0, "keyed": 6.0}
@@ -37,3 +37,18 @@
     )
     report = play(plan)
     assert not report.violations, report.text()
+
+
+def test_successor_that_hangs_loses_no_request_that_it_has_not_taken() -> None:
+    """Guards against requests and connections that wait in the channel to a process that does not read."""
+    plan = UpgradePlan(
+        seed=3,
+        span_s=6.0,
+        clients={ClientKind.STEADY: 100, ClientKind.HALVES: 20},
+        pause_s=(0.0, 0.02),
+        run_s=(0.1, 0.6),
+        deadlines_s=SHORT_DEADLINES_S,
+        upgrades=(Upgrade(1.0, 0.0, SuccessorFault.STOPPED, Moment.SERVING), Upgrade(4.5, 0.1)),
+    )
+    report = play(plan)
+    assert not report.violations, report.text()
