Accept clients again when the successor of a stopping process ends

What callers saw: a successor that dies or hangs after SIGTERM to its predecessor left nobody to accept; connections waited in the queue of the listener and were reset when the predecessor ended. Cause: StateTransfer.successor_lost took clients again only before SIGTERM, and the limit for answers of a stop was set once, at the signal, and only without a successor: requests accepted after the loss had none, and those accepted between the signal and a late successor kept one that no longer applied. Change: the listener is taken up again in any case, and the limit is asked for at each request: it holds while nobody takes over, and from the last moment for answers on.

--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -145,6 +145,7 @@
         )
         self.shutdown = GracefulShutdown(deadlines, max_deadline, hooks)
         self.state_transfer = StateTransfer(self, deadlines, os.environ.get("TMPDIR"))
+        self.core.answer_by = self._answer_by
         self.core.requests.on_id_changed = self.state_transfer.request_id_changed
         self.hot_restart = self.state_transfer.session
         self.peer_messages.hot_restart = self.hot_restart
@@ -229,10 +230,6 @@
         """Begins a planned stop."""
         if self.shutdown.stop():
             self.log("stopping", messages=len(self.core.requests))
-            # Without a successor, new requests end before `answer_by`. With a successor, requests that would take
-            # longer are handed over to the successor. The shutdown gives up requests still open at `answer_by`.
-            if not self.hot_restart.handed_over:
-                self.core.answer_by = self.shutdown.answer_by
         self.faktory.stop()
         self.turn()
 
@@ -262,6 +259,15 @@
         self.discovery.use_reloaded_config(config)
         self.turn()
 
+    def _answer_by(self) -> float:
+        """Returns the latest time for the final answer of a new request.
+
+        Before the time to answer of a stop is over, requests that take longer are handed over to a successor.
+        """
+        answer_by = self.shutdown.answer_by
+        hands_over = self.hot_restart.handed_over and self.deadline_loop.deadlines.clock() < answer_by
+        return float("inf") if hands_over else answer_by
+
     def _cores(self) -> list[Core]:
         return [self.core, *self.faktory.cores]
 
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -204,8 +204,7 @@
         self._parts.core.peer_process_ended()
         self._limits.successor_ended()
         self._parts.shutdown.hand_over(None)
-        if not self._parts.shutdown.stopping:
-            self._parts.listener.accept()
+        self._parts.listener.accept()
         self._sockets.open_peers_later(self._uses_peer_socket)
         self.session.listen()  # the successor had replaced the socket file with its own
 
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -72,7 +72,7 @@
         has_unread_update: Returns whether an update of the endpoint list has arrived that has not been read yet; no
             attempt starts until the update has been read.
         max_open: Limit of open requests; requests above the limit are rejected.
-        answer_by: Latest time for any final answer once a graceful shutdown has begun; infinite before.
+        answer_by: Returns the latest time for the final answer of a new request, infinite if there is none.
         answer_counts: Number of final answers since the start, by class index and kind.
         dispatches: Number of attempts that were written completely.
         postponed: Number of attempts that have waited until an update of the endpoint list was read.
@@ -117,7 +117,7 @@
         self.attempts: SlotTable[Attempt] = SlotTable()
         self.has_unread_update = has_unread_update
         self.max_open = max_open
-        self.answer_by = inf
+        self.answer_by: Callable[[], float] = lambda: inf
         self.class_names = [request_class.name for request_class in settings.classes]
         self.answer_counts = [dict.fromkeys(FinalAnswer, 0) for _ in self.class_names]
         self.dispatches = 0
@@ -161,7 +161,7 @@
         policy = policy or self.settings.classes[class_index]
         if policy.give_up_after:
             remaining = min(remaining, policy.give_up_after)
-        give_up_at = min(now + remaining, self.answer_by)
+        give_up_at = min(now + remaining, self.answer_by())
         request = Request(payload, class_index, policy, give_up_at, now, request_id)
         self.requests.add(request, self._on_deadline)
         self.requests.announce(request)
