Take the clock of the predecessor in a hot restart

With the wall clock stepped between the starts of two processes, requests that passed were failed at once as overdue (a step forward) or answered hours late or never (a step back). Cause: times are Unix milliseconds of a monotonic clock that each process sets at its own start, and a handover carries times: deadlines, acceptance, attempts, and what was learned (ejections, recent work of cold servers). Change: the old process names the offset of its clock beside its features, and the new one takes it before it uses any state; the start of readiness and of the wait for new clients count from then on. Open: a process that starts alone after a step back is not heard by its peers until its clock passes the old one.

--- a/heronlug/faults/upgrades/plan.py
+++ b/heronlug/faults/upgrades/plan.py
@@ -84,6 +84,7 @@
         deadlines_s: Time for which clients wait for an answer, in seconds, by request class.
         upgrades: The upgrades, in order of time.
         single_core: Whether all processes of the dispatcher run on one core.
+        clock_steps_s: Steps of the wall clock before the starts of the processes, in turn, in seconds.
     """
 
     seed: int
@@ -97,6 +98,7 @@
     deadlines_s: dict[str, float] = field(default_factory=lambda: {"safe": 10.0, "once": 20.0, "keyed": 25.0})
     upgrades: tuple[Upgrade, ...] = ()
     single_core: bool = False
+    clock_steps_s: tuple[int, ...] = (0,)
 
 
 def series(count: int, first_s: float, interval_s: float, rng: Random) -> tuple[Upgrade, ...]:
--- a/heronlug/faults/upgrades/processes.py
+++ b/heronlug/faults/upgrades/processes.py
@@ -19,6 +19,13 @@
 
 LIMITED_EXEC = ("/bin/sh", "-c", 'ulimit -n "$0"; exec "$@"')
 """Command prefix that limits the number of file descriptors of the process, as the platform does."""
+CLOCK_SHIM = """\
+import time
+
+_unix_ns = time.time_ns
+time.time_ns = lambda: _unix_ns() + {step_ns}
+"""
+"""Module that Python imports at its start, in which the wall clock has been stepped; the log keeps the real time."""
 KILL_AFTER_S = 3.7
 """Earliest SIGKILL after SIGTERM, in seconds: the longest deadline, counted as 3 s at most, plus 0.7 s."""
 POLL_S = 0.005
@@ -84,6 +91,7 @@
         configuration: The platform's configuration.
         sources: Folders of the versions of the program that the processes run in turn; None stands for this version.
         single_core: Whether all processes run on one core.
+        clock_steps_s: Steps of the wall clock before the starts of the processes, in turn, in seconds.
         processes: All processes in the order of their starts.
         failures: What went wrong with the processes themselves.
     """
@@ -92,6 +100,7 @@
     configuration: dict[str, Any]
     sources: tuple[Path | None, ...] = (None,)
     single_core: bool = False
+    clock_steps_s: tuple[int, ...] = (0,)
     processes: list[RunningProcess] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -194,8 +203,19 @@
             "HERONLUG_STATE": str(state),
             "HERONLUG_CONTROL": str(self.folder / f"control-{number}"),
             "TMPDIR": str(self.folder),
+            **self._clock_environment(number),
         }
 
+    def _clock_environment(self, number: int) -> dict[str, str]:
+        """Returns the environment in which the program sees a wall clock that was stepped before its start."""
+        step_s = sum(self.clock_steps_s[each % len(self.clock_steps_s)] for each in range(number + 1))
+        if not step_s:
+            return {}
+        shim = self.folder / f"clock-{number}"
+        shim.mkdir()
+        (shim / "sitecustomize.py").write_text(CLOCK_SHIM.format(step_ns=step_s * 10**9))
+        return {"PYTHONPATH": str(shim)}
+
     async def _break(self, process: RunningProcess, fault: SuccessorFault) -> None:
         process.killed = True
         if fault is SuccessorFault.STOPPED:
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -63,7 +63,7 @@
         self._discovery = StandInDiscovery()
         self._servers = [StandInServer(self._behaviour) for _ in range(plan.servers)]
         self._port = free_port()
-        self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core)
+        self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core, plan.clock_steps_s)
         self._crowd = Crowd(plan, self._port)
         self._usage = UsageSampler(self._dispatcher.running_pids)
 
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -65,6 +65,7 @@
         self.stopped = asyncio.Event()
         self.deadline_loop = DeadlineLoop(log)
         self.turn = self.deadline_loop.turn
+        self.clock = self.deadline_loop.clock
         self._make_backend()
         self._make_core()
         self._make_frontend()
@@ -191,6 +192,8 @@
         """
         self._handle_signals()
         await self.state_transfer.join()
+        self.readiness.start()
+        self.frontend.last_client_at = self.clock.now()
         await self.state_transfer.open_peers()
         await self.running_state.apply(digest(EMPTY), desired)
         controller = await control.listen(control_path, self.running_state) if control_path else None
--- a/heronlug/lifecycle/hot_restart/channel.py
+++ b/heronlug/lifecycle/hot_restart/channel.py
@@ -138,6 +138,7 @@
     Attributes:
         closed: Whether this end is closed.
         features: Names of the features of the other process, as far as it has named them.
+        clock_offset_ns: Difference of the clock of the other process to the monotonic clock, in ns; None if unknown.
     """
 
     def __init__(
@@ -155,6 +156,7 @@
         """
         self.closed = False
         self.features: frozenset[str] = frozenset()
+        self.clock_offset_ns: int | None = None
         self._sock = sock
         self._on_message = on_message
         self._on_disconnected = on_disconnected
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -67,9 +67,14 @@
     """Confirms each handover, so that exactly one process continues what is handed over, even if the other ends."""
 
 
-def features() -> Message:
-    """Returns the update that names the features of this process; sent before the hello or the state."""
-    return {"kind": MessageKind.REQUEST_UPDATE, "features": list(Feature)}
+def features(clock_offset_ns: int | None = None) -> Message:
+    """Returns the update that names the features of this process; sent before the hello or the state.
+
+    Args:
+        clock_offset_ns: Difference of the clock of an old process to the monotonic clock, in ns; None in a new one.
+    """
+    clock = {} if clock_offset_ns is None else {"clock_ns": clock_offset_ns}
+    return {"kind": MessageKind.REQUEST_UPDATE, "features": list(Feature), **clock}
 
 
 def room(amounts: Room) -> Message:
@@ -182,19 +187,23 @@
         ended: Ids of the requests that the other process has removed.
         counts: A peer message with the slots in flight of the other process; None if the update has no counts.
         features: Names of the features of the other process; empty if the update names none.
+        clock_offset_ns: Difference of the clock of the other process to the monotonic clock, in ns; None if unknown.
     """
 
     opened: tuple[str, ...]
     ended: tuple[str, ...]
     counts: bytes | None
     features: frozenset[str] = frozenset()
+    clock_offset_ns: int | None = None
 
     @classmethod
     def decode(cls, message: Message) -> "RequestUpdate":
         """Decodes an update; raises ``TypeError`` or ``ValueError`` if the message is malformed."""
         counts = bytes.fromhex(message["counts"]) if "counts" in message else None
         features = frozenset(_strings(message.get("features")))
-        return cls(_strings(message.get("opened")), _strings(message.get("ended")), counts, features)
+        clock = message.get("clock_ns")
+        clock_offset_ns = int(clock) if clock is not None else None
+        return cls(_strings(message.get("opened")), _strings(message.get("ended")), counts, features, clock_offset_ns)
 
 
 @dataclass(frozen=True)
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -27,6 +27,9 @@
 class HandoverHandler(Protocol):
     """Callbacks of a session for the messages and the end of another process."""
 
+    def clock_offset_ns(self) -> int:
+        """Returns the difference of the clock of this process to the monotonic clock, in ns."""
+
     def state(self) -> tuple[Message, list[int]]:
         """Returns the state message for a new process and the descriptors of the sockets that accompany the message."""
 
@@ -226,9 +229,9 @@
 
     def _receive_request_update(self, process: PeerProcess, update: RequestUpdate) -> None:
         if update.features:
-            process.features = update.features
+            process.features, process.clock_offset_ns = update.features, update.clock_offset_ns
             if process in self._joining:
-                process.send(messages.features())
+                process.send(messages.features(self._handler.clock_offset_ns()))
         self._handler.receive_request_update(update)
 
     def _receive_from_predecessor(self, process: PeerProcess, kind: object, received: ReceivedMessage) -> None:
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -23,7 +23,7 @@
 from heronlug.net.listener import Listener
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.core import Core
-from heronlug.requests.deadlines import Deadlines
+from heronlug.requests.deadlines import Clock, Deadlines
 from heronlug.requests.model import ListedServer
 
 ROOM_TIMEOUT_MS = 1000.0
@@ -41,6 +41,7 @@
     peers: PeerSocket
     listener: Listener
     shutdown: GracefulShutdown
+    clock: Clock
 
     @property
     def log(self) -> Callable[..., None]:
@@ -102,6 +103,7 @@
             self._parts.log("handover_failed", error=repr(error))
             self.session.abandon_predecessor()
             return
+        self._adopt_clock()
         self._parts.core.requests.peer_process_ids.update(state.request_ids)
         self._predecessor_state = state
         if self.session.predecessor_has(Feature.ROOM):
@@ -109,6 +111,16 @@
         else:
             self._limits.receive_half()
 
+    def _adopt_clock(self) -> None:
+        """Takes the clock of the predecessor, in which all times that it hands over are given.
+
+        A stop that has begun has its times in the clock of this process.
+        """
+        predecessor = self.session.predecessor
+        offset_ns = predecessor.clock_offset_ns if predecessor is not None else None
+        if offset_ns is not None and not self._parts.shutdown.stopping:
+            self._parts.clock.offset_ns = offset_ns
+
     async def open_peers(self) -> None:
         """Opens the peer socket; while another process uses the address, starts without the socket and retries."""
         await self._sockets.open_peers(self._uses_peer_socket)
@@ -164,6 +176,10 @@
 
     # -- while there are two processes
 
+    def clock_offset_ns(self) -> int:
+        """Returns the difference of the clock of this process to the monotonic clock, in ns."""
+        return self._parts.clock.offset_ns
+
     def state(self) -> tuple[Message, list[int]]:
         """Returns the state message for a new process and the descriptors of the sockets that accompany the message."""
         parts = self._parts
--- a/heronlug/lifecycle/readiness.py
+++ b/heronlug/lifecycle/readiness.py
@@ -25,12 +25,16 @@
     hot_restart: HotRestart
 
     def __init__(self, core: Core, discovery: DiscoveryClient, log: Log) -> None:
-        """Creates the readiness check; the time since the start counts from this call."""
+        """Creates the readiness check of a process that has not started."""
         self.core = core
         self.log = log
         self._discovery = discovery
         self._started_at = core.deadlines.clock()
 
+    def start(self) -> None:
+        """Counts the time since the start from now on."""
+        self._started_at = self.core.deadlines.clock()
+
     def ready(self) -> bool:
         """Returns whether requests can be served, by this process or by its successor."""
         accepts_clients = self.shutdown.accepts_clients or self.hot_restart.handed_over
--- a/heronlug/requests/deadlines.py
+++ b/heronlug/requests/deadlines.py
@@ -17,17 +17,21 @@
     """A monotonic clock in milliseconds that is set to Unix time once, at the start of the process.
 
     A plain monotonic clock differs between the machines of dispatchers, and starts again after a reboot, below the
-    timestamps that peers have already received.
+    timestamps that peers have already received. A process that takes over from another one takes its clock too, since
+    Unix time may have been stepped in between.
+
+    Attributes:
+        offset_ns: Difference to the monotonic clock of the machine, in ns.
     """
 
-    __slots__ = ("_offset",)
+    __slots__ = ("offset_ns",)
 
     def __init__(self) -> None:
-        self._offset = time.time_ns() - time.monotonic_ns()
+        self.offset_ns = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> float:
         """Returns the current time in ms."""
-        return (time.monotonic_ns() + self._offset) / 1e6
+        return (time.monotonic_ns() + self.offset_ns) / 1e6
 
 
 class Deadlines:
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -60,7 +60,7 @@
 from heronlug.lifecycle.peer_messages import PeerMessages
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.core import Core
-from heronlug.requests.deadlines import Deadlines
+from heronlug.requests.deadlines import Clock, Deadlines
 from heronlug.requests.model import ListedServer, Workload
 from heronlug.storage.model import StoredRequest
 from heronlug.storage.sqlite import SqliteStore
@@ -294,6 +294,7 @@
         self.application.frontend.adopt.side_effect = self._adopt_connection
         self.takeover = StateTransfer(cast(Any, self.application), self.deadlines, folder)
         config.peers, config.peers_all = [], None
+        self.application.clock = Clock()
         self.peer_messages = PeerMessages(config, self.deadlines, MagicMock(), MagicMock())
         self.peer_messages.hot_restart = self.takeover.session
 
--- a/tests/faults/test_upgrades.py
+++ b/tests/faults/test_upgrades.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from heronlug.faults.upgrades.clients import End
 from heronlug.faults.upgrades.plan import ClientKind, Moment, SuccessorFault, Upgrade, UpgradePlan, series
 from heronlug.faults.upgrades.run import play
 
@@ -52,3 +53,20 @@
     )
     report = play(plan)
     assert not report.violations, report.text()
+
+
+def test_requests_keep_their_deadlines_when_the_wall_clock_steps_between_two_starts() -> None:
+    """Guards against times of one process that the next one reads by another clock, an hour before or behind."""
+    plan = UpgradePlan(
+        seed=5,
+        span_s=7.0,
+        clients={ClientKind.STEADY: 100},
+        pause_s=(0.0, 0.02),
+        run_s=(0.1, 0.6),
+        deadlines_s=SHORT_DEADLINES_S,
+        upgrades=series(3, 1.0, 2.0, Random(5)),
+        clock_steps_s=(0, 3600, -7200, 3600),
+    )
+    report = play(plan)
+    assert not report.violations, report.text()
+    assert report.count(End.FAILED) <= len(report.records) / 100, report.text()
