Let attempts wait for a connection at the limit of server connections

What callers saw: refusals and late answers at the limit, most of all in an upgrade, where a process keeps few server connections: the loop stood still for 0.5 s, and SIGTERM was noticed as late, so that the time to stop ran out. Cause: ConnectionPool.send ended an attempt at once as connect_failed, which counts against its server, takes a retry and makes the balancer choose again: each queued request went round all servers in one turn. Change: the attempt waits in a queue until a connection is closed or idle, for as long as a dial may take; whether it may still be written is asked again before it is sent, and at the write. too_many_connections is logged at most once a second. Failed before: test_attempt_waits_for_a_connection_at_the_limit, test_attempt_that_waits_in_vain_for_a_connection_ends.

--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -8,6 +8,7 @@
 
 from heronlug.backends.close_reason import CloseReason
 from heronlug.backends.connection import ServerConnection
+from heronlug.backends.waiting_attempts import AttemptQueue
 from heronlug.balancer.events import Outcome
 from heronlug.net import http
 from heronlug.requests.core import POSTPONED_MS, Core
@@ -29,6 +30,9 @@
 Some servers drop a connection only once the request is complete, and that request may have run.
 """
 
+EXHAUSTION_LOG_INTERVAL_MS = 1000.0
+"""Minimum interval between two ``too_many_connections`` log lines."""
+
 
 class ConnectionPool:
     """Owns the connections to all servers.
@@ -79,23 +83,20 @@
         self._idle: dict[int, deque[ServerConnection]] = {}
         self._adoptions: set[asyncio.Task[Any]] = set()
         self._reuse_suspended_until = 0.0
+        self._waiting = AttemptQueue(deadlines, self._fail_unsent)
+        self._exhaustion_logged_at = -EXHAUSTION_LOG_INTERVAL_MS
+        self._serves_waiting = False  # whether a look at the waiting attempts is scheduled
 
     # -- Calls by the core
 
     def send(self, attempt: Attempt) -> None:
         """Sends an attempt on an idle connection, or dials a new connection.
 
-        At the limit of connections the attempt ends with ``CONNECT_FAILED``.
+        At the limit of connections the attempt waits for a connection, as long as a dial may take.
         """
-        connection = self._take_idle(attempt)
-        if connection is not None:
-            attempt.exchange = connection
-            connection.write(attempt)
-        elif self.is_available():
-            self._dial_for(attempt)
-        else:
-            self.log("too_many_connections", connections=len(self.connections))
-            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+        if not self._send_now(attempt, self._dial_timeout):
+            self._log_exhaustion()
+            self._waiting.add(attempt, self._dial_timeout)
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancels an attempt by closing its connection."""
@@ -128,6 +129,10 @@
         """
         return len(self.connections) < self.max_connections or self._evict()
 
+    def look_again(self) -> None:
+        """Looks at the attempts that wait for a connection, because the limit may have been raised."""
+        self._serve_waiting_later()
+
     def retire(self, servers: dict[int, Server]) -> None:
         """Closes idle connections to servers that are not ready, have a new address or have left the endpoint list."""
         for number, idle in list(self._idle.items()):
@@ -176,6 +181,7 @@
         self.deadlines.cancel(connection.timer)
         connection.timer = self.deadlines.call_after(self._idle_timeout, connection.close, CloseReason.IDLE)
         self._idle.setdefault(connection.server.number, deque()).append(connection)
+        self._serve_waiting_later()
 
     def remove(self, connection: ServerConnection, reason: CloseReason) -> None:
         """Removes a closed connection from the pool and counts the reason."""
@@ -184,6 +190,7 @@
         idle = self._idle.get(connection.server.number)
         if idle and connection in idle:
             idle.remove(connection)
+        self._serve_waiting_later()
 
     def suspend_reuse(self) -> None:
         """Sends non-idempotent requests only on new connections for ``REUSE_SUSPENSION_MS``."""
@@ -191,6 +198,48 @@
 
     # -- Internals
 
+    def _send_now(self, attempt: Attempt, dial_timeout: float) -> bool:
+        """Sends an attempt on an idle or a new connection; returns False at the limit of connections."""
+        connection = self._take_idle(attempt)
+        if connection is not None:
+            attempt.exchange = connection
+            connection.write(attempt)
+            return True
+        if self.is_available():
+            self._dial_for(attempt, dial_timeout)
+            return True
+        return False
+
+    def _serve_waiting_later(self) -> None:
+        """Looks at the waiting attempts in the next turn, when the event that makes room has been handled."""
+        if self._waiting and not self._serves_waiting:
+            self._serves_waiting = True
+            self.deadlines.call_after(0.0, self._serve_waiting)
+
+    def _serve_waiting(self) -> None:
+        """Sends waiting attempts while there is room; an attempt that may no longer be sent ends."""
+        self._serves_waiting = False
+        while self._waiting and (self._idle_count() or len(self.connections) < self.max_connections):
+            waiting = self._waiting.pop()
+            remaining = waiting.expires_at - self.deadlines.clock()
+            if not self.core.may_write(waiting.attempt):
+                self._fail_unsent(waiting.attempt)
+            elif not self._send_now(waiting.attempt, max(0.0, remaining)):
+                self._waiting.add(waiting.attempt, max(0.0, remaining))
+                return
+
+    def _idle_count(self) -> int:
+        return sum(len(idle) for idle in self._idle.values())
+
+    def _fail_unsent(self, attempt: Attempt) -> None:
+        self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+
+    def _log_exhaustion(self) -> None:
+        now = self.deadlines.clock()
+        if now - self._exhaustion_logged_at >= EXHAUSTION_LOG_INTERVAL_MS:
+            self._exhaustion_logged_at = now
+            self.log("too_many_connections", connections=len(self.connections), waiting=len(self._waiting))
+
     def _take_idle(self, attempt: Attempt) -> ServerConnection | None:
         """Returns an idle connection for the attempt, or None; closes unusable connections that are found first."""
         idle = self._idle.get(attempt.server.number)
@@ -237,9 +286,9 @@
         min(oldest, key=lambda connection: connection.timer or (0.0, 0)).close(CloseReason.CONNECTION_LIMIT)
         return True
 
-    def _dial_for(self, attempt: Attempt) -> None:
+    def _dial_for(self, attempt: Attempt, timeout: float) -> None:
         connection = self._add(attempt)
-        connection.timer = self.deadlines.call_after(self._dial_timeout, self._on_dial_failed, connection)
+        connection.timer = self.deadlines.call_after(timeout, self._on_dial_failed, connection)
         connection.dial_task = asyncio.get_running_loop().create_task(self._dial(connection))
         self.dials += 1
 
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -178,3 +178,4 @@
         self._core.max_open = self._shares[Resource.REQUESTS].own
         self._frontend.body_memory.limit = self._shares[Resource.BODY_BYTES].own
         self._acceptor.look_again()
+        self._backend.look_again()
--- a/tests/end_to_end/test_servers.py
+++ b/tests/end_to_end/test_servers.py
@@ -16,8 +16,10 @@
     StandInConnection,
     done,
     progress_chunk,
+    request_id_of,
     run_async,
     served,
+    until,
 )
 from end_to_end.test_client_leaves import open_connections
 from heronlug.backends.connection import ServerConnection
@@ -484,6 +486,50 @@
     run_async(test)
 
 
+def test_attempt_waits_for_a_connection_at_the_limit() -> None:
+    """Guards against attempts that fail at once, one after another, until a request is given up."""
+
+    async def test() -> None:
+        async with DispatcherHarness(2).open() as harness:
+            harness.application.backend.max_connections = 1
+            _, _, connection = await send_first(harness, "t1", "safe")
+            assert connection.take_request()
+            waiting_clients = [await harness.post(f"t{number}") for number in (2, 3)]
+            leaving_client = await harness.post("t4")
+            leaving_client.close()
+            await harness.pass_time(100)
+            assert not [ended for ended in harness.logged("relay_ended") if ended["id"] != "t4"]
+            connection.send(done("t1"))
+            for _ in waiting_clients:
+                await until(lambda: any(server.requests for server in harness.servers.values()), "a request")
+                [server] = [each for each in harness.servers.values() if each.requests]
+                connection, request = await server.request()
+                connection.send(done(request_id_of(request)))
+                await harness.settle()
+                await harness.pass_time(0)
+            assert all(served(client) for client in waiting_clients)
+            assert len(harness.application.backend.connections) == 1
+
+    run_async(test)
+
+
+def test_attempt_that_waits_in_vain_for_a_connection_ends() -> None:
+    """Guards against an attempt that waits for a connection for longer than a dial may take."""
+
+    async def test() -> None:
+        async with DispatcherHarness(2).open() as harness:
+            harness.application.backend.max_connections = 1
+            await send_first(harness, "t1", "safe")
+            await harness.post("t2")
+            dial_timeout = harness.application.config.settings.dial_timeout
+            await harness.pass_time(dial_timeout - 1)
+            assert not harness.logged("relay_ended")
+            await harness.pass_time(2)
+            assert [ended["outcome"] for ended in harness.logged("relay_ended")][:1] == ["connect_failed"]
+
+    run_async(test)
+
+
 def test_attempt_at_a_hanging_server_fails_before_sigkill() -> None:
     """Guards against a request at a hanging server that is unanswered at SIGKILL, or is run a second time."""
 
