Let a process between two others end only after its predecessor

What callers saw: in upgrades that follow each other closely, requests that a first process had just handed over were lost with the second, which ended; later upgrades found nobody, and the new process ended with status 2, address in use. Cause: a process that had handed over to a third one exited once it had nothing left, although its predecessor still passed clients and requests to it. The predecessor took that for the loss of its successor: it accepted clients again and replaced the socket file of the third process with its own. Change: a stop waits for the predecessor too, until the last moment for answers. A process whose successor has ended, and not merely fallen silent, first looks whether another one listens on the socket file; if so it neither accepts nor listens nor raises its limits, and its clients end their connections with their next answer.

--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -137,7 +137,7 @@
         hooks = ShutdownHooks(
             open_work=self._open_work,
             last_client_at=lambda: self.frontend.last_client_at,
-            others_serve=self.peers.others_serve,
+            others_serve=lambda: self.peers.others_serve() or self.state_transfer.third_process_serves,
             leave_peers=self.peers.leave,
             rejoin_peers=self.peers.rejoin,
             give_up_requests=self.core.give_up_all,
@@ -275,9 +275,13 @@
         return [self.core, *self.faktory.cores]
 
     def _open_work(self) -> int:
-        """Returns the number of requests, jobs and client connections that a stop waits for."""
+        """Returns the number of requests, jobs, connections and processes that a stop waits for.
+
+        A predecessor hands its clients over to this process, and through it to the successor.
+        """
         jobs = sum(len(core.requests) for core in self._cores())
-        return jobs + len(self.frontend.connections) + self.listener.has_pending_connection
+        predecessors = int(self.hot_restart.predecessor is not None and self.clock.now() < self.shutdown.answer_by)
+        return jobs + len(self.frontend.connections) + self.listener.has_pending_connection + predecessors
 
     def _additional_metrics(self) -> str:
         listeners = [self.listener, self.admin_listener]
--- a/heronlug/lifecycle/hot_restart/outgoing_transfers.py
+++ b/heronlug/lifecycle/hot_restart/outgoing_transfers.py
@@ -151,7 +151,7 @@
 
     def _on_timeout(self, number: int) -> None:
         if number in self._offers:
-            self._session.abandon_successor("silent")
+            self._session.abandon_successor()
 
     def _remove(self, number: int) -> _Offer | None:
         if number > self._last_number:
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -20,6 +20,8 @@
 """Time for which a new process waits for the state of the old process, in ms."""
 GOODBYE_TIMEOUT_MS = 1000.0
 """Time for which an old process waits until the new process has read all handed-over messages, in ms."""
+HANGING = "silent"
+"""Reason for the end of the connection to a process that does not answer."""
 MAX_JOINING = 2
 """Maximum number of connected processes that do not accept clients yet."""
 
@@ -36,8 +38,8 @@
     def successor_serves(self) -> None:
         """Pauses the listener and closes the peer socket, since the successor now uses both sockets."""
 
-    def successor_lost(self) -> None:
-        """Accepts clients again after the successor has ended."""
+    def successor_lost(self, third_process_serves: bool) -> None:
+        """Accepts clients again after the successor has ended, unless its own successor accepts them."""
 
     def predecessor_ended(self) -> None:
         """Restores the full limits of this process after the predecessor has ended."""
@@ -155,12 +157,12 @@
         if self.successor is not None:
             self.successor.send(message, fds)
 
-    def abandon_successor(self, reason: str) -> None:
+    def abandon_successor(self) -> None:
         """Disconnects from the successor, which does not answer."""
         if self.successor is not None:
             process = self.successor
             process.close()
-            self._handle_disconnect(process, reason)
+            self._handle_disconnect(process, HANGING)
 
     async def say_goodbye(self) -> None:
         """Waits until the successor has read all messages, since unread messages could be lost at the exit."""
@@ -193,6 +195,13 @@
     def _connected_processes(self) -> list[PeerProcess]:
         return [process for process in (self.predecessor, self.successor, *self._joining) if process is not None]
 
+    def _another_process_listens(self) -> bool:
+        """Returns whether another process of this dispatcher waits for a successor, and so accepts clients."""
+        sock = channel.connect(self._path)
+        if sock is not None:
+            sock.close()
+        return sock is not None
+
     def _stop_listening(self) -> None:
         if self._listening_socket is not None:
             asyncio.get_running_loop().remove_reader(self._listening_socket.fileno())
@@ -281,9 +290,9 @@
         elif process is self.successor:
             self.successor = None
             self._log("partner_gone", which="after", why=reason)
-            self._handler.successor_lost()
+            self._handler.successor_lost(reason != HANGING and self._another_process_listens())
         self._turn()
 
     def _handle_state_timeout(self, process: PeerProcess) -> None:
         process.close()
-        self._handle_disconnect(process, "silent")
+        self._handle_disconnect(process, HANGING)
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -57,6 +57,7 @@
 
     Attributes:
         session: The session with the other processes of this dispatcher.
+        third_process_serves: Whether the successor has ended and its own successor accepts clients.
     """
 
     def __init__(self, parts: RestartedParts, deadlines: Deadlines, folder: str | None) -> None:
@@ -86,6 +87,7 @@
             self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more
         )
         self._sender = RequestSender(config, parts.core, parts.frontend, parts.shutdown, self._outgoing)
+        self.third_process_serves = False
         self._predecessor_state: ProcessState | None = None  # None once the state has been used
 
     # -- the start of a process
@@ -214,12 +216,15 @@
         """Hands over what is ready in the next turn, after the successor has answered all offers."""
         self._deadlines.call_after(0.0, self._parts.shutdown.hand_over_now)
 
-    def successor_lost(self) -> None:
-        """Takes back all offers and accepts clients again after the successor has ended before this process."""
+    def successor_lost(self, third_process_serves: bool) -> None:
+        """Takes back all offers, and accepts clients again unless a successor of the successor accepts them."""
         self._outgoing.withdraw_all()
         self._parts.core.peer_process_ended()
-        self._limits.successor_ended()
+        self.third_process_serves = third_process_serves
         self._parts.shutdown.hand_over(None)
+        if third_process_serves:
+            return
+        self._limits.successor_ended()
         self._parts.listener.accept()
         self._sockets.open_peers_later(self._uses_peer_socket)
         self.session.listen()  # the successor had replaced the socket file with its own
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -208,7 +208,7 @@
 
     Attributes:
         program: the process of the program.
-        second_process: a second process of the program, if any.
+        later_processes: further processes of the program, in the order of their starts.
         standins: the sockets of the stand-ins.
         faktory_address: address of the Faktory frontend.
         control_path: path of the control socket.
@@ -246,7 +246,7 @@
             self.inherited_socket = socket.create_server((host, int(port)))
         self.peer_process = self._peer_process(partner) if partner else None
         self.log = (folder / "log").open("w+b")
-        self.second_process: subprocess.Popen[bytes] | None = None
+        self.later_processes: list[subprocess.Popen[bytes]] = []
         self.program = self._start({})
         self._until_ready(self.admin)
         self._confirm_list()
@@ -292,13 +292,14 @@
     def _named_step(self, name: str, rest: str) -> None:
         # `wait MS`: time passes.
         # `signal NAME`: the program receives a signal.
-        # `exit N`: the program must exit with status N; a second process then becomes the program.
+        # `signal_next NAME`: the first of the later processes receives a signal.
+        # `exit N`: the program must exit with status N; the first of the later processes then becomes the program.
         # `configure WHO`: replaces the configuration by one with discovery WHO; `nothing` makes the file unreadable.
         # `state TEXT`: replaces the state file.
         # `figure LINE`: the metrics must contain this line within the timeout.
         # `logged TEXT`: the log must contain this text within the timeout.
-        # `beside`: starts a second process, whose first poll discovery answers with no changes.
-        # `kill`: kills the second process.
+        # `beside`: starts a further process, whose first poll discovery answers with no changes.
+        # `kill`: kills the latest process.
         # `free`: releases the peer address that the exchange had `taken`.
         # `next WHO`: the name WHO stands for the next connection; the current one stays open.
         # `rename WHO NAME`: the current connection of WHO gets another name.
@@ -309,13 +310,14 @@
             "dial": lambda: self._dial(*rest.split()),
             "rename": lambda: self._rename(*rest.split()),
             "signal": lambda: self.program.send_signal(signal.Signals[rest.strip()]),
+            "signal_next": lambda: self.later_processes[0].send_signal(signal.Signals[rest.strip()]),
             "configure": lambda: self._configure(rest.strip()),
             "state": lambda: self.desired_state.write_text(rest.encode().decode("unicode_escape")),
             "logged": lambda: self.wait_for_log(rest),
             "figure": lambda: self.wait_for_metric(rest),
             "exit": lambda: self._expect_exit(int(rest)),
-            "beside": self._start_second_process,
-            "kill": self._kill_second_process,
+            "beside": self._start_later_process,
+            "kill": self._kill_latest_process,
             "free": self.peer_address_socket.close,
         }
         # `WHO close`, `WHO reset`: the stand-in closes or resets its connection.
@@ -349,20 +351,21 @@
     def _expect_exit(self, expected: int) -> None:
         status = self.program.wait(3 * TIMEOUT_S)
         assert status == expected, f"the program exited with status {status}, expected {expected}"
-        self.program, self.second_process = self.second_process or self.program, None
+        if self.later_processes:
+            self.program = self.later_processes.pop(0)
 
-    def _start_second_process(self) -> None:
+    def _start_later_process(self) -> None:
         self.admin = f"127.0.0.1:{free_port()}"
-        self.second_process = self._start({"RELAY_ADMIN_ADDR": self.admin})
+        self.later_processes.append(self._start({"RELAY_ADMIN_ADDR": self.admin}))
         self._until_ready(self.admin)
         if "inv" in self.standins.connections:
             self.standins.replaced.append(("inv", self.standins.connections.pop("inv")))
         self._confirm_list()
 
-    def _kill_second_process(self) -> None:
-        assert self.second_process is not None
-        self.second_process.kill()
-        self.second_process.wait()
+    def _kill_latest_process(self) -> None:
+        latest = self.later_processes.pop()
+        latest.kill()
+        latest.wait()
 
     def decode(self, text: str) -> bytes:
         """Returns the bytes that a text of a step stands for."""
@@ -397,8 +400,8 @@
 
     def close(self) -> None:
         """Kills the processes and closes all sockets."""
-        for program in (self.program, self.second_process):
-            if program is not None and program.poll() is None:
+        for program in (self.program, *self.later_processes):
+            if program.poll() is None:
                 program.kill()
                 program.wait()
         self.log.close()
--- a/tests/lifecycle/test_transfers.py
+++ b/tests/lifecycle/test_transfers.py
@@ -68,7 +68,7 @@
             raise HandoverError(msg)
         return self.items[received.message["transfer"]]
 
-    def _abandon(self, reason: str) -> None:
+    def _abandon(self) -> None:
         self.abandoned = True
         self.old.withdraw_all()
 
