Ignore signals while a process that has stopped exits

What callers saw: after a planned stop the old process sometimes ended with status -1 (SIGHUP) in place of 0; the last lines of its log could be lost. Cause: the event loop restores the default action of its signals when it closes, before the log is written out. Change: from the line stopped on, SIGHUP, SIGTERM and SIGINT are ignored, without a moment of default action in between; the thread of the log takes no signals. Failed before: test_process_that_ends_ignores_further_signals (status -1).

--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -37,7 +37,7 @@
 from heronlug.lifecycle.peer_messages import PeerMessages
 from heronlug.lifecycle.readiness import Readiness
 from heronlug.lifecycle.running_state import RunningState
-from heronlug.lifecycle.startup_signals import startup_signals
+from heronlug.lifecycle.startup_signals import ignore_signals, startup_signals
 from heronlug.lifecycle.transport import HttpTransport
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.listener import Listener
@@ -241,6 +241,7 @@
         await self.cluster.leave()
         await self.discovery.close_cache()
         await self.hot_restart.say_goodbye()
+        ignore_signals(asyncio.get_running_loop())
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
 
     def _close(self) -> None:
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -1,6 +1,7 @@
 """Writes the log, one JSON line per event, in a separate thread so that a full pipe never blocks the event loop."""
 
 import os
+import signal
 import threading
 import time
 from collections import deque
@@ -81,6 +82,7 @@
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())  # the main thread handles all signals
         while True:
             self._wake.wait()
             self._wake.clear()
--- a/heronlug/lifecycle/startup_signals.py
+++ b/heronlug/lifecycle/startup_signals.py
@@ -6,6 +6,7 @@
 starts the process, as in ``deploy/balancer.toml``; the process reads the files after that.
 """
 
+import asyncio
 import signal
 from types import FrameType
 
@@ -29,5 +30,21 @@
         self.reload_requested = True
 
 
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+"""Signals that the event loop handles while it runs."""
+
+
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignores further signals, since the loop restores their default action when it closes, which ends the process.
+
+    They are blocked meanwhile, because removing a handler restores the default action too.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
 startup_signals = StartupSignals()
 """The recorded signals of this process."""
--- a/tests/end_to_end/test_signals_at_start.py
+++ b/tests/end_to_end/test_signals_at_start.py
@@ -46,3 +46,21 @@
             assert process.wait(TIMEOUT_S) == 0
         finally:
             process.kill()
+
+
+def test_process_that_ends_ignores_further_signals(tmp_path: Path) -> None:
+    """Guards against a signal in the last moments of a planned stop that ends the process with another status."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(DispatcherHarness(1).raw))
+    env = {**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)}
+    for _ in range(5):
+        with subprocess.Popen([sys.executable, "-m", "heronlug"], env=env, stdout=subprocess.PIPE) as process:
+            assert process.stdout is not None
+            lines = iter(process.stdout.readline, b"")
+            assert any(b'"started"' in line for line in lines)
+            process.send_signal(signal.SIGTERM)
+            assert any(b'"stopped"' in line for line in lines)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+            assert process.returncode == 0
