Hand requests over before idle connections, and keep the channel filled

What callers saw: with a crowd on a core that two processes share, requests were still in the old process at the kill, 3.7 s after the signal, and ended without an answer. Cause: idle connections were offered first, again and again as clients came to rest, and at most four offers were out, the next ones only after all were answered: some 130 connections a second on a busy core. Change: in a stop requests are offered first. The successor tells with each answer how many offered descriptors it can hold (24 beside all limits, and a quarter of its free room; fewer where three processes are there), and each answer lets the next offers out. What arrives counts at accept.

--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -52,6 +52,7 @@
         deadlines: Scheduler for time-outs.
         run_due: Runs the deadlines that are due; called after each I/O event.
         max_connections: Maximum number of connections; a new connection above the limit waits for room.
+        arriving: Returns the number of connections that another process is handing over.
         clients_wait: Returns whether a new connection waits for room.
         body_memory: Memory limit of all request bodies.
         connections: Open connections by handle.
@@ -72,6 +73,7 @@
         self.deadlines = owner.core.deadlines
         self.run_due = run_due
         self.max_connections = max_connections
+        self.arriving: Callable[[], int] = lambda: 0
         self.clients_wait: Callable[[], bool] = lambda: False
         self.body_memory = BodyMemory(max_body_bytes)
         self.connections: SlotTable[ClientConnection] = SlotTable()
@@ -129,7 +131,7 @@
 
     def has_room(self, opening: int) -> bool:
         """Returns whether another connection may be accepted besides the known ones and ``opening`` further ones."""
-        return len(self.connections) + opening < self.max_connections
+        return len(self.connections) + opening + self.arriving() < self.max_connections
 
     def make_room(self, opening: int) -> bool:
         """Aborts a connection that owes nothing; returns False if there is none.
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -99,18 +99,20 @@
         self._transfers = transfers
 
     def hand_over(self) -> None:
-        """Offers connections and requests that are ready; called repeatedly until the process has none left."""
+        """Offers connections and requests that are ready; called repeatedly until the process has none left.
+
+        Requests go first, since an answer is owed to their clients.
+        """
+        if self._shutdown.stopping:
+            for request in self._core.requests:
+                if self._transfers.full:
+                    return
+                self._offer_request(request)
         for connection in self._frontend.connections:
             if self._transfers.full:
                 return
             if connection.can_hand_over(self._transfers.confirmed) and not connection.serving:
                 self._offer_client(connection)
-        if not self._shutdown.stopping:
-            return
-        for request in self._core.requests:
-            if self._transfers.full:
-                return
-            self._offer_request(request)
 
     def _offer_client(self, connection: ClientConnection) -> None:
         if connection.has_sent_request:
--- a/heronlug/lifecycle/hot_restart/incoming_transfers.py
+++ b/heronlug/lifecycle/hot_restart/incoming_transfers.py
@@ -27,6 +27,7 @@
         prepare: Callable[[ReceivedMessage], PreparedHandover],
         send: Callable[[Message], None],
         log: Callable[..., None],
+        window: Callable[[], int],
     ) -> None:
         """Creates a table without offers.
 
@@ -34,12 +35,17 @@
             prepare: Decodes a connection or request and takes its descriptors; raises :class:`HandoverError`.
             send: Sends a message to the predecessor.
             log: Logs events.
+            window: Returns the number of offered descriptors that this process can hold.
         """
         self._prepare = prepare
         self._send = send
         self._log = log
+        self._window = window
         self._accepted: dict[int, PreparedHandover] = {}
 
+    def __len__(self) -> int:
+        return len(self._accepted)
+
     def receive(self, received: ReceivedMessage) -> None:
         """Answers an offer, or continues at once what a predecessor without confirmations hands over."""
         number = messages.read_transfer(received.message) if "transfer" in received.message else None
@@ -54,7 +60,7 @@
             prepared.adopt()
         else:
             self._accepted[number] = prepared
-            self._send(messages.accepted(number))
+            self._send(messages.accepted(number, self._window()))
 
     def commit(self, number: int) -> None:
         """Continues what the predecessor has let go of.
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -138,9 +138,20 @@
     return number
 
 
-def accepted(transfer: int) -> Message:
-    """Returns the message that accepts an offered connection or request."""
-    return {"kind": MessageKind.ACCEPTED, "transfer": transfer}
+def accepted(transfer: int, window: int) -> Message:
+    """Returns the message that accepts an offered connection or request.
+
+    Args:
+        transfer: Number of the offer.
+        window: Number of offered descriptors that the new process can hold before the old one closes its own.
+    """
+    return {"kind": MessageKind.ACCEPTED, "transfer": transfer, "window": window}
+
+
+def read_window(message: Message) -> int:
+    """Returns the window of an accepted offer; 0 if the message has none."""
+    window: object = message.get("window")
+    return window if isinstance(window, int) and not isinstance(window, bool) and window > 0 else 0
 
 
 def declined(transfer: int, reason: str) -> Message:
--- a/heronlug/lifecycle/hot_restart/outgoing_transfers.py
+++ b/heronlug/lifecycle/hot_restart/outgoing_transfers.py
@@ -15,10 +15,12 @@
 from heronlug.lifecycle.hot_restart.shared_limits import Room
 from heronlug.requests.deadlines import Deadlines, Key
 
-MAX_OFFERED = 4
-"""Maximum number of offers without an answer; both processes have descriptors of what is offered."""
-MAX_OFFERED_BY_MIDDLE = 1
-"""The same for a process whose own predecessor has not ended, so that three processes have descriptors."""
+MIN_WINDOW = 4
+"""Number of descriptors that may be offered without an answer in any case; both processes hold them meanwhile."""
+MAX_WINDOW = 128
+"""Maximum number of descriptors that are offered without an answer."""
+WITHHELD_BY_MIDDLE = 22
+"""Descriptors by which a process with a predecessor reduces the window, because three processes hold descriptors."""
 OFFER_TIMEOUT_MS = 1000.0
 """Time after which a successor that does not answer an offer counts as hanging, in ms."""
 
@@ -41,6 +43,7 @@
     """An offer that the successor has not answered yet."""
 
     item: Transferable
+    descriptors: int
     room: Room
     timeout: Key
 
@@ -63,7 +66,7 @@
             deadlines: The deadlines of the process.
             log: Logs events.
             give_room: Called with the room that goes to the successor, before the successor may use it.
-            on_answered: Called when all offers have been answered.
+            on_answered: Called when an offer has been answered.
         """
         self._session = session
         self._deadlines = deadlines
@@ -72,12 +75,14 @@
         self._on_answered = on_answered
         self._offers: dict[int, _Offer] = {}
         self._last_number = 0
+        self._window = MIN_WINDOW
 
     @property
     def full(self) -> bool:
         """Returns whether no further offer can be made now."""
-        limit = MAX_OFFERED if self._session.predecessor is None else MAX_OFFERED_BY_MIDDLE
-        return len(self._offers) >= limit
+        window = self._window if self._session.predecessor is None else self._window - WITHHELD_BY_MIDDLE
+        offered = sum(offer.descriptors for offer in self._offers.values())
+        return offered >= min(MAX_WINDOW, max(MIN_WINDOW, window))
 
     @property
     def confirmed(self) -> bool:
@@ -115,18 +120,24 @@
             item.release()
             return None
         timeout = self._deadlines.call_after(OFFER_TIMEOUT_MS, self._on_timeout, number)
-        self._offers[number] = _Offer(item, room, timeout)
+        self._offers[number] = _Offer(item, len(fds), room, timeout)
         return number
 
-    def accept(self, number: int) -> None:
-        """Lets go of an item that the successor has accepted; an item that was taken back stays here."""
+    def accept(self, number: int, window: int) -> None:
+        """Lets go of an item that the successor has accepted; an item that was taken back stays here.
+
+        Args:
+            number: Number of the offer.
+            window: Number of descriptors that the successor can hold before this process closes its own.
+        """
+        self._window = window
         offer = self._remove(number)
         if offer is None:
             return
         self._give_room(offer.room)
         self._session.send_to_successor(messages.committed(number))
         offer.item.release()
-        self._report_answered()
+        self._on_answered()
 
     def decline(self, number: int, reason: str) -> None:
         """Takes back an item that the successor cannot continue."""
@@ -135,7 +146,7 @@
             return
         self._log("transfer_declined", why=reason, **offer.item.describe())
         offer.item.reclaim()
-        self._report_answered()
+        self._on_answered()
 
     def withdraw(self, number: int) -> None:
         """Takes back an item because this process has to act on it; does nothing once the offer was answered."""
@@ -161,7 +172,3 @@
         if offer is not None:
             self._deadlines.cancel(offer.timeout)
         return offer
-
-    def _report_answered(self) -> None:
-        if not self._offers:
-            self._on_answered()
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -16,6 +16,10 @@
 
 SPARE_SERVER_CONNECTIONS = 4
 """Server connections that an old process keeps for retries and hedged requests."""
+TRANSIT_DESCRIPTORS = 24
+"""Descriptors beside all limits for copies of offered connections, while there are two processes."""
+WINDOW_SHARE = 0.25
+"""Share of the free room of a new process that copies of offered connections may take in addition."""
 THIRD_PROCESS_DESCRIPTORS = 24
 """Descriptors that a third process of a dispatcher needs for itself; the limits leave room for those of two."""
 SPARE_BODIES = 4
@@ -128,6 +132,17 @@
         self._has_predecessor = False
         self._set_received(self._totals)
 
+    def transfer_window(self, has_successor: bool) -> int:
+        """Returns the number of offered descriptors that this process can hold before the predecessor closes its own.
+
+        Args:
+            has_successor: Whether a third process holds descriptors too.
+        """
+        clients = self._frontend.max_connections - len(self._frontend.connections) - self._acceptor.opening
+        servers = self._backend.max_connections - len(self._backend.connections)
+        free = max(0, int(min(clients, servers) * WINDOW_SHARE))
+        return free + (0 if has_successor else TRANSIT_DESCRIPTORS)
+
     # -- towards the successor
 
     def give(self, room: Room) -> None:
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -82,12 +82,16 @@
             parts.discovery.client.parse_list,
             self._receive_moved_room,
         )
-        self._incoming = IncomingTransfers(adopter.prepare, self.session.send_to_predecessor, parts.log)
+        self._incoming = IncomingTransfers(
+            adopter.prepare, self.session.send_to_predecessor, parts.log, self._transfer_window
+        )
+        parts.frontend.arriving = lambda: len(self._incoming)
         self._outgoing = OutgoingTransfers(
             self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more
         )
         self._sender = RequestSender(config, parts.core, parts.frontend, parts.shutdown, self._outgoing)
         self.third_process_serves = False
+        self._hands_over_more = False  # whether a further handover is scheduled
         self._predecessor_state: ProcessState | None = None  # None once the state has been used
 
     # -- the start of a process
@@ -213,8 +217,17 @@
         self._sender.hand_over()
 
     def _hand_over_more(self) -> None:
-        """Hands over what is ready in the next turn, after the successor has answered all offers."""
-        self._deadlines.call_after(0.0, self._parts.shutdown.hand_over_now)
+        """Hands over what is ready in the next turn, because the successor has answered offers."""
+        if not self._hands_over_more:
+            self._hands_over_more = True
+            self._deadlines.call_after(0.0, self._hand_over_now)
+
+    def _hand_over_now(self) -> None:
+        self._hands_over_more = False
+        self._parts.shutdown.hand_over_now()
+
+    def _transfer_window(self) -> int:
+        return self._limits.transfer_window(self.session.handed_over)
 
     def successor_lost(self, third_process_serves: bool) -> None:
         """Takes back all offers, and accepts clients again unless a successor of the successor accepts them."""
@@ -269,7 +282,7 @@
         number = messages.read_transfer(message)
         match message["kind"]:
             case MessageKind.ACCEPTED:
-                self._outgoing.accept(number)
+                self._outgoing.accept(number, messages.read_window(message))
             case MessageKind.DECLINED:
                 self._outgoing.decline(number, str(message.get("why", "")))
             case MessageKind.COMMITTED:
