Count the time to stop from the arrival of SIGTERM

What callers saw: requests unanswered at the kill of a process whose loop was busy. Cause: the loop handles a signal after all events of its iteration; with hundreds of clients on a part of a core that was 0.5 to 0.8 s after the signal, while the margin before the kill is 0.25 s. Answers were planned for after the kill. Change: the time of the first SIGTERM or SIGINT is recorded as it arrives, and the stop begins after the event that is being handled, with its times counted from there. Signals at the exit are ignored by the process and no longer by the application, which tests run in their own process. lifecycle/startup_signals.py is process_signals.py now. Failed before: test_time_to_stop_runs_from_the_signal_and_not_from_its_handling.

--- a/heronlug/__main__.py
+++ b/heronlug/__main__.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Callable
 
-from heronlug.lifecycle.startup_signals import startup_signals
+from heronlug.lifecycle.process_signals import startup_signals
 
 if sys.argv[1:2] in ([], ["serve"]):
     startup_signals.listen()  # before the imports below, which take most of the start-up time
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -35,9 +35,9 @@
     close_metrics,
 )
 from heronlug.lifecycle.peer_messages import PeerMessages
+from heronlug.lifecycle.process_signals import StopSignals, ignore_signals, startup_signals
 from heronlug.lifecycle.readiness import Readiness
 from heronlug.lifecycle.running_state import RunningState
-from heronlug.lifecycle.startup_signals import ignore_signals, startup_signals
 from heronlug.lifecycle.transport import HttpTransport
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.listener import Listener
@@ -208,8 +208,9 @@
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._log_exception)
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._stop)
+        stop_signals = StopSignals(self.clock.now, self._stop)
+        stop_signals.listen(loop)
+        self.deadline_loop.before_deadlines = stop_signals.deliver
 
     def _serve(self) -> None:
         """Applies the handed-over state and starts to accept clients."""
@@ -229,9 +230,9 @@
             self.reload.begin()
         self.turn()
 
-    def _stop(self) -> None:
-        """Begins a planned stop."""
-        if self.shutdown.stop():
+    def _stop(self, signalled_at: float) -> None:
+        """Begins a planned stop, whose time runs from the signal."""
+        if self.shutdown.stop(signalled_at):
             self.log("stopping", messages=len(self.core.requests))
         self.faktory.stop()
         self.turn()
@@ -241,7 +242,6 @@
         await self.cluster.leave()
         await self.discovery.close_cache()
         await self.hot_restart.say_goodbye()
-        ignore_signals(asyncio.get_running_loop())
         self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
 
     def _close(self) -> None:
@@ -308,6 +308,7 @@
 
 async def _serve(config: Config, files: Files, log: Log, desired: State, control_path: str) -> None:
     await Application(config, files, log).run(desired, control_path)
+    ignore_signals(asyncio.get_running_loop())
 
 
 def main(config: Config, desired: State, files: Files, control_path: str = "") -> int:
--- a/heronlug/lifecycle/deadline_loop.py
+++ b/heronlug/lifecycle/deadline_loop.py
@@ -1,6 +1,7 @@
 """Runs the deadlines of the process on the event loop, with a single timer for the earliest deadline."""
 
 import asyncio
+from collections.abc import Callable
 
 from heronlug.lifecycle.log import Log
 from heronlug.requests.deadlines import Clock, Deadlines
@@ -15,12 +16,14 @@
     Attributes:
         clock: The clock of the process, in ms.
         deadlines: The deadlines, ordered by time.
+        before_deadlines: Called in each turn before the deadlines that are due.
     """
 
     def __init__(self, log: Log) -> None:
         """Creates a loop without deadlines; an event loop must run by the time of the first deadline."""
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock.now)
+        self.before_deadlines: Callable[[], None] = lambda: None
         self._log = log
         self._timer: asyncio.TimerHandle | None = None
         self._armed_for: float | None = None
@@ -28,6 +31,7 @@
     def turn(self) -> None:
         """Runs the due deadlines and sets the timer for the next deadline."""
         try:
+            self.before_deadlines()
             self.deadlines.run_due()
         except Exception as error:  # an exception of one deadline must not stop the other deadlines
             self._log("exception", where="deadlines", error=repr(error))
--- a/heronlug/lifecycle/graceful_shutdown.py
+++ b/heronlug/lifecycle/graceful_shutdown.py
@@ -143,11 +143,15 @@
         if self._hand_over_clients is not None:
             self._hand_over_clients()
 
-    def stop(self) -> bool:
-        """Begins a planned stop and returns True; returns False if a stop is already in progress."""
+    def stop(self, signalled_at: float) -> bool:
+        """Begins a planned stop and returns True; returns False if a stop is already in progress.
+
+        Args:
+            signalled_at: Time of the signal, in ms, from which the platform counts the time to stop.
+        """
         if self.stopping:
             return False
-        self._stopped_at = self._deadlines.clock()
+        self._stopped_at = signalled_at
         self._deadlines.call_at(self.answer_by, self._hooks.give_up_requests)
         self._begin_checks()
         return True
--- a/tests/end_to_end/test_graceful_shutdown.py
+++ b/tests/end_to_end/test_graceful_shutdown.py
@@ -185,3 +185,18 @@
                 await expect_served_and_stopped(harness, client, server_connection)
 
     run_async(test)
+
+
+def test_time_to_stop_runs_from_the_signal_and_not_from_its_handling() -> None:
+    """Guards against answers that are planned for after SIGKILL, because a busy loop handles SIGTERM late."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            signalled_at = harness.clock.time_ms
+            os.kill(os.getpid(), signal.SIGTERM)
+            harness.stall(500)
+            harness.application.turn()
+            assert harness.application.shutdown.stopping
+            assert harness.application.shutdown.answer_by < signalled_at + SIGKILL_DELAY_MS
+
+    run_async(test)
--- a/tests/end_to_end/test_servers.py
+++ b/tests/end_to_end/test_servers.py
@@ -538,7 +538,7 @@
             client, _, connection = await send_first(harness, "t1", "once")
             await harness.pass_time(LAST_BYTE_DELAY_MS)
             assert connection.take_request()
-            harness.application._stop()
+            harness.application._stop(harness.clock.now())
             await harness.pass_time(3_440)
             assert not client.received
             await harness.pass_time(20)
--- a/tests/peers/test_goodbye.py
+++ b/tests/peers/test_goodbye.py
@@ -66,7 +66,7 @@
             stopped=lambda: self.stopped.add(number),
         )
         shutdown = GracefulShutdown(self.deadlines, 20_000.0, hooks)
-        shutdown.stop()
+        shutdown.stop(self.deadlines.clock())
 
     def leave(self, number: int) -> None:
         for peer in self.gossips[number].leave(self.now):
