Count a connection to a server until its descriptor is free

What callers saw: nothing by itself; at 256 descriptors two processes held up to 290 for some milliseconds. Cause: a closed connection left the pool at once, but the loop closes its descriptor in a later iteration, which is long when many events wait; meanwhile another one was dialled in its place. Change: closing connections and cancelled dials count until the loop has ended them; an attempt that has an idle connection closed for it waits in the queue for one iteration.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -85,7 +85,10 @@
         """Returns a free connection to the pool."""
 
     def remove(self, connection: "ServerConnection", reason: CloseReason) -> None:
-        """Removes a closed connection from the pool and counts the reason."""
+        """Removes a closed connection, whose descriptor is not free yet, from the pool and counts the reason."""
+
+    def descriptor_freed(self, connection: "ServerConnection") -> None:
+        """Handles the end of a connection that was removed."""
 
     def suspend_reuse(self) -> None:
         """Suspends reuse after a reused connection broke before the server responded to the request."""
@@ -188,6 +191,7 @@
         never_ran = self._has_unwritten_bytes or not is_active
         self._end_attempt(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
         self.close(CloseReason.SERVER_CLOSED)
+        self._pool.descriptor_freed(self)
         self._pool.flush()
 
     # -- Calls by the pool
--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -83,6 +83,7 @@
         self._idle: dict[int, deque[ServerConnection]] = {}
         self._adoptions: set[asyncio.Task[Any]] = set()
         self._reuse_suspended_until = 0.0
+        self._closing: set[ServerConnection] = set()  # removed, with a descriptor that is not free yet
         self._waiting = AttemptQueue(deadlines, self._fail_unsent)
         self._exhaustion_logged_at = -EXHAUSTION_LOG_INTERVAL_MS
         self._serves_waiting = False  # whether a look at the waiting attempts is scheduled
@@ -95,7 +96,8 @@
         At the limit of connections the attempt waits for a connection, as long as a dial may take.
         """
         if not self._send_now(attempt, self._dial_timeout):
-            self._log_exhaustion()
+            if not self._closing:
+                self._log_exhaustion()
             self._waiting.add(attempt, self._dial_timeout)
 
     def cancel(self, attempt: Attempt) -> None:
@@ -121,13 +123,24 @@
         task = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
         self._adoptions.add(task)
         task.add_done_callback(self._adoptions.discard)
+        task.add_done_callback(lambda _: self._on_opened(connection))
 
     def is_available(self) -> bool:
-        """Returns whether a connection may be dialled.
+        """Returns whether a connection may be dialled now.
 
-        At the limit of connections, closes the connection that has been idle longest to make room.
+        At the limit of connections, begins to close the connection that has been idle longest; its descriptor is free
+        in the next iteration of the event loop.
         """
-        return len(self.connections) < self.max_connections or self._evict()
+        if self.open_count < self.max_connections:
+            return True
+        if not self._closing:
+            self._evict()
+        return False
+
+    @property
+    def open_count(self) -> int:
+        """Returns the number of connections with a descriptor, including those that are being closed."""
+        return len(self.connections) + len(self._closing)
 
     def look_again(self) -> None:
         """Looks at the attempts that wait for a connection, because the limit may have been raised."""
@@ -184,12 +197,17 @@
         self._serve_waiting_later()
 
     def remove(self, connection: ServerConnection, reason: CloseReason) -> None:
-        """Removes a closed connection from the pool and counts the reason."""
+        """Removes a closed connection, whose descriptor is not free yet, from the pool and counts the reason."""
         self.closes[reason] += 1
+        self._closing.add(connection)
         self.connections.remove(connection.handle)
         idle = self._idle.get(connection.server.number)
         if idle and connection in idle:
             idle.remove(connection)
+
+    def descriptor_freed(self, connection: ServerConnection) -> None:
+        """Handles the end of a connection that was removed."""
+        self._closing.discard(connection)
         self._serve_waiting_later()
 
     def suspend_reuse(self) -> None:
@@ -219,7 +237,7 @@
     def _serve_waiting(self) -> None:
         """Sends waiting attempts while there is room; an attempt that may no longer be sent ends."""
         self._serves_waiting = False
-        while self._waiting and (self._idle_count() or len(self.connections) < self.max_connections):
+        while self._waiting and (self._idle_count() or self.open_count < self.max_connections):
             waiting = self._waiting.pop()
             remaining = waiting.expires_at - self.deadlines.clock()
             if not self.core.may_write(waiting.attempt):
@@ -290,6 +308,7 @@
         connection = self._add(attempt)
         connection.timer = self.deadlines.call_after(timeout, self._on_dial_failed, connection)
         connection.dial_task = asyncio.get_running_loop().create_task(self._dial(connection))
+        connection.dial_task.add_done_callback(lambda _: self._on_opened(connection))
         self.dials += 1
 
     async def _dial(self, connection: ServerConnection) -> None:
@@ -300,6 +319,12 @@
             self._on_dial_failed(connection)
             self.flush()
 
+    def _on_opened(self, connection: ServerConnection) -> None:
+        """Handles the end of a dial or adoption; without a transport, no descriptor is left."""
+        if connection.transport is None:
+            self.descriptor_freed(connection)
+            self.flush()
+
     def _on_dial_failed(self, connection: ServerConnection) -> None:
         attempt = connection.attempt
         connection.attempt = None
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -139,7 +139,7 @@
             has_successor: Whether a third process holds descriptors too.
         """
         clients = self._frontend.max_connections - len(self._frontend.connections) - self._acceptor.opening
-        servers = self._backend.max_connections - len(self._backend.connections)
+        servers = self._backend.max_connections - self._backend.open_count
         free = max(0, int(min(clients, servers) * WINDOW_SHARE))
         return free + (0 if has_successor else TRANSIT_DESCRIPTORS)
 
@@ -177,7 +177,7 @@
         withheld = THIRD_PROCESS_DESCRIPTORS // 2 if self._has_predecessor else 0
         return {
             Resource.CLIENTS: clients + withheld,
-            Resource.SERVERS: len(self._backend.connections) + SPARE_SERVER_CONNECTIONS + withheld,
+            Resource.SERVERS: self._backend.open_count + SPARE_SERVER_CONNECTIONS + withheld,
             Resource.REQUESTS: len(self._core.requests) + clients,
             Resource.BODY_BYTES: self._frontend.body_memory.used + SPARE_BODIES * MAX_BODY,
         }
--- a/tests/end_to_end/test_servers.py
+++ b/tests/end_to_end/test_servers.py
@@ -486,6 +486,25 @@
     run_async(test)
 
 
+def test_connection_that_is_being_closed_counts_until_its_descriptor_is_free() -> None:
+    """Guards against more descriptors than the limit in an iteration of the loop that closes many connections."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            backend = harness.application.backend
+            backend.max_connections = 1
+            _, _, connection = await send_first(harness, "t1", "safe")
+            connection.send(done("t1"))
+            await harness.settle()
+            assert not backend.is_available()
+            assert len(backend.connections) == 0
+            await harness.settle()
+            assert connection.ended
+            assert backend.is_available()
+
+    run_async(test)
+
+
 def test_attempt_waits_for_a_connection_at_the_limit() -> None:
     """Guards against attempts that fail at once, one after another, until a request is given up."""
 
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -20,7 +20,7 @@
     parts.max_connections = parts.max_open = TOTAL
     parts.body_memory.limit, parts.body_memory.used, parts.opening = 64 * TOTAL * 1024, 0, 0
     parts.requests.open_count, parts.connections, parts.requests.__len__.return_value = 0, [], 0
-    return SharedLimits(parts, MagicMock(max_connections=TOTAL, connections=[]), parts, parts), parts
+    return SharedLimits(parts, MagicMock(max_connections=TOTAL, open_count=0), parts, parts), parts
 
 
 def test_successor_gets_all_room_that_its_predecessor_does_not_need(tmp_path: Path) -> None:
@@ -30,7 +30,7 @@
         old, new = RestartProcess(str(tmp_path)), RestartProcess(str(tmp_path))
         busy = MagicMock()
         busy.can_hand_over.return_value = False
-        old.application.frontend.connections = old.application.backend.connections = [busy] * 7
+        old.application.frontend.connections, old.application.backend.open_count = [busy] * 7, 7
         old.takeover.session.listen()
         await new.takeover.join()
         assert new.application.frontend.max_connections == 0
