Hand a request over while its attempt is dialled or waits for a connection

What callers saw: requests that were still in the old process at the kill, with no answer. Cause: a request could pass only once each of its attempts was written. Change: an attempt of which nothing has been written is left behind: its dial or wait is dropped at the commit, and the successor selects a server anew. If the connection comes up while the request is offered, the offer is taken back first.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -250,6 +250,11 @@
 
     # -- Handover to another process
 
+    @property
+    def is_unsent(self) -> bool:
+        """Returns whether nothing of the request has been written, because the dial is in progress."""
+        return self.state is ConnectionState.CONNECTING
+
     def can_hand_over(self) -> bool:
         """Returns whether another process can continue to read the response.
 
--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -176,6 +176,8 @@
             self.deadlines.call_after(POSTPONED_MS, self.on_connected, connection)
             return
         self.deadlines.cancel(connection.timer)
+        if attempt is not None:
+            attempt.request.keep()
         if attempt is None:
             self.release(connection)
         elif connection.address == attempt.server.entry.address and self.core.may_write(attempt):
@@ -239,6 +241,7 @@
         self._serves_waiting = False
         while self._waiting and (self._idle_count() or self.open_count < self.max_connections):
             waiting = self._waiting.pop()
+            waiting.attempt.request.keep()
             remaining = waiting.expires_at - self.deadlines.clock()
             if not self.core.may_write(waiting.attempt):
                 self._fail_unsent(waiting.attempt)
--- a/heronlug/backends/waiting_attempts.py
+++ b/heronlug/backends/waiting_attempts.py
@@ -25,9 +25,14 @@
         """Removes the attempt from the queue without reporting an outcome."""
         self._queue.remove(self)
 
-    def can_hand_over(self) -> bool:
-        """Returns False: another process cannot continue an attempt without a connection."""
-        return False
+    @property
+    def is_unsent(self) -> bool:
+        """Returns True: nothing of the request has been written."""
+        return True
+
+    def detach(self) -> None:
+        """Removes the attempt from the queue, because another process sends the request."""
+        self._queue.remove(self)
 
 
 class AttemptQueue:
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from heronlug.backends.connection import ServerConnection
+from heronlug.balancer.events import AttemptSnapshot
 from heronlug.config.platform import Config
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.frontend import HttpFrontend
@@ -14,14 +15,21 @@
 from heronlug.lifecycle.hot_restart.outgoing_transfers import OutgoingTransfers
 from heronlug.lifecycle.hot_restart.shared_limits import room_of_client, room_of_request
 from heronlug.requests.core import Core
-from heronlug.requests.model import Request
+from heronlug.requests.model import ListedServer, Request
 
 
 class _PausableConnections(NamedTuple):
-    """The connections of a request, each of which can be handed over now."""
+    """The connections of a request, each of which can be handed over now.
+
+    Attributes:
+        client: Connection of the client.
+        servers: Connections of the attempts that have been sent, in the order of the attempts.
+        unsent: Dials, or waits for a connection, of the attempts of which nothing has been written.
+    """
 
     client: ClientConnection
-    servers: list[Any]  # one connection per attempt in flight, in the order of the attempts
+    servers: list[Any]
+    unsent: list[Any]
 
 
 @dataclass(frozen=True)
@@ -51,6 +59,7 @@
     request: Request
     client: ClientConnection
     servers: list[ServerConnection]
+    unsent: list[Any]
 
     def describe(self) -> dict[str, str]:
         """Returns the fields that identify the request in the log."""
@@ -61,7 +70,7 @@
         self.request.withdraw_offer = None
         self.core.hand_over(self.request)
         self.client.detach()
-        for exchange in self.servers:
+        for exchange in (*self.servers, *self.unsent):
             exchange.detach()
 
     def reclaim(self) -> None:
@@ -135,14 +144,14 @@
             accepted_at=request.accepted_at,
             policy=request.policy,
             not_before=self._core.not_before(request),
-            attempts=attempts,
+            attempts=_without_unsent(request, attempts),
             exchanges=[
                 ExchangeState(answered=connection.answered, last=connection.last) for connection in paused_exchanges
             ],
         )
         message = handover.encode(self._config.zones, self._config.kinds)
         fds = [connections.client.pause_for_handover(), *(connection.fd for connection in paused_exchanges)]
-        item = OfferedRequest(self._core, request, connections.client, connections.servers)
+        item = OfferedRequest(self._core, request, *connections)
         room = room_of_request(len(paused_exchanges), len(request.payload.body))
         number = self._transfers.offer(message, fds, item, room)
         if number is not None:
@@ -154,9 +163,32 @@
         Returns None also if the descriptors of the connections would exceed :data:`MAX_FDS`.
         """
         client = request.payload.connection
-        servers = [attempt.exchange for attempt in request.attempts if attempt.in_flight]
-        if client is None or not client.can_hand_over() or len(servers) >= MAX_FDS:
+        exchanges = [attempt.exchange for attempt in request.attempts if attempt.in_flight]
+        if client is None or not client.can_hand_over() or len(exchanges) >= MAX_FDS:
+            return None
+        if any(exchange is None for exchange in exchanges):
             return None
-        if not all(exchange is not None and exchange.can_hand_over() for exchange in servers):
+        unsent = [exchange for exchange in exchanges if exchange.is_unsent]
+        servers = [exchange for exchange in exchanges if not exchange.is_unsent]
+        if not all(exchange.can_hand_over() for exchange in servers):
             return None
-        return _PausableConnections(client, servers)
+        return _PausableConnections(client, servers, unsent)
+
+
+def _without_unsent(
+    request: Request, attempts: list[tuple[ListedServer, AttemptSnapshot]]
+) -> list[tuple[ListedServer, AttemptSnapshot]]:
+    """Returns the attempts without those of which nothing has been written.
+
+    The successor selects a server for the request anew. An unsent attempt before a sent one stays as one that never
+    ran.
+    """
+    kept = [
+        (server, snapshot._replace(in_flight=False, unstarted=False, may_have_run=False))
+        if attempt.in_flight and attempt.exchange.is_unsent
+        else (server, snapshot)
+        for attempt, (server, snapshot) in zip(request.attempts, attempts, strict=True)
+    ]
+    while kept and request.attempts[len(kept) - 1].in_flight and not kept[-1][1].in_flight:
+        kept.pop()
+    return kept
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -311,7 +311,7 @@
     def connection(self) -> MagicMock:
         """Returns a connection of a client or of a server that can be handed over."""
         connection = MagicMock()
-        connection.can_hand_over.return_value = True
+        connection.can_hand_over.return_value, connection.is_unsent = True, False
         return connection
 
     def _start_attempt(self, attempt: Any) -> None:
--- a/tests/lifecycle/test_transfers.py
+++ b/tests/lifecycle/test_transfers.py
@@ -11,14 +11,16 @@
 
 import pytest
 
+from heronlug.balancer.events import AttemptSnapshot
 from heronlug.lifecycle.hot_restart.adopted_requests import RequestAdopter
 from heronlug.lifecycle.hot_restart.channel import PeerProcess, ReceivedMessage
 from heronlug.lifecycle.hot_restart.errors import HandoverError, UnexpectedMessageError
-from heronlug.lifecycle.hot_restart.handed_over_requests import RequestSender
+from heronlug.lifecycle.hot_restart.handed_over_requests import RequestSender, _without_unsent
 from heronlug.lifecycle.hot_restart.incoming_transfers import IncomingTransfers
 from heronlug.lifecycle.hot_restart.messages import MessageKind, client
 from heronlug.lifecycle.hot_restart.outgoing_transfers import MIN_WINDOW, OFFER_TIMEOUT_MS, OutgoingTransfers
 from heronlug.requests.deadlines import Deadlines
+from heronlug.requests.model import ListedServer
 
 
 class Item:
@@ -173,6 +175,32 @@
     assert offered == ["request", "idle"]
 
 
+def test_request_passes_without_attempts_of_which_nothing_is_written() -> None:
+    """Guards against requests that stay until the kill behind dials, or waits for a connection, of a second each."""
+    sent, unsent = SimpleNamespace(is_unsent=False, can_hand_over=lambda: True), SimpleNamespace(is_unsent=True)
+    snapshot = AttemptSnapshot(1, 5.0, True, True, True, 5.0)
+    never_ran = snapshot._replace(in_flight=False, unstarted=False, may_have_run=False)
+    server = ListedServer("h", "127.0.0.1:9")
+    for exchanges, expected in (
+        ([unsent], []),
+        ([sent, unsent], [snapshot]),
+        ([unsent, sent], [never_ran, snapshot]),
+        ([sent], [snapshot]),
+    ):
+        attempts = [SimpleNamespace(in_flight=True, exchange=exchange) for exchange in exchanges]
+        client = SimpleNamespace(can_hand_over=lambda: True)
+        request: Any = SimpleNamespace(attempts=attempts, payload=SimpleNamespace(connection=client))
+        sender = RequestSender(*cast(Any, [None] * 5))
+        connections = sender._pausable_connections(request)
+        assert connections is not None
+        assert (connections.servers, connections.unsent) == (
+            [each for each in exchanges if each is sent],
+            [each for each in exchanges if each is unsent],
+        )
+        kept = _without_unsent(request, [(server, snapshot) for _ in attempts])
+        assert [each for _, each in kept] == expected
+
+
 def test_answers_to_offers_that_were_never_made_end_the_channel() -> None:
     """Guards against a confused process whose messages release or adopt something else."""
     processes = TwoProcesses()
