Count handed-over descriptors until the old process has closed them

What callers saw: nothing by itself; two processes held up to 307 descriptors at 256 for some 30 ms of a handover. Cause: the old process reads many answers in one iteration of its loop, lets go of what they accept and offers more, while the descriptors of what it let go are closed only at the end of the next iteration. Change: released descriptors take part in the window until they are closed; then the next offers go out.

--- a/heronlug/lifecycle/hot_restart/outgoing_transfers.py
+++ b/heronlug/lifecycle/hot_restart/outgoing_transfers.py
@@ -58,6 +58,7 @@
         log: Callable[..., None],
         give_room: Callable[[Room], None],
         on_answered: Callable[[], None],
+        when_closed: Callable[[Callable[[], None]], None],
     ) -> None:
         """Creates a table without offers.
 
@@ -66,13 +67,16 @@
             deadlines: The deadlines of the process.
             log: Logs events.
             give_room: Called with the room that goes to the successor, before the successor may use it.
-            on_answered: Called when an offer has been answered.
+            on_answered: Called when further offers may be possible.
+            when_closed: Calls its argument once the event loop has closed the descriptors that were released before.
         """
         self._session = session
         self._deadlines = deadlines
         self._log = log
         self._give_room = give_room
         self._on_answered = on_answered
+        self._when_closed = when_closed
+        self._closing = 0  # descriptors that are released and not closed yet
         self._offers: dict[int, _Offer] = {}
         self._last_number = 0
         self._window = MIN_WINDOW
@@ -81,8 +85,8 @@
     def full(self) -> bool:
         """Returns whether no further offer can be made now."""
         window = self._window if self._session.predecessor is None else self._window - WITHHELD_BY_MIDDLE
-        offered = sum(offer.descriptors for offer in self._offers.values())
-        return offered >= min(MAX_WINDOW, max(MIN_WINDOW, window))
+        held_twice = self._closing + sum(offer.descriptors for offer in self._offers.values())
+        return held_twice >= min(MAX_WINDOW, max(MIN_WINDOW, window))
 
     @property
     def confirmed(self) -> bool:
@@ -137,7 +141,8 @@
         self._give_room(offer.room)
         self._session.send_to_successor(messages.committed(number))
         offer.item.release()
-        self._on_answered()
+        self._closing += offer.descriptors
+        self._when_closed(lambda: self._count_closed(offer.descriptors))
 
     def decline(self, number: int, reason: str) -> None:
         """Takes back an item that the successor cannot continue."""
@@ -160,6 +165,10 @@
         for number in list(self._offers):
             self.withdraw(number)
 
+    def _count_closed(self, descriptors: int) -> None:
+        self._closing -= descriptors
+        self._on_answered()
+
     def _on_timeout(self, number: int) -> None:
         if number in self._offers:
             self._session.abandon_successor()
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -1,5 +1,6 @@
 """Implements the steps of a hot restart in the new process and in the old process."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -87,7 +88,7 @@
         )
         parts.frontend.arriving = lambda: len(self._incoming)
         self._outgoing = OutgoingTransfers(
-            self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more
+            self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more, _call_when_closed
         )
         self._sender = RequestSender(config, parts.core, parts.frontend, parts.shutdown, self._outgoing)
         self.third_process_serves = False
@@ -221,6 +222,7 @@
         if not self._hands_over_more:
             self._hands_over_more = True
             self._deadlines.call_after(0.0, self._hand_over_now)
+            self._parts.turn()
 
     def _hand_over_now(self) -> None:
         self._hands_over_more = False
@@ -297,3 +299,12 @@
 
     def _uses_peer_socket(self) -> bool:
         return not self.session.handed_over
+
+
+def _call_when_closed(callback: Callable[[], None]) -> None:
+    """Calls ``callback`` once the event loop has closed the connections that were aborted before.
+
+    The loop ends an aborted connection in its next iteration, and closes the descriptor at the end of that.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, callback)
--- a/tests/lifecycle/test_transfers.py
+++ b/tests/lifecycle/test_transfers.py
@@ -5,6 +5,7 @@
 import resource
 import socket
 from collections import deque
+from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -53,6 +54,7 @@
         self.deadlines = Deadlines(lambda: self.now)
         self.to_new, self.to_old = deque[dict[str, Any]](), deque[dict[str, Any]]()
         self.items: dict[int, Item] = {}
+        self.closing: list[Callable[[], None]] = []  # called once the loop has closed released descriptors
         self.abandoned = False
         self.window = MIN_WINDOW
         session = SimpleNamespace(
@@ -63,7 +65,9 @@
             abandon_successor=self._abandon,
         )
         ignore: Any = lambda *args, **fields: None  # noqa: E731
-        self.old = OutgoingTransfers(cast(Any, session), self.deadlines, ignore, ignore, lambda: None)
+        self.old = OutgoingTransfers(
+            cast(Any, session), self.deadlines, ignore, ignore, lambda: None, self.closing.append
+        )
         self.new = IncomingTransfers(self._prepare, self.to_old.append, ignore, lambda: self.window)
 
     def _prepare(self, received: ReceivedMessage) -> Item:
@@ -152,10 +156,16 @@
     processes.deliver_to_new()
     processes.deliver_to_old()
     assert not first[0].in_old
+    processes.closing.pop()()
     for _ in range(10 - (MIN_WINDOW - 1)):
         assert not processes.old.full
         processes.offer()
     assert processes.old.full
+    processes.deliver_to_new()
+    processes.deliver_to_old()
+    assert processes.old.full  # the descriptor is not closed yet
+    processes.closing.pop()()
+    assert not processes.old.full
 
 
 def test_requests_are_offered_before_idle_connections() -> None:
