Hand over requests that are read in part or wait behind another one

What callers saw: a client that sends two requests at once, or whose request is read in part when the process stops, keeps its connection in the old process. A request there that outlasts the grace was answered 500, the ones behind it 503, the partial one 408, although the successor could have gone on with all three. Cause: a connection was handed over only with nothing read beyond the request that is being served. Change: the message about a connection takes along what has been read (ClientState): queued requests, the bytes of a partial request, and how long it has been read. Only towards a successor that confirms what it continues. Its bodies take their room of the body memory along. Not handed over: a request whose first bytes came with the end of the one before it, and one that has been answered 100 Continue; these wait in the old process as before.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -6,6 +6,7 @@
 
 from heronlug.frontends.http import responses
 from heronlug.frontends.http.body_memory import BodyMemory
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState, next_state
 from heronlug.frontends.http.errors import BadRequestError, IncompleteRequestError
@@ -114,6 +115,9 @@
         self.requests_accepted = 0
         self.has_sent_request = False
         self.adopted = False
+        self._adopted_state: ClientState | None = None  # until the transport is set
+        self._reading_since = 0.0
+        self._sent_continue = False
         self.opened_at = frontend.deadlines.clock()
         self.rank: EvictionRank | None = None
         self._frontend = frontend
@@ -138,6 +142,8 @@
         self._frontend.connection_opened(self)
         if self._on_connected is not None:
             self._on_connected(self)
+        if self._adopted_state is not None:
+            self._use_adopted_state(self._adopted_state)
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the client; requests are served only after all of ``data`` has been parsed."""
@@ -176,12 +182,15 @@
 
     def request_began(self) -> None:
         """Starts the read time-out at the first byte of a request."""
+        self._reading_since = self._frontend.deadlines.clock()
+        self._sent_continue = False
         if self.has_sent_request:  # the read time-out of the first request started at the connect
             self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
 
     def head_complete(self, expects_continue: bool) -> None:
         """Sends 100 Continue if the client expects it and no request is being served."""
         if expects_continue and not self.serving and self.transport is not None:
+            self._sent_continue = True
             self.transport.write(responses.CONTINUE)
 
     def body_received(self, request: HttpRequest, size: int) -> None:
@@ -266,19 +275,22 @@
 
     # -- hot restart
 
-    def can_hand_over(self, silent: bool = False) -> bool:
+    def can_hand_over(self, unfinished: bool = False) -> bool:
         """Returns whether another process can continue the connection.
 
-        No request may be partly read or waiting in the pipeline, and no response may be partly written; a request that
-        is being served does not prevent a handover.
+        No response may be partly written; a request that is being served does not prevent a handover.
 
         Args:
-            silent: Whether the other process also continues connections whose client has not sent a complete request.
+            unfinished: Whether the other process also continues connections whose client has not sent a complete
+                request, and those from which more has been read than the request that is being served.
         """
         transport = self.transport
         if self._state not in (ConnectionState.IDLE, ConnectionState.SERVING) or transport is None:
             return False
-        if self._pipeline or self._reader.reading or not (self.has_sent_request or silent):
+        has_more_input = bool(self._pipeline or self._reader.reading)
+        if (has_more_input or not self.has_sent_request) and not unfinished:
+            return False
+        if self._reader.reading and not self._can_read_elsewhere():
             return False
         return not transport.is_closing() and transport.get_write_buffer_size() == 0
 
@@ -297,6 +309,27 @@
         self._frontend.rank_for_eviction(self, EvictionRank.BUSY)
         return int(self.transport.get_extra_info("socket").fileno())
 
+    def client_state(self) -> ClientState:
+        """Returns the state with which another process continues the connection."""
+        reading_ms = self._frontend.deadlines.clock() - self._reading_since if self._reader.reading else 0.0
+        return ClientState(
+            served=self.requests_accepted > 0,
+            has_sent_request=self.has_sent_request,
+            age_ms=self.age_ms,
+            queued=self._pipeline.requests,
+            partial_request=self._reader.partial_request or b"",
+            reading_ms=reading_ms,
+        )
+
+    def adopt(self, state: ClientState) -> None:
+        """Sets the state of a connection that another process has opened, before the transport is set."""
+        self.adopted = True
+        self.has_sent_request = state.has_sent_request
+        self.requests_accepted = int(state.served)
+        now = self._frontend.deadlines.clock()
+        self.opened_at = now if state.has_sent_request else now - state.age_ms
+        self._adopted_state = state
+
     def reclaim(self) -> None:
         """Reads again after another process has not taken over the connection."""
         if self.transport is None or self.transport.is_closing():
@@ -330,7 +363,8 @@
         request_id = self.open_request.request_id if self.open_request is not None else ""
         self._frontend.count_close(final_reason)
         by_client = final_reason is CloseReason.CLIENT_CLOSED
-        dropped = not by_client and bool(self.open_request is not None or self._pipeline)
+        continued = by_client or final_reason is CloseReason.HANDED_OVER
+        dropped = not continued and bool(self.open_request is not None or self._pipeline)
         self._frontend.log(
             "client_dropped" if dropped else "client_closed",
             client=self.client_address,
@@ -349,10 +383,33 @@
         now = self._frontend.deadlines.clock()
         return now if self.transport is None else now - input_age_ms(self.transport)
 
+    def _can_read_elsewhere(self) -> bool:
+        """Returns whether another process can read the rest of a request that is partly read."""
+        return bool(self._reader.partial_request) and not self._sent_continue
+
+    def _use_adopted_state(self, state: ClientState) -> None:
+        """Queues and parses what another process has read; the time-out of a request runs from its first byte."""
+        self._adopted_state = None
+        for request in state.queued:
+            request.connection = self
+            self._frontend.body_memory.adopt(request)
+            self._pipeline.add(request)
+        if state.partial_request:
+            self.data_received(state.partial_request)
+            self._reading_since = self._frontend.deadlines.clock() - state.reading_ms
+        if self._reader.reading:
+            self._start_waiting()
+        self._serve_next()
+
     def _start_waiting(self) -> None:
         """Starts the time-out for the next request; that for the first request runs from the connect."""
-        timeout_ms = IDLE_TIMEOUT_MS if self.has_sent_request else max(0.0, READ_TIMEOUT_MS - self.age_ms)
-        self._timeout.start(timeout_ms, self._on_timeout)
+        if not self.has_sent_request:
+            timeout_ms = READ_TIMEOUT_MS - self.age_ms
+        elif self._reader.reading:
+            timeout_ms = READ_TIMEOUT_MS - (self._frontend.deadlines.clock() - self._reading_since)
+        else:
+            timeout_ms = IDLE_TIMEOUT_MS
+        self._timeout.start(max(0.0, timeout_ms), self._on_timeout)
 
     def _set_close_reason(self, reason: CloseReason) -> None:
         if self._close_reason is None:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -9,6 +9,7 @@
 from heronlug.balancer.settings import Settings
 from heronlug.frontends.http import responses
 from heronlug.frontends.http.body_memory import BodyMemory
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.errors import DuplicateRequestIdError
@@ -176,24 +177,19 @@
     def adopt(
         self,
         sock: socket.socket,
-        served: bool,
+        state: ClientState,
         on_connected: Callable[[ClientConnection], None] | None = None,
-        silent_ms: float | None = None,
     ) -> None:
         """Takes over a connection from another process.
 
         Args:
             sock: Socket of the connection.
-            served: Whether the connection has carried a request for a server.
+            state: State of the connection.
             on_connected: Called with the connection once its transport is set.
-            silent_ms: Age of a connection without any request, in ms; None if its client has sent a request.
         """
         sock.setblocking(False)
         connection = ClientConnection(self, on_connected)
-        connection.adopted = True
-        connection.has_sent_request = silent_ms is None
-        connection.requests_accepted = int(served)
-        connection.opened_at -= silent_ms or 0.0
+        connection.adopt(state)
         loop = asyncio.get_running_loop()
         task: asyncio.Task[object] = loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
         self._adoptions.add(task)
--- a/heronlug/frontends/http/pipeline.py
+++ b/heronlug/frontends/http/pipeline.py
@@ -34,6 +34,11 @@
         if len(self._requests) > MAX_PIPELINED_REQUESTS:
             raise TooManyPipelinedRequestsError
 
+    @property
+    def requests(self) -> tuple[HttpRequest, ...]:
+        """Returns the waiting requests in their order."""
+        return tuple(self._requests)
+
     def next(self) -> HttpRequest:
         """Removes and returns the oldest request."""
         return self._requests.popleft()
--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -72,15 +72,19 @@
     Attributes:
         phase: Part of the current request that is being read.
         request: Current request; the last complete request between two requests.
+        partial_request: Bytes of the current request so far; None if they are unknown, because its first bytes came
+            together with the end of the previous request.
     """
 
     def __init__(self, receiver: RequestReceiver) -> None:
         self.phase = ReadPhase.BETWEEN_REQUESTS
         self.request = HttpRequest()
+        self.partial_request: bytes | None = b""
         self._receiver = receiver
         self._parser: Any = httptools.HttpRequestParser(self)
         self._body = bytearray()
         self._head_size = 0  # bytes of the head reported by the parser
+        self._completed = False  # whether a request was completed by the bytes that are being parsed
         self._request_size = 0  # bytes including framing; excludes bytes received together with the previous request
 
     @property
@@ -95,6 +99,7 @@
             BadRequestError: The bytes violate the protocol; the reader must not be used again.
         """
         self._request_size += len(data)
+        self._completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -106,6 +111,7 @@
                 raise cause from None
             raise MalformedRequestError from error
         self._check_size()
+        self._keep_partial_request(data)
 
     def close(self) -> None:
         """Drops the parser to break the reference cycle with the reader.
@@ -167,6 +173,7 @@
         request.body = bytes(self._body)
         self._body = bytearray()
         self._request_size = 0
+        self._completed = True
         self.phase = ReadPhase.BETWEEN_REQUESTS
         self._receiver.request_complete(request)
 
@@ -175,6 +182,14 @@
         if self._head_size > http.MAX_HEAD:
             raise HeadTooLargeError
 
+    def _keep_partial_request(self, data: bytes) -> None:
+        if not self.reading:
+            self.partial_request = b""
+        elif self._completed or self.partial_request is None:
+            self.partial_request = None
+        else:
+            self.partial_request += data
+
     def _check_size(self) -> None:
         """Limits input that the parser does not report: incomplete headers and chunk extensions."""
         if self.phase is ReadPhase.HEAD and self._request_size > http.MAX_HEAD:
--- a/heronlug/frontends/http/request_table.py
+++ b/heronlug/frontends/http/request_table.py
@@ -33,6 +33,23 @@
     }
 
 
+def write_queued_request(request: HttpRequest, now: float) -> Table:
+    """Returns the table of a request that is not accepted yet; ``now`` is the current time in ms."""
+    return {**write_request(request), "remaining_ms": request.remaining_ms, "age_ms": now - request.received_at}
+
+
+def read_queued_request(table: Table, now: float) -> HttpRequest:
+    """Returns the request that a table of :func:`write_queued_request` describes.
+
+    Raises:
+        KeyError, TypeError, ValueError: as :func:`read_request`.
+    """
+    request = read_request(table)
+    request.remaining_ms = float(table["remaining_ms"])
+    request.received_at = now - float(table["age_ms"])
+    return request
+
+
 def read_request(table: Table) -> HttpRequest:
     """Returns the request that a table describes.
 
--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from heronlug.backends.pool import ConnectionPool
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.connection import ClientConnection
 from heronlug.frontends.http.frontend import HttpFrontend
 from heronlug.lifecycle.hot_restart import messages
@@ -62,36 +63,37 @@
             msg = f"expected 1 descriptor for a client connection, got {len(received.fds)}"
             raise HandoverError(msg)
         served = received.message.get("served") is True
-        silent_ms = messages.read_silent_age(received.message)
+        try:
+            state = messages.read_client_state(received.message, served, self._core.deadlines.clock())
+        except (KeyError, TypeError, ValueError) as error:
+            msg = f"malformed client connection: {error!r}"
+            raise HandoverError(msg) from error
         (client,) = _sockets(received)
-        return AdoptableClient(self, client, served, silent_ms)
+        return AdoptableClient(self, client, state)
 
     def _prepare_request(self, received: ReceivedMessage) -> "AdoptableRequest":
         classes = self._core.settings.classes
         try:
             handover = RequestHandover.decode(received.message, len(received.fds) - 1, self._read_list, classes)
+            state = messages.read_client_state(received.message, True, self._core.deadlines.clock())
         except (KeyError, TypeError, ValueError, IndexError) as error:
             msg = f"malformed request: {error!r}"
             raise HandoverError(msg) from error
         client, *servers = _sockets(received)
-        return AdoptableRequest(self, handover, client, servers)
-
-    def adopt_client(self, client: socket.socket, served: bool, silent_ms: float | None) -> None:
-        """Adopts a client connection.
+        return AdoptableRequest(self, handover, state, client, servers)
 
-        Args:
-            client: Socket of the connection.
-            served: Whether an answer has already been sent on the connection.
-            silent_ms: Age of a connection without any request, in ms; None if its client has sent a request.
-        """
-        self._receive_room(room_of_client())
-        self._frontend.adopt(client, served, silent_ms=silent_ms)
+    def adopt_client(self, client: socket.socket, state: ClientState) -> None:
+        """Adopts a client connection without a complete request."""
+        self._receive_room(room_of_client(state.body_bytes))
+        self._frontend.adopt(client, state)
 
-    def adopt_request(self, handover: RequestHandover, client: socket.socket, servers: list[socket.socket]) -> None:
+    def adopt_request(
+        self, handover: RequestHandover, state: ClientState, client: socket.socket, servers: list[socket.socket]
+    ) -> None:
         """Adopts a request in progress; ``servers`` are the connections of its attempts in flight."""
-        self._receive_room(room_of_request(len(servers), len(handover.request.body)))
+        self._receive_room(room_of_request(len(servers), len(handover.request.body) + state.body_bytes))
         self._frontend.body_memory.adopt(handover.request)
-        self._frontend.adopt(client, True, lambda connection: self._resume_request(connection, handover, servers))
+        self._frontend.adopt(client, state, lambda connection: self._resume_request(connection, handover, servers))
 
     def _resume_request(
         self, connection: ClientConnection, handover: RequestHandover, servers: list[socket.socket]
@@ -130,12 +132,11 @@
 
     adopter: RequestAdopter
     client: socket.socket
-    served: bool
-    silent_ms: float | None
+    state: ClientState
 
     def adopt(self) -> None:
         """Continues the connection."""
-        self.adopter.adopt_client(self.client, self.served, self.silent_ms)
+        self.adopter.adopt_client(self.client, self.state)
 
     def close(self) -> None:
         """Closes the descriptor of this process."""
@@ -148,12 +149,13 @@
 
     adopter: RequestAdopter
     handover: RequestHandover
+    state: ClientState
     client: socket.socket
     servers: list[socket.socket]
 
     def adopt(self) -> None:
         """Continues the request."""
-        self.adopter.adopt_request(self.handover, self.client, self.servers)
+        self.adopter.adopt_request(self.handover, self.state, self.client, self.servers)
 
     def close(self) -> None:
         """Closes the descriptors of this process."""
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -124,12 +124,12 @@
                 self._offer_client(connection)
 
     def _offer_client(self, connection: ClientConnection) -> None:
-        if connection.has_sent_request:
-            message = messages.client(connection.requests_accepted > 0)
-        else:
-            message = messages.silent_client(connection.age_ms)
+        state = connection.client_state()
+        confirmed = self._transfers.confirmed
+        now = self._core.deadlines.clock()
+        message = messages.client_with_state(state, now) if confirmed else messages.client(state.served)
         fds = [connection.pause_for_handover()]
-        self._transfers.offer(message, fds, OfferedClient(connection), room_of_client())
+        self._transfers.offer(message, fds, OfferedClient(connection), room_of_client(state.body_bytes))
 
     def _offer_request(self, request: Request) -> None:
         """Offers a request that may outlast this process; does nothing while a connection is not ready."""
@@ -149,10 +149,14 @@
                 ExchangeState(answered=connection.answered, last=connection.last) for connection in paused_exchanges
             ],
         )
-        message = handover.encode(self._config.zones, self._config.kinds)
+        client_state = connections.client.client_state()
+        message = {
+            **handover.encode(self._config.zones, self._config.kinds),
+            **messages.client_state_fields(client_state, self._core.deadlines.clock()),
+        }
         fds = [connections.client.pause_for_handover(), *(connection.fd for connection in paused_exchanges)]
         item = OfferedRequest(self._core, request, *connections)
-        room = room_of_request(len(paused_exchanges), len(request.payload.body))
+        room = room_of_request(len(paused_exchanges), len(request.payload.body) + client_state.body_bytes)
         number = self._transfers.offer(message, fds, item, room)
         if number is not None:
             request.withdraw_offer = lambda: self._transfers.withdraw(number)
@@ -164,7 +168,7 @@
         """
         client = request.payload.connection
         exchanges = [attempt.exchange for attempt in request.attempts if attempt.in_flight]
-        if client is None or not client.can_hand_over() or len(exchanges) >= MAX_FDS:
+        if client is None or not client.can_hand_over(self._transfers.confirmed) or len(exchanges) >= MAX_FDS:
             return None
         if any(exchange is None for exchange in exchanges):
             return None
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -4,6 +4,7 @@
 (``tests/compatibility``). Socket descriptors accompany a message without being part of the JSON, see :mod:`.channel`.
 """
 
+from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -14,8 +15,9 @@
 from heronlug.balancer.settings import RequestClass
 from heronlug.config.limits import model
 from heronlug.discovery.endpoint_list import write_list
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.request import HttpRequest
-from heronlug.frontends.http.request_table import read_request, write_request
+from heronlug.frontends.http.request_table import read_queued_request, read_request, write_queued_request, write_request
 from heronlug.lifecycle.hot_restart.errors import IncompatiblePeerError, MalformedMessageError
 from heronlug.lifecycle.hot_restart.shared_limits import Resource, Room
 from heronlug.requests.model import ListedServer
@@ -114,14 +116,37 @@
     return {"kind": MessageKind.CLIENT, "served": served}
 
 
-def silent_client(age_ms: float) -> Message:
-    """Returns the message for a client connection without any request; only sent with :attr:`Feature.CONFIRM`."""
-    return {**client(False), "silent_ms": age_ms}
+def client_with_state(state: ClientState, now: float) -> Message:
+    """Returns the message for a client connection with what has been read; only with :attr:`Feature.CONFIRM`."""
+    return {**client(state.served), **client_state_fields(state, now)}
 
 
-def read_silent_age(message: Message) -> float | None:
-    """Returns the age of a connection without any request, in ms; None if its client has sent a request."""
-    return _milliseconds(message["silent_ms"]) if "silent_ms" in message else None
+def client_state_fields(state: ClientState, now: float) -> Message:
+    """Returns the entries of a message for what has been read from a client; ``now`` is the current time in ms."""
+    fields: Message = {}
+    if not state.has_sent_request:
+        fields["silent_ms"] = state.age_ms
+    if state.partial_request:
+        fields |= {"partial": b64encode(state.partial_request).decode(), "reading_ms": state.reading_ms}
+    if state.queued:
+        fields["queued"] = [write_queued_request(request, now) for request in state.queued]
+    return fields
+
+
+def read_client_state(message: Message, served: bool, now: float) -> ClientState:
+    """Decodes what another process has read from a client.
+
+    Raises:
+        KeyError, TypeError, ValueError: if the message is malformed.
+    """
+    return ClientState(
+        served=served,
+        has_sent_request="silent_ms" not in message,
+        age_ms=_milliseconds(message.get("silent_ms")),
+        queued=tuple(read_queued_request(table, now) for table in message.get("queued", ())),
+        partial_request=b64decode(message.get("partial", ""), validate=True),
+        reading_ms=_milliseconds(message.get("reading_ms")),
+    )
 
 
 def with_transfer(message: Message, transfer: int) -> Message:
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -46,9 +46,9 @@
 """Amounts by resource."""
 
 
-def room_of_client() -> Room:
-    """Returns the room that an idle client connection takes along when it is handed over."""
-    return {Resource.CLIENTS: 1}
+def room_of_client(body_bytes: int) -> Room:
+    """Returns the room that a client connection without an open request takes along when it is handed over."""
+    return {Resource.CLIENTS: 1, Resource.BODY_BYTES: body_bytes}
 
 
 def room_of_request(server_connections: int, body_bytes: int) -> Room:
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -20,7 +20,7 @@
 from heronlug.lifecycle.hot_restart.messages import Feature, Message, MessageKind, ProcessState, RequestUpdate
 from heronlug.lifecycle.hot_restart.outgoing_transfers import OutgoingTransfers
 from heronlug.lifecycle.hot_restart.session import HotRestart
-from heronlug.lifecycle.hot_restart.shared_limits import Room, SharedLimits, room_of_client
+from heronlug.lifecycle.hot_restart.shared_limits import Resource, Room, SharedLimits
 from heronlug.net.listener import Listener
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.core import Core
@@ -260,7 +260,7 @@
         A predecessor that does not share its limits keeps its half of them, but accepts no clients in place of those
         that it hands over.
         """
-        self._limits.receive(room if self.session.predecessor_has(Feature.ROOM) else room_of_client())
+        self._limits.receive(room if self.session.predecessor_has(Feature.ROOM) else {Resource.CLIENTS: 1})
 
     def _give_moved_room(self, room: Room) -> None:
         """Lowers the limits by the room that a connection or request takes along."""
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -55,6 +55,7 @@
 from heronlug.cluster.server_rows import ServerRowCodec
 from heronlug.discovery.cache import encode_cache
 from heronlug.discovery.endpoint_list import read_list, write_list
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.lifecycle.hot_restart.state_transfer import StateTransfer
 from heronlug.lifecycle.peer_messages import PeerMessages
@@ -312,6 +313,7 @@
         """Returns a connection of a client or of a server that can be handed over."""
         connection = MagicMock()
         connection.can_hand_over.return_value, connection.is_unsent = True, False
+        connection.client_state.return_value = ClientState(served=True)
         return connection
 
     def _start_attempt(self, attempt: Any) -> None:
@@ -321,11 +323,7 @@
         )
 
     def _adopt_connection(
-        self,
-        sock: socket.socket,
-        served: bool,
-        on_adopted: Callable[[Any], None] | None = None,
-        silent_ms: float | None = None,
+        self, sock: socket.socket, state: ClientState, on_adopted: Callable[[Any], None] | None = None
     ) -> None:
         sock.close()
         if on_adopted is not None:
@@ -372,11 +370,7 @@
     process = RestartProcess(str(folder))
     process.run_request()
     client = process.connection()
-    client.serving, client.requests_accepted, client.pause_for_handover.return_value = (
-        False,
-        1,
-        process.descriptors()[0],
-    )
+    client.serving, client.pause_for_handover.return_value = False, process.descriptors()[0]
     process.application.frontend.connections = [client]
     process.takeover.session.listen()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
--- a/tests/compatibility/test_recorded_forms.py
+++ b/tests/compatibility/test_recorded_forms.py
@@ -55,6 +55,7 @@
 from heronlug.discovery.cache import decode_cache
 from heronlug.discovery.cache_file import CacheFile
 from heronlug.discovery.endpoint_list import read_list, write_list
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.lifecycle.hot_restart.channel import listen, socket_path
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.deadlines import Deadlines
@@ -171,7 +172,7 @@
     """Guards against a handover from an older version that loses the list, a request, its id or its attempts."""
     process = RestartProcess(str(tmp_path))
     asyncio.run(hand_over_to_new_process(process, tmp_path))
-    assert process.application.frontend.adopt.call_args_list[0].args[1] is True
+    assert process.application.frontend.adopt.call_args_list[0].args[1] == ClientState(served=True)
     process.close()
 
 
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -58,7 +58,7 @@
             (old, old_parts), (new, _) = chain[giver], chain[giver + 1]
             old_parts.connections = [0] * rng.randrange(20)
             spare = old.unneeded()
-            room = rng.choice([spare, room_of_client(), room_of_request(2, 1000)])
+            room = rng.choice([spare, room_of_client(0), room_of_request(2, 1000)])
             if all(spare.get(resource, 0) >= amount for resource, amount in room.items()):
                 old.give(room)
                 new.receive(room)
--- a/tests/lifecycle/test_transfers.py
+++ b/tests/lifecycle/test_transfers.py
@@ -175,7 +175,7 @@
     sender = RequestSender(
         cast(Any, None),
         cast(Any, SimpleNamespace(requests=["request"])),
-        cast(Any, SimpleNamespace(connections=[SimpleNamespace(can_hand_over=lambda silent: True, serving=False)])),
+        cast(Any, SimpleNamespace(connections=[SimpleNamespace(can_hand_over=lambda unfinished: True, serving=False)])),
         cast(Any, SimpleNamespace(stopping=True)),
         transfers,
     )
@@ -198,9 +198,9 @@
         ([sent], [snapshot]),
     ):
         attempts = [SimpleNamespace(in_flight=True, exchange=exchange) for exchange in exchanges]
-        client = SimpleNamespace(can_hand_over=lambda: True)
+        client = SimpleNamespace(can_hand_over=lambda unfinished: True)
         request: Any = SimpleNamespace(attempts=attempts, payload=SimpleNamespace(connection=client))
-        sender = RequestSender(*cast(Any, [None] * 5))
+        sender = RequestSender(*cast(Any, [None, None, None, None, SimpleNamespace(confirmed=True)]))
         connections = sender._pausable_connections(request)
         assert connections is not None
         assert (connections.servers, connections.unsent) == (
@@ -228,7 +228,8 @@
         own_socket.setblocking(False)
         received: list[bool] = []
         answers: list[dict[str, Any]] = []
-        adopter = RequestAdopter(*cast(Any, [None] * 5))
+        core: Any = SimpleNamespace(deadlines=Deadlines(lambda: 0.0))
+        adopter = RequestAdopter(core, *cast(Any, [None] * 4))
         transfers = IncomingTransfers(adopter.prepare, answers.append, lambda *args, **fields: None, lambda: 0)
 
         def on_message(_: PeerProcess, message: ReceivedMessage) -> None:
@@ -265,7 +266,7 @@
 def test_malformed_handover_is_declined_with_a_reason(message: dict[str, Any]) -> None:
     """Guards against a message cut short that ends the channel and everything that is in it."""
     answers: list[dict[str, Any]] = []
-    core: Any = SimpleNamespace(settings=SimpleNamespace(classes=()))
+    core: Any = SimpleNamespace(settings=SimpleNamespace(classes=()), deadlines=Deadlines(lambda: 0.0))
     adopter = RequestAdopter(core, *cast(Any, [None] * 4))
     transfers = IncomingTransfers(adopter.prepare, answers.append, lambda *args, **fields: None, lambda: 0)
     transfers.receive(ReceivedMessage({**message, "transfer": 3}, []))
