Count connections that are being adopted against the limit of clients

What callers saw: new clients were accepted and closed again some 100 ms later; both processes together held up to 266 descriptors at 256. Cause: between the commit of a handed-over connection and its first callback, one or more iterations of the loop later, nothing counted it. The process accepted queued clients in its place; at the end of a predecessor up to 24 at once. Change: adoptions in progress count in the limit of clients and in the room that a process keeps for itself.

--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -137,7 +137,7 @@
 
     def has_room(self, opening: int) -> bool:
         """Returns whether another connection may be accepted besides the known ones and ``opening`` further ones."""
-        return len(self.connections) + opening + self.arriving() < self.max_connections
+        return len(self.connections) + opening + self.adopting + self.arriving() < self.max_connections
 
     def make_room(self, opening: int) -> bool:
         """Aborts a connection that owes nothing; returns False if there is none.
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -173,7 +173,7 @@
 
     def _needed(self) -> Room:
         """Returns what this process needs for its connections, and for the requests that may still arrive on them."""
-        clients = len(self._frontend.connections) + self._acceptor.opening
+        clients = len(self._frontend.connections) + self._frontend.adopting + self._acceptor.opening
         withheld = THIRD_PROCESS_DESCRIPTORS // 2 if self._has_predecessor else 0
         return {
             Resource.CLIENTS: clients + withheld,
--- a/tests/end_to_end/test_accept.py
+++ b/tests/end_to_end/test_accept.py
@@ -11,6 +11,7 @@
 
 from end_to_end.harness import DispatcherHarness, done, request_bytes, request_id_of, run_async, until
 from end_to_end.process import DispatcherProcess
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.standins.ports import free_port
 
 
@@ -81,3 +82,20 @@
 
     for listener in ("clients", "inherited", "operators", "faktory"):
         run_async(lambda listener=listener: test(listener))  # type: ignore[misc]
+
+
+def test_connections_that_are_being_adopted_count_against_the_limit() -> None:
+    """Guards against new clients accepted in the place of connections that another process has just handed over."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            frontend = harness.application.frontend
+            frontend.max_connections = 1
+            adopted, peer = socket.socketpair()
+            frontend.adopt(adopted, ClientState(served=True))
+            assert not frontend.has_room(opening=0)
+            peer.close()
+            await harness.settle()
+            assert frontend.has_room(opening=0)
+
+    run_async(test)
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -19,6 +19,7 @@
     parts = MagicMock()
     parts.max_connections = parts.max_open = TOTAL
     parts.body_memory.limit, parts.body_memory.used, parts.opening = 64 * TOTAL * 1024, 0, 0
+    parts.adopting = 0
     parts.requests.open_count, parts.connections, parts.requests.__len__.return_value = 0, [], 0
     return SharedLimits(parts, MagicMock(max_connections=TOTAL, open_count=0), parts, parts), parts
 
