Offer a successor no copies of descriptors in room that its new clients may take

Cause: the successor told the old process that a quarter of its free room may hold copies of offered connections. Its own new clients and dials could take that room while the copies were on their way. Change: the window is the descriptors that no limit uses, 24 for two processes. Failed before: test_window_leaves_out_free_room_that_new_connections_may_take.

--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -18,8 +18,6 @@
 """Server connections that an old process keeps for retries and hedged requests."""
 TRANSIT_DESCRIPTORS = 24
 """Descriptors beside all limits for copies of offered connections, while there are two processes."""
-WINDOW_SHARE = 0.25
-"""Share of the free room of a new process that copies of offered connections may take in addition."""
 THIRD_PROCESS_DESCRIPTORS = 24
 """Descriptors that a third process of a dispatcher needs for itself; the limits leave room for those of two."""
 SPARE_BODIES = 4
@@ -135,13 +133,12 @@
     def transfer_window(self, has_successor: bool) -> int:
         """Returns the number of offered descriptors that this process can hold before the predecessor closes its own.
 
+        Free room of this process does not count, because new connections may take it meanwhile.
+
         Args:
             has_successor: Whether a third process holds descriptors too.
         """
-        clients = self._frontend.max_connections - len(self._frontend.connections) - self._acceptor.opening
-        servers = self._backend.max_connections - self._backend.open_count
-        free = max(0, int(min(clients, servers) * WINDOW_SHARE))
-        return free + (0 if has_successor else TRANSIT_DESCRIPTORS)
+        return 0 if has_successor else TRANSIT_DESCRIPTORS
 
     # -- towards the successor
 
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -9,7 +9,13 @@
 from compatibility.samples import RestartProcess
 from compatibility.test_recorded_forms import wait_until
 
-from heronlug.lifecycle.hot_restart.shared_limits import Resource, SharedLimits, room_of_client, room_of_request
+from heronlug.lifecycle.hot_restart.shared_limits import (
+    TRANSIT_DESCRIPTORS,
+    Resource,
+    SharedLimits,
+    room_of_client,
+    room_of_request,
+)
 
 TOTAL = 100
 
@@ -79,3 +85,10 @@
     assert parts.max_connections == TOTAL - 1
     assert cast(int, parts.body_memory.limit) == 64 * TOTAL * 1024 - 5000
     assert limits.unneeded()[Resource.REQUESTS] == TOTAL - 1
+
+
+def test_window_leaves_out_free_room_that_new_connections_may_take() -> None:
+    """Guards against copies of offered connections that exceed the descriptors once the room is in use."""
+    limits, parts = make_limits()
+    assert parts.max_connections == TOTAL
+    assert limits.transfer_window(has_successor=False) == TRANSIT_DESCRIPTORS
