Count only open requests against the limit of open requests

Cause: requests that have their answer and an attempt in flight stay in the table, and the whole table was compared with max_open; new requests were refused although fewer than the limit were open. Failed before: test_answered_request_with_an_attempt_in_flight_takes_no_place_of_open_requests (refused at a limit of 1). Change: open_count is compared; an old process keeps that much room of its successor's limit, too. Measured: tests/requests: all passed.

--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -175,7 +175,7 @@
         return {
             Resource.CLIENTS: clients + withheld,
             Resource.SERVERS: self._backend.open_count + SPARE_SERVER_CONNECTIONS + withheld,
-            Resource.REQUESTS: len(self._core.requests) + clients,
+            Resource.REQUESTS: self._core.requests.open_count + clients,
             Resource.BODY_BYTES: self._frontend.body_memory.used + SPARE_BODIES * MAX_BODY,
         }
 
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -179,7 +179,7 @@
         """Returns the reason to reject a request without asking the balancer; None if the balancer decides."""
         if request.give_up_at <= now:
             return RejectReason.EXPIRED
-        if len(self.requests) > self.max_open:
+        if self.requests.open_count > self.max_open:
             return RejectReason.TOO_MANY_OPEN
         if self.plugins is not None and not self.plugins.admit(request.class_index, remaining, size):
             return RejectReason.NOT_ADMITTED
--- a/tests/requests/test_core.py
+++ b/tests/requests/test_core.py
@@ -109,6 +109,17 @@
         assert self.dispatcher.events[-1].outcome == Outcome.TIMEOUT
         assert (len(self.core.requests), len(self.core.attempts), len(self.deadlines)) == (0, 0, 0)
 
+    def test_answered_request_with_an_attempt_in_flight_takes_no_place_of_open_requests(self) -> None:
+        """Failure: requests are rejected as too many open ones although those before them have their answers."""
+        self.core.max_open = 1
+        request, attempt = self.accept_and_send()
+        self.dispatcher.actions = [StartAttempt(request.handle, self.server_number)]
+        self.core.peer_message(0, b"")
+        self.core.attempt_ended(attempt, Outcome.SERVED, b"r")
+        assert len(self.core.requests) == 1
+        self.core.accept("n", 0, 1000.0)
+        assert [payload for payload, _, _ in self.transport.answers] == ["m"]
+
     def test_later_events_cause_no_second_final_answer(self) -> None:
         """Failure: a reset, a disconnect or the deadline after the answer sends a second answer to the client."""
         request, attempt = self.accept_and_send()
