Reject a cached list with a right checksum and no JSON by a typed error

Cause: orjson's own error left decode_cache; its caller catches ValueError, so it was refused, with a reason that names no cache. Change: CacheError with the place in the text. Failed before: test_unusable_cache_is_rejected_with_the_reason, the case without JSON; the test now expects CacheError in all cases, which is stricter than ValueError. Measured: tests/discovery/test_cache.py passed.

--- a/heronlug/discovery/cache.py
+++ b/heronlug/discovery/cache.py
@@ -69,8 +69,7 @@
 
     Raises:
         CacheError: The cache is damaged, too large, too old, dated in the future, of another format version or from
-            another service discovery.
-        ValueError: The checksum matches, but the content is not JSON.
+            another service discovery, or its content is not JSON.
     """
     if len(data) > MAX_CACHE_BYTES:
         msg = f"the cache is larger than {MAX_CACHE_BYTES} bytes"
@@ -79,7 +78,11 @@
     if _checksum(body) != checksum:
         msg = "the cache is damaged: its checksum does not match"
         raise CacheError(msg)
-    content = orjson.loads(body)
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        msg = f"the cache has no valid JSON: {error}"
+        raise CacheError(msg) from error
     if not isinstance(content, dict) or content.get("form") != FORMAT_VERSION:
         msg = f"the cache does not have format version {FORMAT_VERSION}"
         raise CacheError(msg)
--- a/tests/discovery/test_cache.py
+++ b/tests/discovery/test_cache.py
@@ -1,6 +1,7 @@
 """Tests the cached endpoint list: unusable caches are rejected with the reason, and writes are rare but complete."""
 
 import asyncio
+from hashlib import blake2b
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
@@ -9,11 +10,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heronlug.discovery.cache import MAX_CLOCK_STEP_MS, CacheError, WriteSchedule, decode_cache, encode_cache
+from heronlug.discovery.cache import (
+    CHECKSUM_BYTES,
+    MAX_CLOCK_STEP_MS,
+    CacheError,
+    WriteSchedule,
+    decode_cache,
+    encode_cache,
+)
 from heronlug.discovery.cache_file import CacheFile
 from heronlug.requests.deadlines import Deadlines
 
 TABLE = {"generation": 41, "reset": True, "instances": [{"instanceId": "s1"}]}
+NOT_JSON = blake2b(b"{", digest_size=CHECKSUM_BYTES).hexdigest().encode() + b"\n{"
 DATA = encode_cache("10.0.0.1:8500", 1_000_000.0, TABLE)
 
 
@@ -33,11 +42,12 @@
         (DATA, "10.0.0.1:8500", 1_002_000.0, "too old: written 2 s ago"),
         (DATA, "10.0.0.1:8500", 1_000_000.0 - MAX_CLOCK_STEP_MS - 1000, "dated in the future: written 61 s after now"),
         (encode_cache("10.0.0.1:8500", 1e6, [1]), "10.0.0.1:8500", 1e6, "a valid list"),  # type: ignore[arg-type]
+        (NOT_JSON, "10.0.0.1:8500", 1e6, "no valid JSON"),
     ],
 )
 def test_unusable_cache_is_rejected_with_the_reason(data: bytes, address: str, now: float, reason: str) -> None:
     """Guards against starting with a damaged, outdated or foreign list, and against a rejection without its reason."""
-    with pytest.raises(ValueError, match=reason):
+    with pytest.raises(CacheError, match=reason):
         decode_cache(data, address, now, 1000.0)
 
 
