Count both directions of a change between the own and the shared list

Cause: register_switches counted the change to the shared list only; the return to the own list was set elsewhere. Failed before: test_both_changes_of_the_source_are_counted (1 instead of 2). Measured: tests/cluster/test_server_view.py passed.

--- a/heronlug/cluster/server_view.py
+++ b/heronlug/cluster/server_view.py
@@ -93,7 +93,7 @@
         shared_ahead: Whether the shared list is newer than the own list in mode ``news``, so that the servers that the
             shared list drains or lacks are drained or removed.
         reported: The servers by name, as last reported to the core.
-        switches: Number of changes of ``source`` by :meth:`select_source` after the first selection of a list.
+        switches: Number of changes of ``source`` after the first selection of a list.
     """
 
     def __init__(self, share: str = "none", panic_share: float = 0.5) -> None:
@@ -129,8 +129,7 @@
             new_source = ListSource.SHARED
         if new_source is self.source:
             return None
-        self.switches += self.source is not ListSource.NONE
-        self.source = new_source
+        self._use(new_source)
         return ListUpdate(ListKind.CHANGES, self._all_changes())
 
     def apply_own_update(
@@ -147,7 +146,7 @@
             self.own.known = True
             self.own.version = version if version is not None else NO_LIST
             self.watching = True
-            self.source = ListSource.OWN
+            self._use(ListSource.OWN)
         elif self.source is ListSource.NONE:
             self.source = ListSource.OWN
         elif self.source is ListSource.SHARED:
@@ -201,6 +200,11 @@
 
     # -- changes
 
+    def _use(self, source: ListSource) -> None:
+        """Sets the list that is used, and counts the change."""
+        self.switches += source is not self.source and self.source is not ListSource.NONE
+        self.source = source
+
     @property
     def _uses_shared(self) -> bool:
         return self.source is ListSource.SHARED or self.share == "news"
--- a/tests/cluster/test_server_view.py
+++ b/tests/cluster/test_server_view.py
@@ -44,6 +44,17 @@
     assert view.source is ListSource.OWN
 
 
+def test_both_changes_of_the_source_are_counted() -> None:
+    """Guards against a metric that misses each return to the own list."""
+    view = ServerView("list")
+    view.apply_own_update(ListKind.FULL, 7, servers("a"))
+    assert view.switches == 0
+    view.apply_shared_update(8, servers("a"), [])
+    view.select_source(own=False)
+    view.apply_own_update(ListKind.FULL, 9, servers("a"))
+    assert view.switches == 2
+
+
 def test_a_failed_watch_changes_no_server() -> None:
     """Guards against servers that are dropped because service discovery fails."""
     view = ServerView("list")
