Tell a job with parents by its field, not by the text "after" anywhere in it

Cause: StoredRequest.chained looked for the bytes "after" in the whole job, so that a job with this text among its arguments got its full time again after each restart. Failed before: test_only_a_job_with_parents_waits_for_them. Measured: tests/storage/test_store.py, tests/compatibility: passed.

--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+import orjson
+
 from heronlug.balancer.settings import Effect, RequestClass
 
 DurabilityCallback = Callable[[str], None]
@@ -52,7 +54,8 @@
     @property
     def chained(self) -> bool:
         """Returns whether the job names parents to wait for."""
-        return b'"after"' in self.job
+        custom = orjson.loads(self.job).get("custom") if self.job else None
+        return isinstance(custom, dict) and bool(custom.get("after"))
 
 
 class Store(Protocol):
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -51,6 +51,13 @@
     assert recovery_action(request_, policy, now, 10_000.0) is action
 
 
+def test_only_a_job_with_parents_waits_for_them() -> None:
+    """Guards against a job whose time starts anew because one of its arguments is the text "after"."""
+    jobs = {b'{"args":["after"]}': False, b'{"custom":{"after":["p"]}}': True, b'{"custom":{"after":[]}}': False}
+    for job, chained in jobs.items():
+        assert REQUEST._replace(job=job).chained is chained
+
+
 class OpenedStore:
     """A store whose callbacks run in the writer thread; records the callback results and the logged events."""
 
