Let the load generator try every dispatcher before it counts a request as lost

Cause: _dial added each offset to the dispatcher it had tried last: of three dispatchers it tried 1, 2, 1. Failed before: test_load_tries_every_dispatcher_until_one_listens (lost although one listens).

--- a/heronlug/loadgen/http.py
+++ b/heronlug/loadgen/http.py
@@ -185,10 +185,10 @@
     async def _dial(self, dispatcher: int, request: SentRequest) -> None:
         loop = asyncio.get_running_loop()
         for offset in range(len(self.addresses)):  # skips dispatchers that do not listen
-            dispatcher = (dispatcher + offset) % len(self.addresses)
+            candidate = (dispatcher + offset) % len(self.addresses)
             try:
                 _, connection = await loop.create_connection(
-                    partial(Connection, self, dispatcher), *self.addresses[dispatcher]
+                    partial(Connection, self, candidate), *self.addresses[candidate]
                 )
             except OSError:
                 continue
--- a/tests/loadgen/test_load.py
+++ b/tests/loadgen/test_load.py
@@ -16,10 +16,11 @@
 from heronlug.cli import group
 from heronlug.conformance import Began, Checker, Load
 from heronlug.emulator.clients import ClientRequest
+from heronlug.emulator.scenario import ClassTable
 from heronlug.emulator.world import World
 from heronlug.loadgen.demo import on_sockets
 from heronlug.loadgen.http import HttpLoad
-from heronlug.loadgen.plan import loopback, plan
+from heronlug.loadgen.plan import PlannedRequest, loopback, plan
 from heronlug.loadgen.tally import Tally, service
 from heronlug.standins.ports import free_port
 
@@ -179,3 +180,23 @@
     )
     assert done.stdout.startswith("register 127.0.0.1:")
     assert "16 hosts" in done.stdout
+
+
+def test_load_tries_every_dispatcher_until_one_listens() -> None:
+    """Guards against a dispatcher that is never tried, so that requests are lost although it listens."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(65536)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def run() -> Tally:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        open_address = ("127.0.0.1", server.sockets[0].getsockname()[1])
+        request_class = ClassTable("quick", "repeatable", 500.0, 4000.0, {"dist": "uniform"}, 1.0)
+        closed_addresses = [("127.0.0.1", free_port()) for _ in range(2)]
+        load = HttpLoad([open_address, *closed_addresses], {"quick": Tally(request_class)}, 5)
+        await load.run([PlannedRequest(0.0, request_class, 1.0)])
+        server.close()
+        return load.tallies["quick"]
+
+    assert asyncio.run(run()).outcomes["on_time"] == 1
