Judge answers by their arrival, and record what was written before a cut before it

Two causes, both in the harness while it doesn't run: - An answer counted from the time at which the harness read it. Now from its arrival in the kernel (TCP_INFO), in the history and in the latencies. - A connection that the kernel had established, and that the proxy had not accepted when a cut began, stayed in its queue until the cut was healed; the request in it was recorded then, long after its end. Now the proxy accepts what is established before any change of its faults. Failed before: test_answer_that_waited_unread_is_recorded_at_its_arrival (601 ms of 600 not running) and test_request_written_before_a_cut_is_recorded_before_the_cut_ends.

--- a/heronlug/faults/network.py
+++ b/heronlug/faults/network.py
@@ -90,6 +90,7 @@
     def apply_faults(self) -> None:
         """Applies changed faults to the listening socket and to open connections."""
         if self.listener is not None:
+            self.listener.accept_established()
             self.listener.set_dial_outcome(self.dial_outcome())
         for connection in list(self.connections):
             connection.pump()
@@ -128,6 +129,11 @@
             self._socket.listen(0)
             self._fill()
 
+    def accept_established(self) -> None:
+        """Accepts the connections in the queue, which a later change of the outcome does not concern."""
+        if self._outcome is DialOutcome.ACCEPTED:
+            self._accept()
+
     def close(self) -> None:
         """Stops listening and cancels the connections that are being established."""
         self.set_dial_outcome(DialOutcome.REFUSED)
--- a/heronlug/faults/observed_load.py
+++ b/heronlug/faults/observed_load.py
@@ -47,9 +47,9 @@
         once = request_class.effect == "once"
         self._history.record(Taken(now, name, request.txn, request_class.name, once, now + remaining_ms))
 
-    def request_ended(self, request: SentRequest, outcome: str) -> None:
+    def request_ended(self, request: SentRequest, outcome: str, unread_ms: float = 0.0) -> None:
         """Records the end of a request, unless its dispatcher had been killed before the answer was read."""
-        super().request_ended(request, outcome)
+        super().request_ended(request, outcome, unread_ms)
         name = self.dispatcher_of.get(request.txn)
         if name is None:
             return
@@ -57,7 +57,7 @@
         if outcome != "lost":
             # The kill of a dispatcher already ended its requests in the history, so an answer read later is skipped.
             if process.last_ended_incarnation < self.incarnation_of[request.txn]:
-                self._dispatchers.report_end(Answered(self._history.now(), name, request.txn, outcome))
+                self._dispatchers.report_end(Answered(self._history.now() - unread_ms, name, request.txn, outcome))
         elif not process.should_run or not process.running:
             self._dispatchers.report_end(Ended(self._history.now(), name, request.txn))
             self.lost_count += 1
--- a/heronlug/loadgen/http.py
+++ b/heronlug/loadgen/http.py
@@ -12,6 +12,7 @@
 from heronlug.loadgen.pace import OpenLoopPacer
 from heronlug.loadgen.plan import PlannedRequest
 from heronlug.loadgen.tally import Tally
+from heronlug.net.connection_state import input_age_ms
 
 MAX_CONNECTIONS = 4000
 """Maximum number of open connections; a request waits if all are busy, and the wait counts towards its latency."""
@@ -83,7 +84,9 @@
         status, keep_alive = self._parser.get_status_code(), self._parser.should_keep_alive()
         request, self.request, self._parser = self.request, None, None
         assert request is not None
-        self.load.request_ended(request, "served" if status == 200 else "refused" if status in (429, 503) else "failed")
+        assert self.transport is not None
+        outcome = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
+        self.load.request_ended(request, outcome, input_age_ms(self.transport))
         if keep_alive and self.transport is not None and not self.transport.is_closing():
             self.load.connection_idle(self)
         elif self.transport is not None:
@@ -144,10 +147,17 @@
     def request_sent(self, request: SentRequest, dispatcher: int) -> None:
         """Does nothing; a subclass handles a request that is about to be sent to a dispatcher."""
 
-    def request_ended(self, request: SentRequest, outcome: str) -> None:
-        """Counts a request that has ended; its latency counts from its due time."""
+    def request_ended(self, request: SentRequest, outcome: str, unread_ms: float = 0.0) -> None:
+        """Counts a request that has ended; its latency counts from its due time to the arrival of the answer.
+
+        Args:
+            request: the request.
+            outcome: ``served``, ``refused``, ``failed`` or ``lost``.
+            unread_ms: time for which the answer had arrived and was not read, because this process did not run.
+        """
         self.in_flight -= 1
-        self.tallies[request.planned.request_class.name].request_ended(outcome, self.now() - request.planned.due_at)
+        latency_ms = self.now() - unread_ms - request.planned.due_at
+        self.tallies[request.planned.request_class.name].request_ended(outcome, latency_ms)
 
     def connection_idle(self, connection: Connection) -> None:
         """Sends the next queued request on an idle connection, or keeps the connection for later requests."""
--- a/tests/faults/test_ordering.py
+++ b/tests/faults/test_ordering.py
@@ -2,13 +2,25 @@
 
 import asyncio
 import socket
+import threading
+import time
 from pathlib import Path
+from unittest.mock import MagicMock
 
 from heronlug.config.strict_toml import Source
+from heronlug.emulator.scenario import ClassTable
 from heronlug.faults.harness import FaultHarness
 from heronlug.faults.network import FaultyNetwork
+from heronlug.faults.observed_load import ObservedLoad
 from heronlug.faults.ordering import OrderedEnds
 from heronlug.faults.plan import parse
+from heronlug.loadgen.http import SentRequest
+from heronlug.loadgen.plan import PlannedRequest
+from heronlug.loadgen.tally import Tally
+from heronlug.net.http import split_address
+
+NOT_RUNNING_S = 0.6
+"""Seconds for which the harness does not run while an answer arrives."""
 
 
 class FirstBytesRecorder(asyncio.Protocol):
@@ -87,6 +99,63 @@
     assert recorded_order(proxied=True) == ["sent", "answered", "sent"]
 
 
+def test_request_written_before_a_cut_is_recorded_before_the_cut_ends() -> None:
+    """Guards against a false violation: a request that waits in the queue of the proxy until the cut is healed."""
+
+    async def run() -> list[str]:
+        recorded: list[str] = []
+        network = FaultyNetwork(1)
+        port = await open_listener([], "come")
+        path = network.path_between("d0", "r0")
+        path.make_connection_listener = lambda: RecordingListener(recorded)
+        proxy = network.proxy_connections("d0", "r0", lambda: f"127.0.0.1:{port}")
+        with socket.create_connection(split_address(proxy)) as sock:
+            sock.send(b"request")
+            path.forward.stalled = path.backward.stalled = True
+            path.apply_faults()
+            async with asyncio.timeout(5):
+                while not recorded:
+                    await asyncio.sleep(0.01)
+        network.close()
+        return recorded
+
+    assert asyncio.run(run()) == ["sent"]
+
+
+class StalledLoad(ObservedLoad):
+    """Load whose process does not run for a while after each request."""
+
+    def request_sent(self, request: SentRequest, dispatcher: int) -> None:
+        """Blocks the event loop once the request has been written."""
+        super().request_sent(request, dispatcher)
+        asyncio.get_running_loop().call_soon(time.sleep, NOT_RUNNING_S)
+
+
+def test_answer_that_waited_unread_is_recorded_at_its_arrival() -> None:
+    """Guards against an answer that counts as late because the harness did not run when it arrived."""
+
+    def answer(listener: socket.socket) -> None:
+        connection = listener.accept()[0]
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def run() -> None:
+        request_class = ClassTable("quick", "repeatable", 500.0, 4000.0, {"dist": "uniform"}, 1.0)
+        tallies = {"quick": Tally(request_class)}
+        dispatchers, history = MagicMock(), MagicMock(now=lambda: time.monotonic() * 1000)
+        dispatchers.processes = {"d0": MagicMock(incarnation=1, last_ended_incarnation=0, stop_requested_at_s=None)}
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            dispatchers.frontend_ports = {"d0": listener.getsockname()[1]}
+            threading.Thread(target=answer, args=(listener,), daemon=True).start()
+            load = StalledLoad(dispatchers, history, tallies, 5.0)
+            await load.run([PlannedRequest(0.0, request_class, 1.0)])
+        taken, answered = history.record.call_args.args[0], dispatchers.report_end.call_args.args[0]
+        assert answered.at - taken.at < NOT_RUNNING_S * 500
+        assert tallies["quick"].latencies_us.get_max_value() < NOT_RUNNING_S * 500_000
+
+    asyncio.run(run())
+
+
 def test_ends_keep_their_order_and_close_records_pending_ends() -> None:
     """Guards against ends that overtake each other, or that are lost if the run closes while they wait."""
 
