A soak of upgrades: crowds, long series of signals, few descriptors, successors that fail

Requests whose process the plan kills outright are told from lost ones by the logs of all processes.

--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -16,6 +16,7 @@
 from heronlug.cli.load import demo, load, stand_in
 from heronlug.cli.serve import serve, try_
 from heronlug.cli.store import store
+from heronlug.cli.upgrades import upgrades
 from heronlug.cli.zones import halls
 from heronlug.config.desired_state import StateError
 from heronlug.config.platform import ConfigError
@@ -50,6 +51,7 @@
     stand_in,
     demo,
     fleet,
+    upgrades,
 ):
     group.add_command(command)
 
--- /dev/null
+++ b/heronlug/cli/upgrades.py
@@ -0,0 +1,32 @@
+"""Defines ``upgrades``, which replaces the process of a dispatcher under load, as seeds draw it."""
+
+from pathlib import Path
+
+import click
+
+
+@click.command()
+@click.argument("first", type=click.IntRange(0))
+@click.argument("count", type=click.IntRange(1), default=1)
+@click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="keep configuration and logs in this folder"
+)
+@click.option(
+    "--source",
+    "sources",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    multiple=True,
+    help="folder of a version of the program; with several, the processes run them in turn",
+)
+def upgrades(first: int, count: int, keep: Path | None, sources: tuple[Path, ...]) -> int:
+    """Run the plans of COUNT seeds from FIRST on. The exit status is 1 if a request is lost or a rule broken."""
+    from heronlug.faults.upgrades.run import play
+    from heronlug.faults.upgrades.soak import draw
+
+    broken = 0
+    for seed in range(first, first + count):
+        report = play(draw(seed), keep / str(seed) if keep is not None else None, sources or (None,))
+        print(report.text(), flush=True)
+        broken += bool(report.violations)
+    print(f"{count} runs, {broken} broken")
+    return 1 if broken else 0
--- a/heronlug/faults/upgrades/clients.py
+++ b/heronlug/faults/upgrades/clients.py
@@ -62,6 +62,7 @@
         end: End of the request; None while the client waits.
         ended_at: Unix time of the end, in seconds.
         client_address: Local address of the connection.
+        connected_at: Unix time at which the client began to open the connection, in seconds.
         answer_begun: Whether a part of the answer had arrived when the connection ended.
     """
 
@@ -71,6 +72,7 @@
     sent_at: float
     first: bool
     client_address: str
+    connected_at: float
     answer_begun: bool = False
     end: End | None = None
     ended_at: float = 0.0
@@ -110,9 +112,10 @@
 class ClientConnection:
     """A connection of a client on a non-blocking socket."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, connected_at: float) -> None:
         self.sock = sock
         self.address = format_address(sock.getsockname())
+        self.connected_at = connected_at
         self.requests = 0
         self.parser = ResponseParser()
 
@@ -189,8 +192,9 @@
             if kind is ClientKind.SLOW_READER:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connected_at = time.time()
             await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
-            yield ClientConnection(sock)
+            yield ClientConnection(sock, connected_at)
         finally:
             sock.close()
 
@@ -231,7 +235,9 @@
         await connection.send(data)
         sent_at = time.time()
         records = [
-            RequestRecord(*each, kind, sent_at, connection.requests + number == 0, connection.address)
+            RequestRecord(
+                *each, kind, sent_at, connection.requests + number == 0, connection.address, connection.connected_at
+            )
             for number, each in enumerate(chosen)
         ]
         connection.requests += count
--- a/heronlug/faults/upgrades/plan.py
+++ b/heronlug/faults/upgrades/plan.py
@@ -60,12 +60,14 @@
         term_after_s: Time from the readiness of the new process until SIGTERM for its predecessor, in seconds.
         fault: What happens to the new process.
         moment: When the fault happens.
+        signals: Number of times that SIGTERM is sent; only the first one counts.
     """
 
     at_s: float
     term_after_s: float
     fault: SuccessorFault = SuccessorFault.NONE
     moment: Moment = Moment.SERVING
+    signals: int = 1
 
 
 @dataclass(frozen=True)
@@ -83,6 +85,7 @@
         run_s: Minimum and maximum execution time of a request, in seconds.
         deadlines_s: Time for which clients wait for an answer, in seconds, by request class.
         upgrades: The upgrades, in order of time.
+        reloads_s: Times at which all processes get SIGHUP, in seconds from the start of the load.
         single_core: Whether all processes of the dispatcher run on one core.
         clock_steps_s: Steps of the wall clock before the starts of the processes, in turn, in seconds.
     """
@@ -97,6 +100,7 @@
     run_s: tuple[float, float] = (0.02, 0.5)
     deadlines_s: dict[str, float] = field(default_factory=lambda: {"safe": 10.0, "once": 20.0, "keyed": 25.0})
     upgrades: tuple[Upgrade, ...] = ()
+    reloads_s: tuple[float, ...] = ()
     single_core: bool = False
     clock_steps_s: tuple[int, ...] = (0,)
 
--- a/heronlug/faults/upgrades/processes.py
+++ b/heronlug/faults/upgrades/processes.py
@@ -46,7 +46,8 @@
         log_path: File with its log.
         started_at: Unix time of the start, in seconds.
         term_at: Unix time of SIGTERM, in seconds; 0 before.
-        killed: Whether a fault of the plan killed the process.
+        killed: Whether a fault of the plan kills the process.
+        killed_at: Unix time at which it was killed, in seconds; 0 before.
         killed_at_grace_end: Whether the process was still running when the platform's time to stop was over.
     """
 
@@ -56,6 +57,7 @@
     started_at: float
     term_at: float = 0.0
     killed: bool = False
+    killed_at: float = 0.0
     killed_at_grace_end: bool = False
 
     @property
@@ -120,7 +122,11 @@
 
         With a fault, the new process fails at its moment; a later upgrade then replaces the predecessor.
         """
-        predecessor = next(process for process in reversed(self.processes) if process.running and not process.term_at)
+        predecessor = self._serving()
+        if predecessor is None:
+            self.failures.append("no process is left that could be replaced")
+            await self.start()
+            return
         successor = self._start()
         faulty = upgrade.fault is not SuccessorFault.NONE
         if faulty and upgrade.moment is Moment.STARTING:
@@ -136,16 +142,23 @@
             await self._break(successor, upgrade.fault)
             return
         await asyncio.sleep(upgrade.term_after_s)
-        self.terminate(predecessor)
+        self.terminate(predecessor, upgrade.signals)
         if faulty:
             await asyncio.sleep(upgrade.term_after_s / 10)
             await self._break(successor, upgrade.fault)
             await self.start()
 
-    def terminate(self, process: RunningProcess) -> None:
+    def reload(self) -> None:
+        """Sends SIGHUP to all processes that serve; an earlier SIGHUP would end a process, as no shell ignores it."""
+        for process in self.processes:
+            if process.running and process.has_logged("started"):
+                process.child.send_signal(signal.SIGHUP)
+
+    def terminate(self, process: RunningProcess, signals: int = 1) -> None:
         """Sends SIGTERM to a process, and SIGKILL at the earliest time that the platform allows."""
         process.term_at = time.time()
-        process.child.send_signal(signal.SIGTERM)
+        for _ in range(signals):
+            process.child.send_signal(signal.SIGTERM)
         task = asyncio.get_running_loop().create_task(self._kill_at_grace_end(process))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -174,6 +187,11 @@
         """Returns the ids of the running processes."""
         return [process.child.pid for process in self.processes if process.running]
 
+    def _serving(self) -> RunningProcess | None:
+        """Returns the latest process that has not been told to stop; None if there is none."""
+        running = (process for process in reversed(self.processes) if process.running and not process.term_at)
+        return next(running, None)
+
     def _start(self) -> RunningProcess:
         number = len(self.processes)
         log_path = self.folder / f"process-{number}.log"
@@ -212,7 +230,7 @@
         if not step_s:
             return {}
         shim = self.folder / f"clock-{number}"
-        shim.mkdir()
+        shim.mkdir(exist_ok=True)
         (shim / "sitecustomize.py").write_text(CLOCK_SHIM.format(step_ns=step_s * 10**9))
         return {"PYTHONPATH": str(shim)}
 
@@ -221,6 +239,7 @@
         if fault is SuccessorFault.STOPPED:
             process.child.send_signal(signal.SIGSTOP)
             await asyncio.sleep(STOPPED_FOR_S)
+        process.killed_at = time.time()
         process.child.kill()
         await asyncio.to_thread(process.child.wait)
 
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -21,6 +21,8 @@
 
 EFFECTS = {"safe": "repeatable", "once": "once", "keyed": "by_key"}
 """Effect of each request class in the settings."""
+KILL_NOTICE_S = 0.2
+"""Time within which clients notice that the process of their connection was killed, in seconds."""
 MEMORY_MB = 192
 """Memory limit of the dispatcher, in MB."""
 
@@ -78,11 +80,12 @@
             await self._open()
             await self._dispatcher.start()
             load = asyncio.create_task(self._crowd.run())
+            reloads = asyncio.create_task(self._reload())
             began_at = asyncio.get_running_loop().time()
             for upgrade in self.plan.upgrades:
                 await asyncio.sleep(max(0.0, began_at + upgrade.at_s - asyncio.get_running_loop().time()))
                 await self._dispatcher.upgrade(upgrade)
-            await load
+            await asyncio.gather(load, reloads)
             await self._dispatcher.stop()
             return self._report()
         finally:
@@ -92,6 +95,13 @@
             for server in self._servers:
                 server.close()
 
+    async def _reload(self) -> None:
+        passed_s = 0.0
+        for at_s in self.plan.reloads_s:
+            await asyncio.sleep(at_s - passed_s)
+            passed_s = at_s
+            self._dispatcher.reload()
+
     async def _open(self) -> None:
         for number, server in enumerate(self._servers):
             port = await server.open()
@@ -126,14 +136,18 @@
         processes = self._dispatcher.processes
         lines = [line for process in processes for line in process.logged_events()]
         taken = {line["id"] for line in lines if line["event"] == "taken"}
-        owners = _connection_owners(processes)
+        owners = ConnectionOwners(processes)
         for record in self._crowd.records:
-            if record.end is not End.LOST:
+            if record.end not in (End.LOST, End.TIMEOUT):
                 continue
-            owner = owners.get(record.client_address)
-            if owner is not None and processes[owner].killed:
+            if owners.was_killed(record):
                 record.end = End.KILLED
-            elif not record.first and not record.answer_begun and record.request_id not in taken:
+            elif (
+                record.end is End.LOST
+                and not record.first
+                and not record.answer_begun
+                and record.request_id not in taken
+            ):
                 record.end = End.CROSSED
 
     def _report(self) -> UpgradeReport:
@@ -172,25 +186,45 @@
         return [f"{name} began {count} times" for name, count in began.items() if count > 1 and name in once]
 
 
-def _connection_owners(processes: list[RunningProcess]) -> dict[str, int]:
-    """Returns the number of the last process that had each connection, by the address of its client.
+class ConnectionOwners:
+    """The process that had each connection at any time, by the logs of all processes.
 
-    A connection that was handed over belongs to the latest process that had been started by then, even if that process
-    ended before it could write its log.
+    A connection that was handed over belongs to the successor, even if that ended before it could write its log.
     """
-    owners: dict[str, int] = {}
-    latest: dict[str, float] = {}
-    for process in processes:
+
+    def __init__(self, processes: list[RunningProcess]) -> None:
+        self._processes = processes
+        self._changes: dict[str, list[tuple[float, int]]] = {}  # time and number of the process, by client address
+        for process in processes:
+            self._read(process)
+        for changes in self._changes.values():
+            changes.sort()
+
+    def was_killed(self, record: RequestRecord) -> bool:
+        """Returns whether the process that had the connection of a request was killed before the request ended.
+
+        A process that was killed may have accepted a connection without writing its log.
+        """
+        owner = None
+        for at, number in self._changes.get(record.client_address, []):
+            if record.connected_at <= at <= record.ended_at:
+                owner = self._processes[number]
+        if owner is not None:
+            return owner.killed
+        return any(0 <= record.ended_at - process.killed_at <= KILL_NOTICE_S for process in self._processes)
+
+    def _read(self, process: RunningProcess) -> None:
+        successor = process.number
         for line in process.logged_events():
-            if line["event"] in ("client_opened", "client_adopted"):
-                owner = process.number
+            if line["event"] == "handed_over":
+                successor = max(other.number for other in self._processes if other.started_at < line["at"])
+            elif line["event"] in ("client_opened", "client_adopted"):
+                self._add(line, process.number)
             elif line["event"] == "client_closed" and line["why"] == "handed_over":
-                owner = max(other.number for other in processes if other.started_at < line["at"])
-            else:
-                continue
-            if line["at"] >= latest.get(line["client"], 0.0):
-                owners[line["client"]], latest[line["client"]] = owner, line["at"]
-    return owners
+                self._add(line, successor)
+
+    def _add(self, line: dict[str, Any], owner: int) -> None:
+        self._changes.setdefault(line["client"], []).append((line["at"], owner))
 
 
 def _settings(plan: UpgradePlan) -> dict[str, Any]:
