Let "alive = false" of a test plan allow processes that end by themselves

Cause: the key was read and used nowhere, so it could neither allow an end nor fail. Failed before: test_unexpected_process_exit_is_reported, its new case (two ends reported although allowed). Measured: tests/faults/test_harness.py passed.

--- a/heronlug/faults/dispatchers.py
+++ b/heronlug/faults/dispatchers.py
@@ -190,11 +190,12 @@
     # -- observation
 
     async def watch_processes(self, failures: list[str]) -> None:
-        """Adds a line to ``failures`` for each process that exits although no step ended it."""
+        """Adds a line to ``failures`` for each process that exits although no step ended it and the plan forbids it."""
         while True:
             for name, process in self.processes.items():
                 if (status := process.unexpected_exit_status()) is not None:
-                    failures.append(f"{name} ended by itself with status {status}")
+                    if self._plan.expect.alive:
+                        failures.append(f"{name} ended by itself with status {status}")
                     self.report_end(Stopped(self._history.now(), name, True))
             await asyncio.sleep(WATCH_INTERVAL_S)
 
--- a/heronlug/faults/plan.py
+++ b/heronlug/faults/plan.py
@@ -145,7 +145,7 @@
     reading: list[int] | None = None  # minimum and maximum number of dispatchers with an open watch at the end
     served_least: Share | None = None  # share of the requests that were not lost with their dispatcher
     failed: list[FailedTable] = field(default_factory=list)
-    alive: Flag = True  # no process ends unless a step ends it
+    alive: Flag = True  # no process ends unless a step ends it; false allows such an end
 
 
 class FaultPlan(Struct, forbid_unknown_fields=True, rename={"classes": "class"}):
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -71,6 +71,7 @@
     (tmp_path / "heronlug" / "__main__.py").write_text("raise SystemExit(3)")
     verdict = play(parse_plan("", 1.5), source=tmp_path)
     assert sorted(verdict.faults) == [f"d{number} ended by itself with status 3" for number in range(2)]
+    assert not play(parse_plan("[expect]\nalive = false\n", 1.5), source=tmp_path).faults
 
 
 @pytest.mark.parametrize(
