Reject misspelt header lines of exchanges and unknown keys of a test's configuration

Cause: a header line of an unknown name was taken for a comment, and a key that the program does not know went into its configuration unseen: a test without the limits that it was written for could not fail by that. Failed before: test_misspelt_header_line_or_key_is_an_error (neither raised an error).

--- a/tests/end_to_end/harness.py
+++ b/tests/end_to_end/harness.py
@@ -16,7 +16,7 @@
 from unittest import mock
 
 import uvloop
-from exchange import SETTINGS
+from exchange import SETTINGS, check_changes
 
 from heronlug.config import platform as configs
 from heronlug.config.desired_state import EMPTY
@@ -223,13 +223,15 @@
         for table in ("limits", "safety"):
             settings[table] = {**SETTINGS[table], **changes.pop(table, {})}
         self.listen = f"127.0.0.1:{free_port()}"
+        sockets, listed = changes.pop("sockets", 1024), changes.pop("listed", self.servers)
+        check_changes(changes)
         self.raw = {
             "name": "n0",
             "listen": self.listen,
             "discovery": self.discovery.address,
             "seed": "ab12",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)},
-            "known": self.endpoint_list(3, *changes.pop("listed", self.servers)),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": self.endpoint_list(3, *listed),
             "settings": settings,
             **changes,
         }
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -30,6 +30,12 @@
     "lying": b'.{"kind":"state","names":5,"sockets":["peers"],"known":[],"learned":{"all":1}}',
     "half right": b'.{"kind":"state","names":["t9"],"sockets":[],"known":7,"learned":{"all":[]}}',
 }
+HEADER_NAMES = frozenset({"limits", "hosts", "sockets", "state", "inherited", "partner", "taken"})
+"""Names of the header lines ``# NAME JSON`` of an exchange file."""
+
+CONFIGURATION_KEYS = frozenset({"known", "limits", "settings", "sockets"})
+"""Keys of the configuration that a test may change; the program would ignore any other."""
+
 TIMEOUT_S = 10.0
 """Longest wait for an expected event, in seconds; no speed is asserted."""
 
@@ -77,6 +83,29 @@
 """Patterns whose matches differ between runs, and the text that replaces the matches before a comparison."""
 
 
+def header_options(text: str) -> dict[str, Any]:
+    """Returns the options that the header lines of an exchange set.
+
+    Raises:
+        ValueError: a header line has an unknown name, or a known name without valid JSON.
+    """
+    options = {}
+    for name, value in re.findall(r"^# (\S+) (.*)$", text, re.M):
+        if name in HEADER_NAMES:
+            options[name] = json.loads(value)
+        elif _is_json(value):
+            msg = f"header line of unknown name {name!r}, expected one of {sorted(HEADER_NAMES)}"
+            raise ValueError(msg)
+    return options
+
+
+def check_changes(changes: dict[str, Any]) -> None:
+    """Raises ``TypeError`` if a change of the configuration has a key that the program does not know."""
+    if unknown := changes.keys() - CONFIGURATION_KEYS:
+        msg = f"unknown keys of the configuration: {sorted(unknown)}"
+        raise TypeError(msg)
+
+
 def listener(kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
     """Returns a stand-in's socket on a free port; a stream socket listens."""
     sock = socket.socket(socket.AF_INET, kind)
@@ -225,6 +254,7 @@
         **changes: Any,  # keys of the configuration
     ) -> None:
         """Starts the program; header lines ``# NAME JSON`` of exchange files set these parameters by name."""
+        check_changes(changes)
         self.standins = StandIns(hosts, self._connect_address)
         self.listen, self.admin = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
         self.faktory_address = f"127.0.0.1:{free_port()}"
@@ -515,6 +545,14 @@
             return b"".join(iter(lambda: sock.recv(65536), b"")).decode()
 
 
+def _is_json(text: str) -> bool:
+    try:
+        json.loads(text)
+    except json.JSONDecodeError:
+        return False
+    return True
+
+
 def _encode_chunk(match: re.Match[str]) -> str:
     """Returns the chunk of a chunked body that ``[[TEXT]]`` stands for, with escapes."""
     size = len(match[1].encode().decode("unicode_escape"))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,10 +1,9 @@
 """Plays every recorded exchange in ``tests/exchanges`` against the program."""
 
-import json
-import re
 import unittest
 
-from exchange import EXCHANGES_FOLDER, ExchangePlayer
+import pytest
+from exchange import EXCHANGES_FOLDER, ExchangePlayer, header_options
 
 DEFINITIONS = (EXCHANGES_FOLDER / "words.txt").read_text()
 
@@ -14,9 +13,7 @@
 
     def play(self, name: str) -> None:
         text = (EXCHANGES_FOLDER / name).read_text()
-        header_lines = re.findall(r"^# (limits|hosts|sockets|state|inherited|partner|taken) (.*)$", text, re.M)
-        options = {key: json.loads(value) for key, value in header_lines}
-        player = ExchangePlayer(**options)
+        player = ExchangePlayer(**header_options(text))
         try:
             for line in DEFINITIONS.splitlines():
                 player.step(line)
@@ -27,6 +24,15 @@
             player.close()
 
 
+def test_misspelt_header_line_or_key_is_an_error() -> None:
+    """Guards against an exchange that passes without the limits or the state that it was written for."""
+    assert header_options("# limits {}\n# the next three\n") == {"limits": {}}
+    with pytest.raises(ValueError, match="unknown name 'limit'"):
+        header_options('# limit {"conn_idle": 4000.0}\n')
+    with pytest.raises(TypeError, match="socket"):
+        ExchangePlayer(socket=96)
+
+
 def _add_test(name: str) -> None:
     def test(self: ExchangeTests) -> None:
         self.play(name)
