Read the whole interim table once a member has stopped writing it

What callers saw: beside busy processes a cluster member that had polled in its turn ended without servers, or with an old list, until the next change of every server: no request could be served there. Cause: a writer is not told of its own rows. A member whose claim of the interim table was superseded read all rows when it stopped; one that released its claim didn't. The next writer announces only what differs, so the member applied a newer version to an empty list, and preferred it because it was newer. Change: every way of stopping reads the rows as a whole.

--- a/heronlug/cluster/shared_discovery.py
+++ b/heronlug/cluster/shared_discovery.py
@@ -179,10 +179,9 @@
         self._write()
 
     def on_lease_lost(self) -> None:
-        """Stops writing the lease table; its rows become a shared list for this member as for all other members."""
+        """Stops writing the lease table, which another member writes from now on."""
         self._lease = None
-        self._writers[LEASE_TABLE].stop()
-        self._read_table(LEASE_TABLE)
+        self._stop_writing(LEASE_TABLE)
 
     # -- Reading the tables
 
@@ -199,7 +198,7 @@
             self._on_update(ListKind.CHANGES, update)
 
     def _read_table(self, topic: str) -> None:
-        """Applies all rows of a table that this member has stopped writing, as rows of another writer."""
+        """Applies all rows of a table, as rows of another writer."""
         node = self._require_node()
         rows: dict[bytes, bytes | None] = dict(node.tables.rows(topic))
         for name in self._tables[topic].known.servers:
@@ -261,10 +260,8 @@
 
     def _on_election(self) -> None:
         self._election_timer = self._deadlines.call_after(ELECTION_INTERVAL_MS, self._on_election)
-        interim_writer = self._writers[INTERIM_TABLE]
-        if interim_writer.is_superseded:
-            interim_writer.stop()
-            self._read_table(INTERIM_TABLE)
+        if self._writers[INTERIM_TABLE].is_superseded:
+            self._stop_writing(INTERIM_TABLE)
         self._decide()
         self._write()
 
@@ -359,7 +356,15 @@
             writer.publish(self._rows())
         elif not is_reader or self.view.watching:
             node.release(INTERIM_TABLE)
-            writer.stop()
+            self._stop_writing(INTERIM_TABLE)
+
+    def _stop_writing(self, topic: str) -> None:
+        """Stops writing a table; its rows become a shared list for this member as for all other members.
+
+        The rows are read as a whole, because the next writer announces only what differs from them.
+        """
+        self._writers[topic].stop()
+        self._read_table(topic)
 
     def _may_claim_interim_table(self) -> bool:
         """Returns whether this member, as a reader, may write the interim table.
--- a/tests/cluster/test_server_view.py
+++ b/tests/cluster/test_server_view.py
@@ -1,13 +1,21 @@
 """Tests the choice of the endpoint list, the changes reported to the core, and the schedule of health checks."""
 
+import math
 from typing import Any
+from unittest.mock import MagicMock
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
 from heronlug.balancer.events import ListKind, ServerState
 from heronlug.cluster.health_checks import HealthCheckSchedule, shard_of
+from heronlug.cluster.model import FencingToken
+from heronlug.cluster.server_rows import VERSION_KEY, ServerRowCodec
 from heronlug.cluster.server_view import ListSource, ServerView
+from heronlug.cluster.shared_discovery import INTERIM_TABLE, SharedDiscovery
+from heronlug.discovery.reader_election import ReaderElection, Role
+from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.model import ListedServer
 
 READY, DRAINING, REMOVED = ServerState.READY, ServerState.DRAINING, ServerState.REMOVED
@@ -55,6 +63,27 @@
     assert view.switches == 2
 
 
+def test_member_that_has_written_the_interim_table_follows_its_next_writer_with_all_servers() -> None:
+    """Guards against a follower without the servers that the next writer need not announce again."""
+    codec, node, now = ServerRowCodec(["a"], ["m1"]), MagicMock(), Deadlines(lambda: 0.0)
+    node.tables.rows.return_value = codec.encode(servers("a", "b"))
+    node.tables.age.return_value = math.inf
+    node.tables.own_token.return_value = None
+    node.tables.latest_token.return_value, node.claim.return_value = FencingToken(0, 0), FencingToken(1, 1)
+    discovery = SharedDiscovery(
+        ServerView("list"), MagicMock(), MagicMock(), codec, ReaderElection(5000.0, 0, 0.0), now, MagicMock()
+    )
+    discovery.join(node, lambda: None)
+    discovery.election.role = Role.READ
+    discovery._write()
+    node.tables.own_token.return_value = node.claim.return_value
+    discovery.election.role = Role.FOLLOW
+    discovery._write()
+    node.release.assert_called_once_with(INTERIM_TABLE)
+    discovery.on_table_change(INTERIM_TABLE, {VERSION_KEY: msgspec.msgpack.encode(5)})
+    assert discovery._tables[INTERIM_TABLE].known.servers.keys() == {"a", "b"}
+
+
 def test_a_failed_watch_changes_no_server() -> None:
     """Guards against servers that are dropped because service discovery fails."""
     view = ServerView("list")
