Restore what was read from an adopted connection before its request goes on

What callers saw: a client with two requests on a connection got the answer to the first with Connection: close, and none to the second, when the first was answered in the iteration in which the successor took it over. Cause: the queued requests were added after the request in progress had been resumed; an answer at once found nothing behind it and closed the connection to make room. Change: first the queue, then the request in progress, then the bytes of a partial request, which count as unanswered input until they are parsed.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -140,10 +140,12 @@
         event = "client_adopted" if self.adopted else "client_opened"
         self._frontend.log(event, client=self.client_address)
         self._frontend.connection_opened(self)
+        if self._adopted_state is not None:
+            self._queue_adopted_requests(self._adopted_state)
         if self._on_connected is not None:
             self._on_connected(self)
         if self._adopted_state is not None:
-            self._use_adopted_state(self._adopted_state)
+            self._read_adopted_bytes(self._adopted_state)
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the client; requests are served only after all of ``data`` has been parsed."""
@@ -235,7 +237,7 @@
     @property
     def has_unanswered_input(self) -> bool:
         """Returns whether the client has sent unanswered input, including bytes that are unread in the socket."""
-        if self._pipeline or self._reader.reading:
+        if self._pipeline or self._reader.reading or self._has_adopted_bytes:
             return True
         return self.transport is not None and has_unread_input(self.transport)
 
@@ -387,13 +389,23 @@
         """Returns whether another process can read the rest of a request that is partly read."""
         return bool(self._reader.partial_request) and not self._sent_continue
 
-    def _use_adopted_state(self, state: ClientState) -> None:
-        """Queues and parses what another process has read; the time-out of a request runs from its first byte."""
-        self._adopted_state = None
+    @property
+    def _has_adopted_bytes(self) -> bool:
+        """Returns whether another process has read a part of a request that this process has not parsed yet."""
+        return self._adopted_state is not None and bool(self._adopted_state.partial_request)
+
+    def _queue_adopted_requests(self, state: ClientState) -> None:
+        """Queues the requests that another process has read."""
         for request in state.queued:
             request.connection = self
             self._frontend.body_memory.adopt(request)
             self._pipeline.add(request)
+
+    def _read_adopted_bytes(self, state: ClientState) -> None:
+        """Parses the bytes that another process has read; the time-out of a request runs from its first byte."""
+        self._adopted_state = None
+        if self.closing:
+            return
         if state.partial_request:
             self.data_received(state.partial_request)
             self._reading_since = self._frontend.deadlines.clock() - state.reading_ms
--- a/tests/end_to_end/test_accept.py
+++ b/tests/end_to_end/test_accept.py
@@ -12,6 +12,7 @@
 from end_to_end.harness import DispatcherHarness, done, request_bytes, request_id_of, run_async, until
 from end_to_end.process import DispatcherProcess
 from heronlug.frontends.http.client_state import ClientState
+from heronlug.frontends.http.request import HttpRequest
 from heronlug.standins.ports import free_port
 
 
@@ -99,3 +100,21 @@
             assert frontend.has_room(opening=0)
 
     run_async(test)
+
+
+def test_adopted_connection_knows_what_is_left_to_answer_before_its_first_answer() -> None:
+    """Guards against a connection that is closed after an answer although another process has read more from it."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            unanswered: list[bool] = []
+            for state in (ClientState(True, queued=(HttpRequest(),)), ClientState(True, partial_request=b"POST /sa")):
+                adopted, peer = socket.socketpair()
+                harness.application.frontend.adopt(
+                    adopted, state, lambda connection: unanswered.append(connection.has_unanswered_input)
+                )
+                await harness.settle()
+                peer.close()
+            assert unanswered == [True, True]
+
+    run_async(test)
