Let a new process wait for the process that listens on its address

What callers saw: a start refused with "address already in use" while the old process did not run for a moment, or had not noticed yet that its successor was dead; the dispatcher then stayed without a successor. Cause: a new process asks once, for 1 s at most, and binds the address itself if nobody answers. Change: while another process listens on the address it asks again, for 4 s, until that process answers or is gone. With an inherited listening socket nothing tells that another process lives; it starts by itself as before.

--- a/heronlug/lifecycle/hot_restart/inherited_sockets.py
+++ b/heronlug/lifecycle/hot_restart/inherited_sockets.py
@@ -62,6 +62,19 @@
             raise MalformedMessageError(msg)
         self._inherited = sockets
 
+    def listen_address_in_use(self) -> bool:
+        """Returns whether another process listens on the address that this process has to bind."""
+        if self._config.inherited_fd is not None:
+            return False
+        host, _ = self._config.listen
+        with socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(self._config.listen)
+            except OSError as error:
+                return error.errno == errno.EADDRINUSE
+        return False
+
     def open_listener(self) -> None:
         """Opens the client listening socket: inherited from the parent, handed over, or bound; raises ``OSError``."""
         fd = self._inherited.pop(LISTENER_SOCKET, None)
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -27,6 +27,10 @@
 from heronlug.requests.deadlines import Clock, Deadlines
 from heronlug.requests.model import ListedServer
 
+JOIN_RETRY_MS = 4000.0
+"""Time for which a new process tries to reach the process that listens on its address, in ms: until its kill."""
+JOIN_RETRY_INTERVAL_S = 0.05
+"""Delay before another attempt to reach that process, in seconds."""
 ROOM_TIMEOUT_MS = 1000.0
 """Time after which a new process no longer waits for room of the predecessor's limits, in ms."""
 
@@ -98,8 +102,16 @@
     # -- the start of a process
 
     async def join(self) -> None:
-        """Takes over the state and sockets of the running process, if there is one."""
+        """Takes over the state and sockets of the running process, if there is one.
+
+        A process that listens on the same address and does not answer is tried again: it may not be running just now,
+        or not know yet that its successor has ended.
+        """
+        give_up_at = self._deadlines.clock() + JOIN_RETRY_MS
         received = await self.session.join()
+        while received is None and self._sockets.listen_address_in_use() and self._deadlines.clock() < give_up_at:
+            await asyncio.sleep(JOIN_RETRY_INTERVAL_S)
+            received = await self.session.join()
         if received is None:
             return
         try:
