Check the logs of all processes in fault plans, as in the runs of upgrades

Process.unanswered_requests found requests without an end only; check_process_logs also finds two ends, ends without a beginning and connections closed with something owed. A log without the line of a stop may lack its last 0.2 s, as before.

--- a/heronlug/conformance/process_logs.py
+++ b/heronlug/conformance/process_logs.py
@@ -7,10 +7,11 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 LOG_LOSS_WINDOW_S = 0.2
-"""Seconds before the end of the log of a killed process in which lines may be missing."""
+"""Seconds before the end of a truncated log for which lines may be missing."""
 BEGINNINGS = frozenset({"taken", "request_adopted"})
 """Events that begin a request in a process."""
 ENDS = frozenset({"answer", "client_gone", "request_handed_over"})
@@ -27,11 +28,18 @@
         name: Name of the process in the findings.
         lines: Log lines in the order of the log.
         killed: Whether the process was killed outright, so that its requests may have no end.
+        truncated: Whether the last lines of the log may have been lost with the process.
     """
 
     name: str
     lines: Sequence[dict[str, Any]]
     killed: bool = False
+    truncated: bool = False
+
+    @property
+    def complete_until_s(self) -> float:
+        """Returns the Unix time in seconds up to which no line is missing."""
+        return self.lines[-1]["at"] - LOG_LOSS_WINDOW_S if self.truncated and self.lines else inf
 
 
 def check_process_logs(logs: Iterable[ProcessLog]) -> list[str]:
@@ -63,7 +71,9 @@
     ]
     if not log.killed:
         findings += [
-            f"{log.name}: request {line['id']} had no end" for message, line in began.items() if not ends[message]
+            f"{log.name}: request {line['id']} had no end"
+            for message, line in began.items()
+            if not ends[message] and (not log.truncated or line["at"] < log.complete_until_s)
         ]
     return findings
 
--- a/heronlug/faults/processes.py
+++ b/heronlug/faults/processes.py
@@ -14,6 +14,7 @@
 
 from heronlug.config.site import read_object
 from heronlug.config.strict_toml import ConfigProblems, Source
+from heronlug.conformance.process_logs import ProcessLog
 from heronlug.faults.plan import FaultPlan
 from heronlug.standins.ports import process_start_lock
 
@@ -23,8 +24,6 @@
 """Index of the user CPU time in /proc/PID/stat after the program's name; the system CPU time follows."""
 STOP_WITHIN_S = 15.0
 """Seconds after SIGTERM after which a process that still runs is killed."""
-LOG_LOSS_WINDOW_S = 0.2
-"""Seconds before the end of a truncated log in which lines may be missing."""
 
 CONFIG_TEMPLATE = Template("""\
 log_level = "{{ 'debug' if plan.dispatchers.log_taken else 'info' }}"
@@ -205,28 +204,24 @@
         matching = [orjson.loads(line) for line in text.splitlines() if f'"event":"{event}"'.encode() in line]
         return [line for line in matching if line["event"] == event]
 
-    def unanswered_requests(self) -> list[str]:
-        """Returns ids of requests that were taken but neither answered nor abandoned by their client, as logged.
-
-        Incarnations that a step killed outright are skipped. The last lines of a log may be lost with the process, so
-        requests taken within ``LOG_LOSS_WINDOW_S`` of its end are not counted.
-        """
+    def logs(self) -> list[ProcessLog]:
+        """Returns the logs of all incarnations; that of a process without the last line of a stop may lack lines."""
         text = (self.folder / f"{self.name}.log").read_bytes() if self.incarnation else b""
         incarnations: list[list[dict[str, Any]]] = []
         for line in (orjson.loads(line) for line in text.splitlines() if line.startswith(b"{") and line.endswith(b"}")):
             if line["event"] == "started":
                 incarnations.append([])
-            elif line["event"] in ("taken", "answer", "client_gone") and incarnations:
+            if incarnations:
                 incarnations[-1].append(line)
-        unanswered = []
-        for lines in (
-            lines for number, lines in enumerate(incarnations, 1) if lines and number not in self.killed_incarnations
-        ):
-            ended = {line["id"] for line in lines if line["event"] != "taken"}
-            complete_until_s = lines[-1]["at"] - LOG_LOSS_WINDOW_S
-            taken = [line["id"] for line in lines if line["event"] == "taken" and line["at"] < complete_until_s]
-            unanswered += [name for name in taken if name not in ended]
-        return unanswered
+        return [
+            ProcessLog(
+                self.name,
+                lines,
+                killed=number in self.killed_incarnations,
+                truncated=all(line["event"] != "stopped" for line in lines),
+            )
+            for number, lines in enumerate(incarnations, 1)
+        ]
 
     def log_errors(self) -> list[str]:
         """Returns the log lines with an exception or a traceback, which are always a fault."""
--- a/heronlug/faults/verdict.py
+++ b/heronlug/faults/verdict.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from heronlug.conformance import Violation
+from heronlug.conformance.process_logs import check_process_logs
 from heronlug.faults.history import History
 from heronlug.faults.plan import ExpectTable, FailedTable, FaultPlan
 from heronlug.faults.processes import Process
@@ -80,9 +81,7 @@
     verdict.faults += _failed_attempts(run, verdict.figures)
     for process in run.processes.values():
         if run.plan.dispatchers.log_taken:
-            verdict.faults += [
-                f"{process.name} took request {name} and never answered it" for name in process.unanswered_requests()
-            ]
+            verdict.faults += check_process_logs(process.logs())
         verdict.faults += [f"{process.name}: {line[:400]}" for line in process.log_errors()]
     return verdict
 
--- a/tests/conformance/test_process_logs.py
+++ b/tests/conformance/test_process_logs.py
@@ -49,6 +49,13 @@
     assert findings(*logs) == count
 
 
+def test_only_the_last_lines_of_a_truncated_log_may_be_missing() -> None:
+    """Guards against a request without an end that counts as lost with the last lines of the log."""
+    lines = [TAKEN | {"at": 9.9, "message": 2}, {"event": "late_turn", "at": 10.0}]
+    assert not check_process_logs([ProcessLog("process", lines, truncated=True)])
+    assert len(check_process_logs([ProcessLog("process", [TAKEN | {"at": 9.0}, *lines], truncated=True)])) == 1
+
+
 def test_requests_of_a_killed_process_may_have_no_end() -> None:
     """Guards against findings for requests that ended with a process that was killed outright."""
     assert not findings([TAKEN], killed=True)
