--- a/heronlug/cli/upgrades.py
+++ b/heronlug/cli/upgrades.py
@@ -4,6 +4,8 @@
 
 import click
 
+from heronlug.cli.helpers import print_columns
+
 
 @click.command()
 @click.argument("first", type=click.IntRange(0))
@@ -20,13 +22,15 @@
 )
 def upgrades(first: int, count: int, keep: Path | None, sources: tuple[Path, ...]) -> int:
     """Run the plans of COUNT seeds from FIRST on. The exit status is 1 if a request is lost or a rule broken."""
+    from heronlug.faults.upgrades.coverage import coverage_table, total
     from heronlug.faults.upgrades.run import play
     from heronlug.faults.upgrades.soak import draw
 
-    broken = 0
+    reports = []
     for seed in range(first, first + count):
-        report = play(draw(seed), keep / str(seed) if keep is not None else None, sources or (None,))
-        print(report.text(), flush=True)
-        broken += bool(report.violations)
+        reports.append(play(draw(seed), keep / str(seed) if keep is not None else None, sources or (None,)))
+        print(reports[-1].text(), flush=True)
+    print_columns(coverage_table(total(report.reached for report in reports)))
+    broken = sum(bool(report.violations) for report in reports)
     print(f"{count} runs, {broken} broken")
     return 1 if broken else 0
--- a/heronlug/faults/processes.py
+++ b/heronlug/faults/processes.py
@@ -16,12 +16,11 @@
 from heronlug.config.strict_toml import ConfigProblems, Source
 from heronlug.conformance.process_logs import ProcessLog
 from heronlug.faults.plan import FaultPlan
+from heronlug.faults.upgrades.usage import cpu_s_of, descriptors_of
 from heronlug.standins.ports import process_start_lock
 
 SIGHUP_IGNORING_EXEC = ("/bin/sh", "-c", 'trap \'\' HUP; exec "$0" "$@"')
 """Command prefix that ignores SIGHUP until the program installs its own handler, as in the deployment."""
-UTIME_FIELD = 11
-"""Index of the user CPU time in /proc/PID/stat after the program's name; the system CPU time follows."""
 STOP_WITHIN_S = 15.0
 """Seconds after SIGTERM after which a process that still runs is killed."""
 
@@ -191,12 +190,10 @@
         """Returns the resources used so far; zeros if the process is not running."""
         if self.child is None or not self.running:
             return Usage()
-        proc = Path(f"/proc/{self.child.pid}")
-        fields = (proc / "stat").read_text().rpartition(")")[2].split()
-        ticks = int(fields[UTIME_FIELD]) + int(fields[UTIME_FIELD + 1])
-        peak = next(line for line in (proc / "status").read_text().splitlines() if line.startswith("VmHWM:"))
-        descriptors = len(list((proc / "fd").iterdir()))
-        return Usage(ticks / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) / 1024, descriptors)
+        pid = self.child.pid
+        status = Path(f"/proc/{pid}/status").read_text().splitlines()
+        peak = next(line for line in status if line.startswith("VmHWM:"))
+        return Usage(cpu_s_of(pid), int(peak.split()[1]) / 1024, descriptors_of(pid))
 
     def logged_events(self, event: str) -> list[dict[str, Any]]:
         """Returns the log lines of an event."""
--- a/heronlug/faults/upgrades/clients.py
+++ b/heronlug/faults/upgrades/clients.py
@@ -250,7 +250,7 @@
         connection.parser.statuses.clear()
         wait_s = max(self.plan.deadlines_s[record.class_name] for record in records)  # answers come in order
         try:
-            async with asyncio.timeout(wait_s + LATE_S):
+            async with asyncio.timeout(wait_s + LATE_S + self.plan.longest_pause_s):
                 for record in records:
                     if not await self._read_answer(connection, record):
                         _end_all(records, connection.parser.begun)
--- a/heronlug/faults/upgrades/plan.py
+++ b/heronlug/faults/upgrades/plan.py
@@ -70,6 +70,21 @@
     signals: int = 1
 
 
+@dataclass(frozen=True)
+class Pause:
+    """A time in which processes of the dispatcher do not run, as on a machine that is short of processor time.
+
+    Attributes:
+        at_s: Start, in seconds from the start of the load.
+        length_s: Length in seconds.
+        latest_only: Whether only the latest process does not run; otherwise all of them.
+    """
+
+    at_s: float
+    length_s: float
+    latest_only: bool = False
+
+
 @dataclass(frozen=True)
 class UpgradePlan:
     """A run of upgrades.
@@ -86,8 +101,10 @@
         deadlines_s: Time for which clients wait for an answer, in seconds, by request class.
         upgrades: The upgrades, in order of time.
         reloads_s: Times at which all processes get SIGHUP, in seconds from the start of the load.
+        pauses: Times in which processes do not run, in their order.
         single_core: Whether all processes of the dispatcher run on one core.
         clock_steps_s: Steps of the wall clock before the starts of the processes, in turn, in seconds.
+        log_level: Level of the log of the processes; only the logs of level ``debug`` can be checked.
     """
 
     seed: int
@@ -101,8 +118,15 @@
     deadlines_s: dict[str, float] = field(default_factory=lambda: {"safe": 10.0, "once": 20.0, "keyed": 25.0})
     upgrades: tuple[Upgrade, ...] = ()
     reloads_s: tuple[float, ...] = ()
+    pauses: tuple[Pause, ...] = ()
     single_core: bool = False
     clock_steps_s: tuple[int, ...] = (0,)
+    log_level: str = "debug"
+
+    @property
+    def longest_pause_s(self) -> float:
+        """Returns the longest time in which processes do not run, by which an answer may be late, in seconds."""
+        return max((pause.length_s for pause in self.pauses), default=0.0)
 
 
 def series(count: int, first_s: float, interval_s: float, rng: Random) -> tuple[Upgrade, ...]:
--- a/heronlug/faults/upgrades/processes.py
+++ b/heronlug/faults/upgrades/processes.py
@@ -14,7 +14,7 @@
 import orjson
 
 from heronlug.conformance.process_logs import ProcessLog
-from heronlug.faults.upgrades.plan import Moment, SuccessorFault, Upgrade
+from heronlug.faults.upgrades.plan import Moment, Pause, SuccessorFault, Upgrade
 from heronlug.standins.ports import process_start_lock
 
 LIMITED_EXEC = ("/bin/sh", "-c", 'ulimit -n "$0"; exec "$@"')
@@ -94,6 +94,7 @@
         sources: Folders of the versions of the program that the processes run in turn; None stands for this version.
         single_core: Whether all processes run on one core.
         clock_steps_s: Steps of the wall clock before the starts of the processes, in turn, in seconds.
+        log_level: Level of the log of the processes.
         processes: All processes in the order of their starts.
         failures: What went wrong with the processes themselves.
     """
@@ -103,6 +104,7 @@
     sources: tuple[Path | None, ...] = (None,)
     single_core: bool = False
     clock_steps_s: tuple[int, ...] = (0,)
+    log_level: str = "debug"
     processes: list[RunningProcess] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -154,6 +156,17 @@
             if process.running and process.has_logged("started"):
                 process.child.send_signal(signal.SIGHUP)
 
+    async def pause(self, pause: Pause) -> None:
+        """Stops processes for a while, except those that a fault of the plan stops or kills."""
+        running = [process for process in self.processes if process.running and not process.killed]
+        paused = running[-1:] if pause.latest_only else running
+        for process in paused:
+            process.child.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(pause.length_s)
+        for process in paused:
+            if not process.killed:
+                process.child.send_signal(signal.SIGCONT)
+
     def terminate(self, process: RunningProcess, signals: int = 1) -> None:
         """Sends SIGTERM to a process, and SIGKILL at the earliest time that the platform allows."""
         process.term_at = time.time()
@@ -215,7 +228,7 @@
         """Writes the files of a process and returns its environment."""
         config, state = self.folder / "config.json", self.folder / "state.toml"
         config.write_bytes(orjson.dumps(self.configuration))
-        state.write_text('log_level = "debug"\n')
+        state.write_text(f'log_level = "{self.log_level}"\n')
         return {
             "RELAY_CONFIG": str(config),
             "HERONLUG_STATE": str(state),
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -12,6 +12,7 @@
 
 from heronlug.conformance.process_logs import check_process_logs
 from heronlug.faults.upgrades.clients import Crowd, End, RequestRecord
+from heronlug.faults.upgrades.coverage import Cell, reached
 from heronlug.faults.upgrades.plan import UpgradePlan
 from heronlug.faults.upgrades.processes import RunningProcess, UpgradedDispatcher
 from heronlug.faults.upgrades.usage import UsageSampler
@@ -36,12 +37,14 @@
         records: All requests of all clients.
         violations: What broke a rule, one line each.
         figures: Figures of the run by name.
+        reached: Number of connections that ended in a process, by their state and the moment of the upgrade.
     """
 
     plan: UpgradePlan
     records: list[RequestRecord]
     violations: list[str] = field(default_factory=list)
     figures: dict[str, Any] = field(default_factory=dict)
+    reached: Counter[Cell] = field(default_factory=Counter)
 
     def count(self, end: End) -> int:
         """Returns the number of requests with this end."""
@@ -65,7 +68,7 @@
         self._discovery = StandInDiscovery()
         self._servers = [StandInServer(self._behaviour) for _ in range(plan.servers)]
         self._port = free_port()
-        self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core, plan.clock_steps_s)
+        self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core, plan.clock_steps_s, plan.log_level)
         self._crowd = Crowd(plan, self._port)
         self._usage = UsageSampler(self._dispatcher.running_pids)
 
@@ -80,12 +83,12 @@
             await self._open()
             await self._dispatcher.start()
             load = asyncio.create_task(self._crowd.run())
-            reloads = asyncio.create_task(self._reload())
+            disturbances = asyncio.gather(self._reload(), self._pause())
             began_at = asyncio.get_running_loop().time()
             for upgrade in self.plan.upgrades:
                 await asyncio.sleep(max(0.0, began_at + upgrade.at_s - asyncio.get_running_loop().time()))
                 await self._dispatcher.upgrade(upgrade)
-            await asyncio.gather(load, reloads)
+            await asyncio.gather(load, disturbances)
             await self._dispatcher.stop()
             return self._report()
         finally:
@@ -95,6 +98,10 @@
             for server in self._servers:
                 server.close()
 
+    def running_pids(self) -> list[int]:
+        """Returns the ids of the running processes of the dispatcher."""
+        return self._dispatcher.running_pids()
+
     async def _reload(self) -> None:
         passed_s = 0.0
         for at_s in self.plan.reloads_s:
@@ -102,6 +109,12 @@
             passed_s = at_s
             self._dispatcher.reload()
 
+    async def _pause(self) -> None:
+        began_at = asyncio.get_running_loop().time()
+        for pause in self.plan.pauses:
+            await asyncio.sleep(max(0.0, began_at + pause.at_s - asyncio.get_running_loop().time()))
+            await self._dispatcher.pause(pause)
+
     async def _open(self) -> None:
         for number, server in enumerate(self._servers):
             port = await server.open()
@@ -152,7 +165,7 @@
 
     def _report(self) -> UpgradeReport:
         self._classify_lost_requests()
-        report = UpgradeReport(self.plan, self._crowd.records)
+        report = UpgradeReport(self.plan, self._crowd.records, reached=reached(self._dispatcher.processes))
         report.violations += self._dispatcher.failures
         report.violations += [
             f"{record.request_id} ({record.class_name}, {record.kind.value}) of {record.client_address}, sent "
@@ -161,7 +174,8 @@
             if record.end in (None, End.LOST, End.TIMEOUT, End.BAD)
         ]
         report.violations += self._repeated_executions()
-        report.violations += check_process_logs([process.as_log() for process in self._dispatcher.processes])
+        if self.plan.log_level == "debug":
+            report.violations += check_process_logs([process.as_log() for process in self._dispatcher.processes])
         if self._usage.peak_descriptors > self.plan.sockets:
             parts = " + ".join(map(str, self._usage.peak_parts))
             report.violations.append(f"descriptors: {parts} held at once, at most {self.plan.sockets} allowed")
@@ -187,7 +201,7 @@
 
 
 class ConnectionOwners:
-    """The process that had each connection at any time, by the logs of all processes.
+    """The processes that had each connection, by the logs of all processes.
 
     A connection that was handed over belongs to the successor, even if that ended before it could write its log.
     """
@@ -197,20 +211,19 @@
         self._changes: dict[str, list[tuple[float, int]]] = {}  # time and number of the process, by client address
         for process in processes:
             self._read(process)
-        for changes in self._changes.values():
-            changes.sort()
 
     def was_killed(self, record: RequestRecord) -> bool:
         """Returns whether the process that had the connection of a request was killed before the request ended.
 
         A process that was killed may have accepted a connection without writing its log.
         """
-        owner = None
-        for at, number in self._changes.get(record.client_address, []):
-            if record.connected_at <= at <= record.ended_at:
-                owner = self._processes[number]
-        if owner is not None:
-            return owner.killed
+        owners = [
+            number
+            for at, number in self._changes.get(record.client_address, [])
+            if record.connected_at <= at <= record.ended_at
+        ]
+        if owners:  # a connection moves to later processes only, though the lines of an earlier one may come later
+            return self._processes[max(owners)].killed
         return any(0 <= record.ended_at - process.killed_at <= KILL_NOTICE_S for process in self._processes)
 
     def _read(self, process: RunningProcess) -> None:
--- a/heronlug/faults/upgrades/soak.py
+++ b/heronlug/faults/upgrades/soak.py
@@ -6,6 +6,7 @@
     LONGEST_TERM_DELAY_S,
     ClientKind,
     Moment,
+    Pause,
     SuccessorFault,
     Upgrade,
     UpgradePlan,
@@ -19,6 +20,8 @@
 """Length of the load after the last upgrade, in seconds."""
 FAULT_SHARE = 0.2
 """Share of the upgrades whose new process fails."""
+LONGEST_PAUSE_S = 0.8
+"""Longest time in which a process does not run, in seconds."""
 CONNECTIONS_PER_LIMIT = {256: 96, 1024: 480}
 """Client connections that a dispatcher may have, by its limit of descriptors."""
 
@@ -41,6 +44,7 @@
         reloads_s=tuple(sorted(rng.uniform(0.5, upgrades[-1].at_s) for _ in range(rng.choice([0, 0, 3, 8])))),
         single_core=rng.random() < 0.4,
         clock_steps_s=rng.choice([(0,), (0,), (0,), (3600, -3600), (-3600, 3600)]),
+        pauses=_draw_pauses(rng, upgrades[-1].at_s),
     )
 
 
@@ -58,6 +62,12 @@
     return {kind: round(total * weight / sum(weights.values())) for kind, weight in weights.items()}
 
 
+def _draw_pauses(rng: Random, until_s: float) -> tuple[Pause, ...]:
+    """Returns no pauses, or a few that are shorter than the time after which a process counts as hanging."""
+    starts_s = sorted(rng.uniform(0.5, until_s) for _ in range(rng.choice([0, 0, 2, 4])))
+    return tuple(Pause(at_s, rng.uniform(0.1, LONGEST_PAUSE_S), rng.random() < 0.5) for at_s in starts_s)
+
+
 def _draw_upgrades(rng: Random) -> tuple[Upgrade, ...]:
     interval_s = rng.choice([0.6, 1.2, 2.5])
     return tuple(
--- a/heronlug/faults/upgrades/usage.py
+++ b/heronlug/faults/upgrades/usage.py
@@ -1,12 +1,15 @@
 """Samples from ``/proc`` what the processes of a dispatcher hold together."""
 
 import asyncio
+import os
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 SAMPLE_INTERVAL_S = 0.02
 """Seconds between two samples."""
+UTIME_FIELD = 11
+"""Index of the user CPU time in /proc/PID/stat after the program's name; the system CPU time follows."""
 
 
 @dataclass
@@ -54,3 +57,12 @@
     except OSError:
         return 0.0
     return next((int(line.split()[1]) / 1024 for line in status.splitlines() if line.startswith("RssAnon:")), 0.0)
+
+
+def cpu_s_of(pid: int) -> float:
+    """Returns the user and system CPU time of a process in seconds; 0 if it has ended."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[UTIME_FIELD]) + int(fields[UTIME_FIELD + 1])) / os.sysconf("SC_CLK_TCK")
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -116,6 +116,7 @@
         self.has_sent_request = False
         self.adopted = False
         self._adopted_state: ClientState | None = None  # until the transport is set
+        self._released_request_id = ""
         self._reading_since = 0.0
         self._sent_continue = False
         self.opened_at = frontend.deadlines.clock()
@@ -345,6 +346,7 @@
     def detach(self) -> None:
         """Closes this process's descriptor without writing, after another process has taken over the connection."""
         if self.open_request is not None:
+            self._released_request_id = self.open_request.request_id
             self._frontend.body_memory.release(self.open_request.payload)
         self.open_request = None
         self.abort(CloseReason.HANDED_OVER)
@@ -362,7 +364,7 @@
         """Logs and counts the end of the connection, for ``reason`` unless this process has ended it before."""
         self._set_close_reason(reason)
         final_reason = self._close_reason or reason
-        request_id = self.open_request.request_id if self.open_request is not None else ""
+        request_id = self.open_request.request_id if self.open_request is not None else self._released_request_id
         self._frontend.count_close(final_reason)
         by_client = final_reason is CloseReason.CLIENT_CLOSED
         continued = by_client or final_reason is CloseReason.HANDED_OVER
