Count a dispatcher between two watches as reading at the end of a plan

Its watches last 12.5 to 20 s and the plan 21 s, so that some end in its last second; the event history of another play shows each next watch 10 ms after the end of the one before, the time that the register of this plan takes for a call. The failing play kept no files, so that this is what it fits, not what it shows. Change: a second look 0.25 s later; a dispatcher that reads at either counts. One that has stopped reading is still found. Failed before: test_dispatcher_between_two_watches_counts_as_reading (there was no second look).

--- a/heronlug/faults/harness.py
+++ b/heronlug/faults/harness.py
@@ -30,6 +30,8 @@
 """Maximum seconds that a run waits for all dispatchers to have the endpoint list."""
 ANSWERS_WITHIN_S = 5.0
 """Seconds beyond the longest deadline that a run waits for its last answers."""
+BETWEEN_WATCHES_S = 0.25
+"""Seconds within which a dispatcher whose watch has been answered opens its next one."""
 LOAD_MARGIN_S = 60.0
 """Seconds beyond the plan's span after which the load generator gives up."""
 DRAIN_GRACE_MS = 2500.0
@@ -150,7 +152,7 @@
         return sorted(planned, key=lambda each: each.due_at)
 
     async def _finish(self) -> FinishedRun:
-        watching = self.reading()
+        watching = await self._reading_in_the_end()
         listed = await self._dispatchers.list_completeness()
         await self._ordered_ends.wait_until_caught_up()
         return FinishedRun(
@@ -166,6 +168,12 @@
             self._tasks.failures,
         )
 
+    async def _reading_in_the_end(self) -> list[str]:
+        """Returns the dispatchers that have a watch open now, or open their next one within ``BETWEEN_WATCHES_S``."""
+        reading = self.reading()
+        await asyncio.sleep(BETWEEN_WATCHES_S)
+        return sorted({*reading, *self.reading()})
+
     async def _close(self) -> None:
         self._tasks.close()
         self._dispatchers.close()
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -1,12 +1,15 @@
 """Tests that the fault harness passes a correct run and reports broken rules, expectations and invalid plans."""
 
+import asyncio
+import socket
 import sys
 from pathlib import Path
+from unittest import mock
 
 import pytest
 
 from heronlug.config.strict_toml import ConfigProblems, Source
-from heronlug.faults.harness import play
+from heronlug.faults.harness import FaultHarness, play
 from heronlug.faults.plan import FaultPlan, parse
 
 PLAN_HEAD = """
@@ -39,11 +42,6 @@
     The test sends requests directly to the server, as a dispatcher would that ignores the capacity of a server that is
     warming up.
     """
-    import asyncio
-    import socket
-
-    from heronlug.faults.harness import FaultHarness
-
     table = "[runners]\ncount = 1\nslots = 4\ncold = true\noverload_for_ms = 200\n" + REQUEST_CLASS
 
     async def run() -> list[int]:
@@ -64,6 +62,17 @@
     assert 4 in asyncio.run(run())
 
 
+def test_dispatcher_between_two_watches_counts_as_reading(tmp_path: Path) -> None:
+    """Guards against a verdict that depends on a watch that is answered in the last milliseconds of the run."""
+
+    async def run() -> list[str]:
+        harness = FaultHarness(parse_plan(""), tmp_path)
+        with mock.patch.object(harness, "reading", side_effect=[["d0"], ["d0", "d1"]]):
+            return await harness._reading_in_the_end()
+
+    assert asyncio.run(run()) == ["d0", "d1"]
+
+
 def test_unexpected_process_exit_is_reported(tmp_path: Path) -> None:
     """Guards against a run that passes although its dispatchers exit, here with status 3 right after their start."""
     (tmp_path / "heronlug").mkdir()
