Let attempts that wait for a connection keep their order

What callers saw: at the limit of server connections the request that had waited longest went behind the later ones, and could expire there. Cause: each look at the queue took the first attempt out, and put it back at the end, with a new timer, if the connection closed in its favour was not free yet. The room then went to the next one. Change: the first attempt stays in the queue until it is sent or fails; nothing is put back. Whether any connection is idle is asked without counting them. Failed before: test_attempt_waits_for_a_connection_at_the_limit with the order, between three servers (t3 before t2). Measured: tests/end_to_end/test_servers.py: 46 passed.

--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -239,19 +239,18 @@
     def _serve_waiting(self) -> None:
         """Sends waiting attempts while there is room; an attempt that may no longer be sent ends."""
         self._serves_waiting = False
-        while self._waiting and (self._idle_count() or self.open_count < self.max_connections):
-            waiting = self._waiting.pop()
+        while self._waiting and (any(self._idle.values()) or self.open_count < self.max_connections):
+            waiting = self._waiting.first()
             waiting.attempt.request.keep()
             remaining = waiting.expires_at - self.deadlines.clock()
             if not self.core.may_write(waiting.attempt):
+                self._waiting.remove(waiting)
                 self._fail_unsent(waiting.attempt)
-            elif not self._send_now(waiting.attempt, max(0.0, remaining)):
-                self._waiting.add(waiting.attempt, max(0.0, remaining))
+            elif self._send_now(waiting.attempt, max(0.0, remaining)):
+                self._waiting.remove(waiting)
+            else:
                 return
 
-    def _idle_count(self) -> int:
-        return sum(len(idle) for idle in self._idle.values())
-
     def _fail_unsent(self, attempt: Attempt) -> None:
         self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
 
--- a/heronlug/backends/waiting_attempts.py
+++ b/heronlug/backends/waiting_attempts.py
@@ -54,16 +54,17 @@
         attempt.exchange = self._waiting[attempt.handle] = WaitingAttempt(self, attempt, expires_at, timer)
 
     def remove(self, waiting: WaitingAttempt) -> None:
-        """Removes an attempt; does nothing if it is not in the queue."""
-        if self._waiting.pop(waiting.attempt.handle, None) is not None:
-            self._deadlines.cancel(waiting.timer)
-            waiting.attempt.exchange = None
-
-    def pop(self) -> WaitingAttempt:
-        """Removes and returns the attempt that has waited longest."""
-        waiting = next(iter(self._waiting.values()))
-        self.remove(waiting)
-        return waiting
+        """Removes an attempt, which may be sent by now; does nothing if it is not in the queue."""
+        attempt = waiting.attempt
+        if self._waiting.pop(attempt.handle, None) is None:
+            return
+        self._deadlines.cancel(waiting.timer)
+        if attempt.exchange is waiting:
+            attempt.exchange = None
+
+    def first(self) -> WaitingAttempt:
+        """Returns the attempt that has waited longest."""
+        return next(iter(self._waiting.values()))
 
     def _expire(self, handle: int) -> None:
         waiting = self._waiting.get(handle)
--- a/tests/end_to_end/test_servers.py
+++ b/tests/end_to_end/test_servers.py
@@ -509,7 +509,7 @@
     """Guards against attempts that fail at once, one after another, until a request is given up."""
 
     async def test() -> None:
-        async with DispatcherHarness(2).open() as harness:
+        async with DispatcherHarness(3).open() as harness:
             harness.application.backend.max_connections = 1
             _, _, connection = await send_first(harness, "t1", "safe")
             assert connection.take_request()
@@ -519,14 +519,17 @@
             await harness.pass_time(100)
             assert not [ended for ended in harness.logged("relay_ended") if ended["id"] != "t4"]
             connection.send(done("t1"))
+            sent = []
             for _ in waiting_clients:
                 await until(lambda: any(server.requests for server in harness.servers.values()), "a request")
                 [server] = [each for each in harness.servers.values() if each.requests]
                 connection, request = await server.request()
-                connection.send(done(request_id_of(request)))
+                sent.append(request_id_of(request))
+                connection.send(done(sent[-1]))
                 await harness.settle()
                 await harness.pass_time(0)
             assert all(served(client) for client in waiting_clients)
+            assert sent == ["t2", "t3"]
             assert len(harness.application.backend.connections) == 1
 
     run_async(test)
