Keep the bytes of a partial request without copying them, or a flag beside them

The bytes of a request in part were joined anew at each read, so that a body in many pieces was copied again and again; now they are appended. Whether its first bytes are unknown follows from the size of the request, which excludes them.

--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -79,12 +79,11 @@
     def __init__(self, receiver: RequestReceiver) -> None:
         self.phase = ReadPhase.BETWEEN_REQUESTS
         self.request = HttpRequest()
-        self.partial_request: bytes | None = b""
+        self.partial_request: bytearray | None = bytearray()
         self._receiver = receiver
         self._parser: Any = httptools.HttpRequestParser(self)
         self._body = bytearray()
         self._head_size = 0  # bytes of the head reported by the parser
-        self._completed = False  # whether a request was completed by the bytes that are being parsed
         self._request_size = 0  # bytes including framing; excludes bytes received together with the previous request
 
     @property
@@ -99,7 +98,6 @@
             BadRequestError: The bytes violate the protocol; the reader must not be used again.
         """
         self._request_size += len(data)
-        self._completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -173,7 +171,6 @@
         request.body = bytes(self._body)
         self._body = bytearray()
         self._request_size = 0
-        self._completed = True
         self.phase = ReadPhase.BETWEEN_REQUESTS
         self._receiver.request_complete(request)
 
@@ -184,10 +181,11 @@
 
     def _keep_partial_request(self, data: bytes) -> None:
         if not self.reading:
-            self.partial_request = b""
-        elif self._completed or self.partial_request is None:
+            if self.partial_request != b"":
+                self.partial_request = bytearray()
+        elif self._request_size == 0:
             self.partial_request = None
-        else:
+        elif self.partial_request is not None:
             self.partial_request += data
 
     def _check_size(self) -> None:
