Read the log of a process in one place, and once a run

Two harnesses parsed the lines of a log, each in its own way, and a run of upgrades parsed the log of each process four times for its verdict. read_log does both; an ended process keeps its lines. The checker says in one place which ends may be missing, and the sampler asks for the running processes once a sample.

--- a/heronlug/conformance/process_logs.py
+++ b/heronlug/conformance/process_logs.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from math import inf
 from typing import Any
 
 LOG_LOSS_WINDOW_S = 0.2
@@ -36,10 +35,9 @@
     killed: bool = False
     truncated: bool = False
 
-    @property
-    def complete_until_s(self) -> float:
-        """Returns the Unix time in seconds up to which no line is missing."""
-        return self.lines[-1]["at"] - LOG_LOSS_WINDOW_S if self.truncated and self.lines else inf
+    def may_lack_end(self, beginning: dict[str, Any]) -> bool:
+        """Returns whether the end of a request that begins with this line may be missing from the log."""
+        return self.killed or (self.truncated and beginning["at"] >= self.lines[-1]["at"] - LOG_LOSS_WINDOW_S)
 
 
 def check_process_logs(logs: Iterable[ProcessLog]) -> list[str]:
@@ -69,12 +67,11 @@
         for message, count in ends.items()
         if count > 1 and message in began
     ]
-    if not log.killed:
-        findings += [
-            f"{log.name}: request {line['id']} had no end"
-            for message, line in began.items()
-            if not ends[message] and (not log.truncated or line["at"] < log.complete_until_s)
-        ]
+    findings += [
+        f"{log.name}: request {line['id']} had no end"
+        for message, line in began.items()
+        if not ends[message] and not log.may_lack_end(line)
+    ]
     return findings
 
 
@@ -82,17 +79,17 @@
     """Returns a line for each request that was handed over and not adopted, or adopted but not handed over."""
     handed_over: Counter[str] = Counter()
     adopted: Counter[str] = Counter()
+    killed = any(log.killed for log in logs)
     for log in logs:
         handed_over.update(line["id"] for line in log.lines if line["event"] == "request_handed_over")
         adopted.update(line["id"] for line in log.lines if line["event"] == "request_adopted")
-    if any(log.killed for log in logs):
+    if killed:
         adopted |= handed_over  # the log of a killed process may lack its last lines
     findings = [
         f"request {name} was handed over {count} times and adopted {adopted[name]} times"
         for name, count in handed_over.items()
         if adopted[name] < count
     ]
-    killed = any(log.killed for log in logs)
     findings += [
         f"request {name} was adopted {count} times and handed over {handed_over[name]} times"
         for name, count in adopted.items()
--- a/heronlug/faults/processes.py
+++ b/heronlug/faults/processes.py
@@ -15,6 +15,7 @@
 from heronlug.config.site import read_object
 from heronlug.config.strict_toml import ConfigProblems, Source
 from heronlug.conformance.process_logs import ProcessLog
+from heronlug.faults.log_file import read_log
 from heronlug.faults.plan import FaultPlan
 from heronlug.faults.upgrades.usage import cpu_s_of, descriptors_of
 from heronlug.standins.ports import process_start_lock
@@ -203,9 +204,8 @@
 
     def logs(self) -> list[ProcessLog]:
         """Returns the logs of all incarnations; that of a process without the last line of a stop may lack lines."""
-        text = (self.folder / f"{self.name}.log").read_bytes() if self.incarnation else b""
         incarnations: list[list[dict[str, Any]]] = []
-        for line in (orjson.loads(line) for line in text.splitlines() if line.startswith(b"{") and line.endswith(b"}")):
+        for line in read_log(self.folder / f"{self.name}.log") if self.incarnation else ():
             if line["event"] == "started":
                 incarnations.append([])
             if incarnations:
--- a/heronlug/faults/upgrades/coverage.py
+++ b/heronlug/faults/upgrades/coverage.py
@@ -44,7 +44,7 @@
     """Returns how many connections ended in a process in each state and moment, handed over or closed."""
     cells: Counter[Cell] = Counter()
     for number, process in enumerate(processes):
-        lines = process.logged_events()
+        lines = process.events
         successor_started_at = processes[number + 1].started_at if number + 1 < len(processes) else float("inf")
         serves_at = next((line["at"] for line in lines if line["event"] == "handed_over"), float("inf"))
         sent = {line["id"] for line in lines if line["event"] == "request_handed_over" and line["hosts"]}
--- a/heronlug/faults/upgrades/plan.py
+++ b/heronlug/faults/upgrades/plan.py
@@ -28,7 +28,7 @@
 
 
 class SuccessorFault(Enum):
-    """What happens to a process that takes over; the values appear in reports."""
+    """A fault of a process that takes over; the values appear in reports."""
 
     NONE = "none"
     KILLED = "killed"
@@ -39,7 +39,7 @@
 
 
 class Moment(Enum):
-    """When the fault of a successor happens; the values appear in reports."""
+    """The moment at which a successor fails; the values appear in reports."""
 
     STARTING = "starting"
     """Before it asks its predecessor for the state."""
--- a/heronlug/faults/upgrades/processes.py
+++ b/heronlug/faults/upgrades/processes.py
@@ -8,12 +8,14 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from pathlib import Path
 from typing import Any
 
 import orjson
 
 from heronlug.conformance.process_logs import ProcessLog
+from heronlug.faults.log_file import read_log
 from heronlug.faults.upgrades.plan import Moment, Pause, SuccessorFault, Upgrade
 from heronlug.standins.ports import process_start_lock
 
@@ -65,10 +67,10 @@
         """Whether the process is running."""
         return self.child.poll() is None
 
-    def logged_events(self) -> list[dict[str, Any]]:
-        """Returns all complete lines of the log."""
-        lines = self.log_path.read_bytes().rpartition(b"\n")[0].splitlines()
-        return [orjson.loads(line) for line in lines if line.startswith(b"{")]
+    @cached_property
+    def events(self) -> list[dict[str, Any]]:
+        """All complete lines of the log of the process, which has ended."""
+        return read_log(self.log_path)
 
     def other_lines(self) -> list[str]:
         """Returns the lines of the log that are no events, such as a traceback."""
@@ -81,7 +83,7 @@
 
     def as_log(self) -> ProcessLog:
         """Returns the log for the checker."""
-        return ProcessLog(f"process {self.number}", self.logged_events(), self.killed)
+        return ProcessLog(f"process {self.number}", self.events, self.killed)
 
 
 @dataclass
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -147,7 +147,7 @@
         was killed outright ends with that process.
         """
         processes = self._dispatcher.processes
-        lines = [line for process in processes for line in process.logged_events()]
+        lines = [line for process in processes for line in process.events]
         taken = {line["id"] for line in lines if line["event"] == "taken"}
         owners = ConnectionOwners(processes)
         for record in self._crowd.records:
@@ -228,7 +228,7 @@
 
     def _read(self, process: RunningProcess) -> None:
         successor = process.number
-        for line in process.logged_events():
+        for line in process.events:
             if line["event"] == "handed_over":
                 successor = max(other.number for other in self._processes if other.started_at < line["at"])
             elif line["event"] in ("client_opened", "client_adopted"):
--- a/heronlug/faults/upgrades/usage.py
+++ b/heronlug/faults/upgrades/usage.py
@@ -36,10 +36,11 @@
 
     def sample(self) -> None:
         """Takes one sample."""
-        parts = [descriptors_of(pid) for pid in self.pids()]
+        pids = self.pids()
+        parts = [descriptors_of(pid) for pid in pids]
         if sum(parts) > self.peak_descriptors:
             self.peak_descriptors, self.peak_parts = sum(parts), parts
-        self.peak_memory_mb = max(self.peak_memory_mb, sum(private_memory_mb(pid) for pid in self.pids()))
+        self.peak_memory_mb = max(self.peak_memory_mb, sum(private_memory_mb(pid) for pid in pids))
 
 
 def descriptors_of(pid: int) -> int:
