One piece of code for idle ranks, labelled metrics, hanging processes and whole numbers

- The eviction rank of a connection without a request was set in three ways, which give the same rank.
- Metrics with a label had a function for each label.
- A process that does not answer was abandoned in two places by the same lines.
- Two readers of a message checked a whole number in the same way.
- Whether a connection is adopted follows from the state that it was adopted with.
The load generator no longer asks for a transport that it has just asserted.
"stopped" is logged where the process closes its sockets, at the same moment.
Nothing behaves otherwise.

--- a/heronlug/backends/close_reason.py
+++ b/heronlug/backends/close_reason.py
@@ -4,7 +4,7 @@
 
 
 class CloseReason(StrEnum):
-    """Why a connection to a server ended; the values appear in logs and metrics."""
+    """The reason for which a connection to a server ended; the values appear in logs and metrics."""
 
     SERVER_CLOSED = "server_closed"
     """The server closed or reset the connection."""
--- a/heronlug/frontends/http/close_reason.py
+++ b/heronlug/frontends/http/close_reason.py
@@ -4,7 +4,7 @@
 
 
 class CloseReason(StrEnum):
-    """Why a client connection ended; the values appear in logs and metrics."""
+    """The reason for which a client connection ended; the values appear in logs and metrics."""
 
     CLIENT_CLOSED = "client_closed"
     """The client closed or reset the connection."""
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -65,8 +65,8 @@
     def connection_opened(self, connection: "ClientConnection") -> None:
         """Registers a new connection."""
 
-    def connection_reclaimed(self, connection: "ClientConnection") -> None:
-        """Sets the eviction rank of a connection that another process has not taken over."""
+    def connection_idle(self, connection: "ClientConnection") -> None:
+        """Sets the eviction rank of a connection on which no request is being served."""
 
     def connection_aborted(self, connection: "ClientConnection") -> None:
         """Records that a connection is about to be closed."""
@@ -99,7 +99,6 @@
         requests_accepted: Number of requests passed to the core; after a hot restart at least 1 if the previous process
             accepted any.
         has_sent_request: Whether the client has sent a complete request, including health checks.
-        adopted: Whether another process has opened the connection.
         opened_at: Time at which the connection was opened, in ms.
         rank: Rank in the eviction order; None if the connection is not in the order.
     """
@@ -114,7 +113,6 @@
         self.open_request: Request | None = None
         self.requests_accepted = 0
         self.has_sent_request = False
-        self.adopted = False
         self._adopted_state: ClientState | None = None  # until the transport is set
         self._released_request_id = ""
         self._reading_since = 0.0
@@ -138,7 +136,7 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
         self.client_address = format_address(transport.get_extra_info("peername"))
         self._start_waiting()
-        event = "client_adopted" if self.adopted else "client_opened"
+        event = "client_opened" if self._adopted_state is None else "client_adopted"
         self._frontend.log(event, client=self.client_address)
         self._frontend.connection_opened(self)
         if self._adopted_state is not None:
@@ -326,7 +324,6 @@
 
     def adopt(self, state: ClientState) -> None:
         """Sets the state of a connection that another process has opened, before the transport is set."""
-        self.adopted = True
         self.has_sent_request = state.has_sent_request
         self.requests_accepted = int(state.served)
         now = self._frontend.deadlines.clock()
@@ -340,7 +337,7 @@
         self.transport.resume_reading()
         if self._state is ConnectionState.OFFERED:
             self._apply_event(ConnectionEvent.RECLAIMED)
-            self._frontend.connection_reclaimed(self)
+            self._frontend.connection_idle(self)
             self._start_waiting()
 
     def detach(self) -> None:
@@ -435,8 +432,7 @@
 
     def _await_next_request(self) -> None:
         """Updates rank and time-out after a response and serves the next pipelined request, if any."""
-        served = EvictionRank.SERVED if self.requests_accepted else EvictionRank.HEALTH_CHECKED
-        self._frontend.rank_for_eviction(self, served)
+        self._frontend.connection_idle(self)
         if not self._reader.reading:
             self._timeout.start(IDLE_TIMEOUT_MS, self._on_timeout)
         self._serve_next()
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -110,11 +110,11 @@
     def connection_opened(self, connection: ClientConnection) -> None:
         """Registers a new connection."""
         connection.handle = self.connections.add(connection)
-        self.rank_for_eviction(connection, _initial_rank(connection))
+        self.connection_idle(connection)
 
-    def connection_reclaimed(self, connection: ClientConnection) -> None:
-        """Sets the eviction rank of a connection that another process has not taken over."""
-        self.rank_for_eviction(connection, _initial_rank(connection))
+    def connection_idle(self, connection: ClientConnection) -> None:
+        """Sets the eviction rank of a connection on which no request is being served."""
+        self.rank_for_eviction(connection, _idle_rank(connection))
 
     def connection_aborted(self, connection: ClientConnection) -> None:
         """Records that a connection is about to be closed; its descriptor is free once it is closed."""
@@ -261,8 +261,8 @@
         return request.keep_alive and not (ends_when_idle and not connection.has_unanswered_input)
 
 
-def _initial_rank(connection: ClientConnection) -> EvictionRank:
-    """Returns the eviction rank of a connection that is new or was taken over from another process."""
+def _idle_rank(connection: ClientConnection) -> EvictionRank:
+    """Returns the eviction rank of a connection on which no request is being served."""
     if not connection.has_sent_request:
         return EvictionRank.SILENT
     return EvictionRank.SERVED if connection.requests_accepted else EvictionRank.HEALTH_CHECKED
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -28,11 +28,11 @@
 from heronlug.lifecycle.hot_restart.state_transfer import StateTransfer
 from heronlug.lifecycle.log import Log
 from heronlug.lifecycle.operations import (
+    ACCEPT_FAILURES,
     CLIENTS_CLOSED,
     SERVERS_CLOSED,
     OperatorCalls,
-    accept_failure_metrics,
-    close_metrics,
+    labelled_metric,
 )
 from heronlug.lifecycle.peer_messages import PeerMessages
 from heronlug.lifecycle.process_signals import StopSignals, ignore_signals, startup_signals
@@ -252,13 +252,13 @@
         while self._open_work():
             self.frontend.close_idle()
             await asyncio.sleep(LATE_CLIENT_CHECK_INTERVAL_S)
-        self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
 
     def _close(self) -> None:
-        """Closes all sockets.
+        """Logs the end of the process and closes all sockets.
 
         Until this step the listener has accepted late clients, unless a successor has accepted them.
         """
+        self.log("stopped", **{final.value: count for final, count in self.core.counts.items()})
         self.frontend.log_process_end()
         self.hot_restart.close()
         self.listener.close()
@@ -279,7 +279,7 @@
         Before the time to answer of a stop is over, requests that take longer are handed over to a successor.
         """
         answer_by = self.shutdown.answer_by
-        hands_over = self.hot_restart.handed_over and self.deadline_loop.deadlines.clock() < answer_by
+        hands_over = self.hot_restart.handed_over and self.clock.now() < answer_by
         return float("inf") if hands_over else answer_by
 
     def _cores(self) -> list[Core]:
@@ -300,11 +300,12 @@
         if self.faktory.listener is not None:
             listeners.append(self.faktory.listener)
         failures = {listener.acceptor.name: listener.acceptor.failures for listener in listeners}
-        closes = [
-            close_metrics(CLIENTS_CLOSED, self.frontend.closes),
-            close_metrics(SERVERS_CLOSED, self.backend.closes),
+        counts = [
+            labelled_metric(ACCEPT_FAILURES, "listener", failures),
+            labelled_metric(CLIENTS_CLOSED, "why", dict(sorted(self.frontend.closes.items()))),
+            labelled_metric(SERVERS_CLOSED, "why", dict(sorted(self.backend.closes.items()))),
         ]
-        return accept_failure_metrics(failures) + "".join(closes) + self.cluster.metrics()
+        return "".join(counts) + self.cluster.metrics()
 
     def _log_exception(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -61,7 +61,7 @@
 
 
 class Feature(StrEnum):
-    """What a process can do beyond the first version of the messages; processes of that version ignore the names."""
+    """An ability beyond the first version of the messages; processes of that version ignore the names."""
 
     ROOM = "room"
     """Shares the limits of the dispatcher by messages, instead of half for each process."""
@@ -86,12 +86,7 @@
 
 def read_room(message: Message) -> Room:
     """Decodes given room; raises :class:`MalformedMessageError` if an amount is not a whole number of 0 or more."""
-    amounts = {resource: message.get(resource, 0) for resource in Resource}
-    for resource, amount in amounts.items():
-        if isinstance(amount, bool) or not isinstance(amount, int) or amount < 0:
-            msg = f"room: {resource}: {amount!r} is not accepted, expected a whole number of 0 or more"
-            raise MalformedMessageError(msg)
-    return amounts
+    return {resource: _whole_number(message.get(resource, 0), f"room: {resource}", 0) for resource in Resource}
 
 
 def hello(name: str) -> Message:
@@ -156,11 +151,7 @@
 
 def read_transfer(message: Message) -> int:
     """Returns the number of a transfer; raises :class:`MalformedMessageError` if it is not a positive whole number."""
-    number: object = message["transfer"]
-    if isinstance(number, bool) or not isinstance(number, int) or number < 1:
-        msg = f"transfer: {number!r} is not accepted, expected a whole number of 1 or more"
-        raise MalformedMessageError(msg)
-    return number
+    return _whole_number(message["transfer"], "transfer", 1)
 
 
 def accepted(transfer: int, window: int) -> Message:
@@ -382,6 +373,14 @@
     return tuple(map(str, values or ()))
 
 
+def _whole_number(value: object, name: str, least: int) -> int:
+    """Returns a whole number from another process; raises :class:`MalformedMessageError` with its name for others."""
+    if isinstance(value, bool) or not isinstance(value, int) or value < least:
+        msg = f"{name}: {value!r} is not accepted, expected a whole number of {least} or more"
+        raise MalformedMessageError(msg)
+    return value
+
+
 def _milliseconds(value: object) -> float:
     """Returns a time span from another process, in ms; 0 if the value is not a finite, non-negative number."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
--- a/heronlug/lifecycle/hot_restart/outgoing_transfers.py
+++ b/heronlug/lifecycle/hot_restart/outgoing_transfers.py
@@ -26,7 +26,7 @@
 
 
 class Transferable(Protocol):
-    """What can be offered: an idle client connection, or a request with its connections."""
+    """An idle client connection, or a request with its connections, that can be offered."""
 
     def describe(self) -> dict[str, str]:
         """Returns the fields that identify the connection or request in the log."""
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -99,7 +99,7 @@
         self.predecessor = PeerProcess(sock, self._receive, self._handle_disconnect)
         self.predecessor.send(messages.features())
         self.predecessor.send(messages.hello(self._name))
-        timeout = self._deadlines.call_after(STATE_TIMEOUT_MS, self._handle_state_timeout, self.predecessor)
+        timeout = self._deadlines.call_after(STATE_TIMEOUT_MS, self._abandon, self.predecessor)
         self._turn()
         state = await self._received_state
         self._deadlines.cancel(timeout)
@@ -160,9 +160,7 @@
     def abandon_successor(self) -> None:
         """Disconnects from the successor, which does not answer."""
         if self.successor is not None:
-            process = self.successor
-            process.close()
-            self._handle_disconnect(process, HANGING)
+            self._abandon(self.successor)
 
     async def say_goodbye(self) -> None:
         """Waits until the successor has read all messages, since unread messages could be lost at the exit."""
@@ -293,6 +291,7 @@
             self._handler.successor_lost(reason != HANGING and self._another_process_listens())
         self._turn()
 
-    def _handle_state_timeout(self, process: PeerProcess) -> None:
+    def _abandon(self, process: PeerProcess) -> None:
+        """Disconnects from a process that does not answer."""
         process.close()
         self._handle_disconnect(process, HANGING)
--- a/heronlug/lifecycle/operations.py
+++ b/heronlug/lifecycle/operations.py
@@ -38,6 +38,7 @@
 QUEUED = Metric("waiting", "gauge", "jobs that wait for a runner")
 HANDED_OVER = Metric("handed_over", "counter", "jobs that another process of this dispatcher goes on with")
 ADOPTED = Metric("adopted", "counter", "jobs that came from another process of this dispatcher")
+ACCEPT_FAILURES = Metric("accept_failures", "counter", "calls of accept that failed")
 CLIENTS_CLOSED = Metric("clients_closed", "counter", "connections of clients that have ended, by reason")
 SERVERS_CLOSED = Metric("hosts_closed", "counter", "connections to runners that have ended, by reason")
 
@@ -87,16 +88,9 @@
     yield f"# TYPE svc_{metric.name} {metric.kind}"
 
 
-def accept_failure_metrics(failures: dict[str, int]) -> str:
-    """Returns the lines that count the failed calls of ``accept`` per listener."""
-    metric = Metric("accept_failures", "counter", "calls of accept that failed")
-    lines = [f'svc_{metric.name}{{listener="{name}"}} {count}' for name, count in failures.items()]
-    return "\n".join([*_metric_header(metric), *lines, ""])
-
-
-def close_metrics(metric: Metric, counts: Mapping[Any, int]) -> str:
-    """Returns the lines that count ended connections by reason; ``counts`` may lack reasons that never occurred."""
-    lines = [f'svc_{metric.name}{{why="{reason}"}} {count}' for reason, count in sorted(counts.items())]
+def labelled_metric(metric: Metric, label: str, counts: Mapping[Any, int]) -> str:
+    """Returns the lines of a metric with a count for each value of a label, in the order of ``counts``."""
+    lines = [f'svc_{metric.name}{{{label}="{value}"}} {count}' for value, count in counts.items()]
     return "\n".join([*_metric_header(metric), *lines, ""])
 
 
--- a/heronlug/loadgen/http.py
+++ b/heronlug/loadgen/http.py
@@ -87,9 +87,9 @@
         assert self.transport is not None
         outcome = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
         self.load.request_ended(request, outcome, input_age_ms(self.transport))
-        if keep_alive and self.transport is not None and not self.transport.is_closing():
+        if keep_alive and not self.transport.is_closing():
             self.load.connection_idle(self)
-        elif self.transport is not None:
+        else:
             self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
