--- a/review/1/case.py
+++ b/review/1/case.py
@@ -69,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).parent, case))
+    sys.exit(play(Path(__file__).parent / "record.txt", case))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -70,4 +70,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).parent, case))
+    sys.exit(play(Path(__file__).parent / "record.txt", case))
--- a/review/support.py
+++ b/review/support.py
@@ -49,10 +49,10 @@
 
 
 class Record:
-    """What was sent, answered and run, line by line in ``record.txt`` beside the case."""
+    """What was sent, answered and run, line by line."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, file: Path) -> None:
+        self._file = file.open("w", encoding="utf-8")
         self._lock = threading.Lock()
         self._begun = time.monotonic()
 
@@ -68,8 +68,8 @@
 class Scene:
     """A temporary folder, the processes that were started, and the record."""
 
-    def __init__(self, folder: Path) -> None:
-        self.record = Record(folder)
+    def __init__(self, record: Path) -> None:
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.discovery = Discovery()
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -314,9 +314,9 @@
             time.sleep(0.1)
 
 
-def play(folder: Path, case: Callable[[Scene], list[str]]) -> int:
-    """Plays a case, which returns what was broken, and returns the exit status."""
-    scene = Scene(folder)
+def play(record: Path, case: Callable[[Scene], list[str]]) -> int:
+    """Plays a case, which returns what was broken; writes the record and returns the exit status."""
+    scene = Scene(record)
     try:
         broken = case(scene)
     except (NotRunError, OSError, subprocess.SubprocessError) as error:
