Log what open Faktory jobs wait for, each delivery, and what a restart knows

Change: the events faktory_state (info), job_delivered and job_recovered (debug). Behaviour is unchanged.

--- a/heronlug/frontends/faktory/delivery.py
+++ b/heronlug/frontends/faktory/delivery.py
@@ -125,6 +125,7 @@
         else:
             reservation.written = True
             core.attempt_written()
+            self._context.log("job_delivered", jid=job.jid, wid=reservation.worker.wid, relay=attempt.number)
             reply(bulk_json({"queue": DEFAULT_QUEUE, "retry": 0, **job.payload}))
             core.attempt_progressed(attempt, ProgressKind.STARTED)
 
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -85,11 +85,17 @@
     def accept_jobs(self) -> None:
         """Starts to accept new jobs."""
         self.jobs.scheduler.stopping = False
+        self._log_state("on")
 
     def stop_accepting_jobs(self) -> None:
         """Stops accepting new jobs; jobs that have started still finish."""
+        self._log_state("off")
         self.jobs.scheduler.stop()
 
+    def _log_state(self, state: str) -> None:
+        """Logs a change of the frontend with the open jobs by what they wait for."""
+        self.context.log("faktory_state", state=state, **self.jobs.open_counts())
+
     def close(self) -> None:
         """Closes all sessions and the store."""
         for session in self.sessions:
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -46,6 +46,20 @@
         self.scheduler = JobScheduler(context, self.by_jid, self.finish)
         self._context = context
 
+    def open_counts(self) -> dict[str, int]:
+        """Returns the number of jobs that have not ended, in all and by what they wait for, as fields of the log.
+
+        A job counts as ``started`` while the core has it. Each open job must be in one of the other counts.
+        """
+        open_jobs = [job for job in self.by_jid.values() if job.final_answer is None]
+        return {
+            "open": len(open_jobs),
+            "being_stored": sum(job.being_stored for job in open_jobs),
+            "delayed": self.scheduler.delayed_count,
+            "dependent": self.scheduler.dependent_count,
+            "started": self._context.core.requests.open_count,
+        }
+
     # -- acceptance
 
     def push(self, payload: JsonObject, callback: PushCallback) -> None:
@@ -181,6 +195,13 @@
             context.log("recovered", jobs=len(records), **counts)
 
     def _restart(self, job: Job, record: StoredRequest, action: RecoveryAction, now: float) -> None:
+        self._context.log(
+            "job_recovered",
+            jid=job.jid,
+            action=action.value,
+            delivered_ms_ago=round(now - record.first_delivered_at) if record.first_delivered_at else None,
+            left=round(remaining_ms(record, now)),
+        )
         if record.first_delivered_at:  # a job is delivered only after its parents have ended
             self.scheduler.start_now(job, remaining_ms(record, now))
         elif self.scheduler.may_start(job, JobTiming(record.time_allowed_ms, record.not_before)):
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -52,6 +52,16 @@
         self._dependent: dict[str, _DependentJob] = {}
         self._chains = RequestChains()
 
+    @property
+    def delayed_count(self) -> int:
+        """Returns the number of jobs that wait for their start time."""
+        return len(self._delayed)
+
+    @property
+    def dependent_count(self) -> int:
+        """Returns the number of jobs that wait for their parents."""
+        return len(self._dependent)
+
     def start(self, job: Job, timing: JobTiming) -> Request | None:
         """Hands a job to the core, immediately or at its start time.
 
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -20,6 +20,8 @@
     "client_opened": LEVELS["debug"],
     "host_closed": LEVELS["debug"],
     "relay_served": LEVELS["debug"],
+    "job_delivered": LEVELS["debug"],
+    "job_recovered": LEVELS["debug"],
     "client_dropped": LEVELS["warning"],
     "exception": LEVELS["warning"],
     "overdue": LEVELS["warning"],
