Let accepted Faktory jobs go on while the frontend is off

Cause: one flag, `stopping`, stood for two facts, the frontend is off and the process ends. Turning the frontend off ran JobScheduler.stop, which leaves the delayed jobs of a durable store to the next process; none comes. By the same flag a released child started before its own time, and a job that the core refused was kept for a next process without an end. Without a store all delayed jobs were refused at once.

Evidence: faktory_state logs 3 delayed jobs before the frontend goes off, and 3 open jobs in no count when it is on again; no `taken`, `answer` or `job_kept`; the rows are in the store.

Fix: the states of the frontend are a table (off, on, stopping). Off refuses new jobs only; stopping, which no event leaves, is the one state that keeps or ends accepted jobs. So turning off and on, however often, cannot touch a job.

--- a/heronlug/frontends/faktory/context.py
+++ b/heronlug/frontends/faktory/context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from heronlug.frontends.faktory.config import FaktoryConfig
+from heronlug.frontends.faktory.frontend_state import FrontendState
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -20,6 +21,7 @@
         store: the store of accepted jobs.
         core: assigns jobs to workers. The core needs the frontend as its transport, so this attribute is set after
             both have been created.
+        state: whether new jobs are accepted and accepted jobs start.
     """
 
     config: FaktoryConfig
@@ -27,3 +29,4 @@
     log: EventLog
     store: Store
     core: Core = field(init=False)
+    state: FrontendState = FrontendState.OFF
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -9,6 +9,7 @@
 from heronlug.frontends.faktory.config import FaktoryConfig
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.delivery import JobDelivery
+from heronlug.frontends.faktory.frontend_state import FrontendEvent, next_state
 from heronlug.frontends.faktory.info import server_info
 from heronlug.frontends.faktory.jobs import JobTable
 from heronlug.frontends.faktory.reservations import Reservations
@@ -43,7 +44,7 @@
         run_due: Callable[[], None],
         store: Store,
     ) -> None:
-        """Creates a frontend that accepts jobs; the caller must set ``core`` before use."""
+        """Creates a frontend that is turned off; the caller must set ``core`` before use."""
         self.context = FaktoryContext(config, deadlines, log, store)
         self._reservations = Reservations(self.context)
         self.jobs = JobTable(self.context)
@@ -82,19 +83,25 @@
         """Resumes the jobs in the store after a restart."""
         self.jobs.recover()
 
-    def accept_jobs(self) -> None:
-        """Starts to accept new jobs."""
-        self.jobs.scheduler.stopping = False
-        self._log_state("on")
+    def turn_on(self) -> None:
+        """Starts to accept new jobs; has no effect once the process stops."""
+        self._apply_event(FrontendEvent.TURNED_ON)
 
-    def stop_accepting_jobs(self) -> None:
-        """Stops accepting new jobs; jobs that have started still finish."""
-        self._log_state("off")
+    def turn_off(self) -> None:
+        """Stops accepting new jobs; accepted jobs continue."""
+        self._apply_event(FrontendEvent.TURNED_OFF)
+
+    def begin_stop(self) -> None:
+        """Stops accepting and starting jobs because the process stops; jobs that have started still finish."""
+        self._apply_event(FrontendEvent.STOP_BEGAN)
         self.jobs.scheduler.stop()
 
-    def _log_state(self, state: str) -> None:
-        """Logs a change of the frontend with the open jobs by what they wait for."""
-        self.context.log("faktory_state", state=state, **self.jobs.open_counts())
+    def _apply_event(self, event: FrontendEvent) -> None:
+        """Changes the state and logs a change with the open jobs by what they wait for."""
+        before = self.context.state
+        self.context.state = next_state(before, event)
+        if self.context.state is not before:
+            self.context.log("faktory_state", state=self.context.state.value, **self.jobs.open_counts())
 
     def close(self) -> None:
         """Closes all sessions and the store."""
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -14,6 +14,7 @@
     StoppingError,
     TooManyJobsError,
 )
+from heronlug.frontends.faktory.frontend_state import FrontendState
 from heronlug.frontends.faktory.job import (
     Job,
     JobTiming,
@@ -95,7 +96,7 @@
             _push_known_job(known, callback)
             return
         arguments = parse_push(payload, self._class_names())
-        if self.scheduler.stopping:
+        if self._context.state is not FrontendState.ON:
             raise StoppingError
         if len(self.by_jid) >= self._context.config.max_known_jobs:
             raise TooManyJobsError
@@ -168,7 +169,8 @@
 
         A job that is rejected because the dispatcher stops stays in a durable store for the next process.
         """
-        if self.scheduler.stopping and self._context.store.is_durable and final_answer is FinalAnswer.REFUSED:
+        stopping = self._context.state is FrontendState.STOPPING
+        if stopping and self._context.store.is_durable and final_answer is FinalAnswer.REFUSED:
             self._context.log("job_kept", jid=job.jid)
             return
         self.finish(job, final_answer)
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -5,6 +5,7 @@
 
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
+from heronlug.frontends.faktory.frontend_state import FrontendState
 from heronlug.frontends.faktory.job import Job, JobTiming
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.requests.deadlines import Key
@@ -27,12 +28,7 @@
 
 
 class JobScheduler:
-    """Holds the accepted jobs that have not started.
-
-    Attributes:
-        stopping: whether the frontend is stopping. Jobs then no longer wait for their start time: the scheduler hands
-            them to the core immediately, which rejects them.
-    """
+    """Holds the accepted jobs that have not started."""
 
     def __init__(
         self, context: FaktoryContext, jobs: dict[str, Job], finish: Callable[[Job, FinalAnswer], None]
@@ -44,7 +40,6 @@
             jobs: all known jobs by jid; the caller adds and removes jobs.
             finish: called with each job that ends without having started, and with its final answer.
         """
-        self.stopping = False
         self._context = context
         self._jobs = jobs
         self._finish = finish
@@ -69,7 +64,8 @@
             The request, or None if the job starts later.
         """
         deadlines = self._context.deadlines
-        if timing.due_at > deadlines.clock() and not self.stopping:
+        stopping = self._context.state is FrontendState.STOPPING
+        if timing.due_at > deadlines.clock() and not stopping:
             deadline = deadlines.call_at(timing.due_at, self.start_now, job, timing.remaining_ms)
             self._delayed[job.jid] = _DelayedJob(deadline, job)
             return None
@@ -138,8 +134,10 @@
             self.start(released.job, released.timing)
 
     def stop(self) -> None:
-        """Stops starting jobs; pending jobs are rejected, or stay in a durable store for the next process."""
-        self.stopping = True
+        """Ends the jobs that have not started, because the process stops.
+
+        The jobs are rejected, or stay in a durable store for the next process.
+        """
         durable = self._context.store.is_durable
         for delayed in list(self._delayed.values()):
             self._context.deadlines.cancel(delayed.deadline)
--- a/heronlug/lifecycle/faktory_service.py
+++ b/heronlug/lifecycle/faktory_service.py
@@ -79,7 +79,7 @@
         return OpenedListener(new_config, listener)
 
     def use(self, opened: OpenedListener | None) -> None:
-        """Serves on an opened listener; with None, only the accepted jobs are finished."""
+        """Serves on an opened listener; with None, new jobs are rejected and the accepted jobs continue."""
         if self.frontend is None:
             return
         listener = opened.listener if opened is not None else None
@@ -89,9 +89,9 @@
         if opened is not None:
             self.frontend.config = opened.config
         if listener is None:
-            self.frontend.stop_accepting_jobs()
+            self.frontend.turn_off()
         else:
-            self.frontend.accept_jobs()
+            self.frontend.turn_on()
             listener.accept()
 
     def discard(self, opened: OpenedListener) -> None:
@@ -100,9 +100,9 @@
             opened.listener.close()
 
     def stop(self) -> None:
-        """Stops accepting jobs; accepted jobs are finished."""
+        """Stops accepting and starting jobs because the process stops; jobs that have started still finish."""
         if self.frontend is not None:
-            self.frontend.stop_accepting_jobs()
+            self.frontend.begin_stop()
 
     def close(self) -> None:
         """Closes the listener, all connections and the store."""
--- a/tests/end_to_end/test_faktory.py
+++ b/tests/end_to_end/test_faktory.py
@@ -1,14 +1,16 @@
-"""End-to-end tests of the Faktory frontend: a job for a worker that has disconnected counts as not delivered."""
+"""End-to-end tests of the Faktory frontend: accepted jobs when workers leave or the frontend is turned off."""
 
 import asyncio
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from datetime import UTC, datetime
+from pathlib import Path
 from unittest import mock
 
 import pytest
 
-from end_to_end.harness import BlockingClient, DispatcherHarness, run_async
+from end_to_end.harness import BlockingClient, DispatcherHarness, run_async, until
 from heronlug.frontends.faktory.delivery import JobDelivery
 from heronlug.frontends.faktory.worker import Reservation
 from heronlug.standins.ports import free_port
@@ -36,16 +38,41 @@
         await self.harness.settle()
         return self.received()
 
+    async def call(self, command: str, argument: object) -> bytes:
+        """Sends a command and returns its reply, which may wait for a store."""
+        text = argument if isinstance(argument, str) else json.dumps(argument)
+        await self.received_after_settling()
+        self.send(f"{command} {text}\r\n".encode())
+        return await self.reply()
+
+    async def reply(self) -> bytes:
+        """Waits for the next reply."""
+        reply = b""
+
+        def has_replied() -> bool:
+            nonlocal reply
+            reply += self.received()
+            return reply.endswith(b"\r\n")
+
+        await until(has_replied, "a reply")
+        return reply
+
 
 @asynccontextmanager
-async def open_faktory(harness: DispatcherHarness) -> AsyncIterator[str]:
+async def open_faktory(harness: DispatcherHarness, store: str = "") -> AsyncIterator[str]:
     """Opens the Faktory frontend of a running application and yields its address."""
     address = f"127.0.0.1:{free_port()}"
-    harness.application.faktory.use(await harness.application.faktory.open({**FAKTORY_TABLE, "listen": address}))
-    await asyncio.sleep(0)
+    await turn_on(harness, address, store)
     yield address
 
 
+async def turn_on(harness: DispatcherHarness, address: str, store: str) -> None:
+    """Opens the Faktory frontend as plan and apply do."""
+    faktory = harness.application.faktory
+    faktory.use(await faktory.open({**FAKTORY_TABLE, "listen": address, "store": store}))
+    await asyncio.sleep(0)
+
+
 def connect_fetching_worker(address: str, harness: DispatcherHarness, wid: str) -> FaktoryClient:
     """Connects a worker and sends its FETCH."""
     client = FaktoryClient(address, harness, wid=wid)
@@ -119,3 +146,53 @@
             assert not harness.logged("job_reset")
 
     run_async(test)
+
+
+def job(jid: str, harness: DispatcherHarness, due_in_ms: float = 0, **custom: object) -> dict[str, object]:
+    """Returns a job of a class that must not repeat, to be started ``due_in_ms`` from now."""
+    due = {"at": datetime.fromtimestamp((harness.clock.time_ms + due_in_ms) / 1000, UTC).isoformat()}
+    return {"jid": jid, "jobtype": "once", "args": [], "custom": custom, **(due if due_in_ms else {})}
+
+
+@pytest.mark.parametrize("store", ["", "jobs.sqlite"])
+def test_jobs_accepted_before_the_frontend_was_off_have_an_end(store: str, tmp_path: Path) -> None:
+    """Guards against delayed and dependent jobs that no longer start, or start early, once the frontend was off."""
+    file = str(tmp_path / store) if store else ""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness, open_faktory(harness, file) as address:
+            worker, producer = FaktoryClient(address, harness, wid="w1"), FaktoryClient(address, harness)
+            pushed = [
+                job("parent-01", harness),
+                job("timed-001", harness, 3000),
+                job("child-001", harness, 4000, after=["parent-01"]),
+                job("missed-01", harness, 1000, remaining_ms=1000),
+            ]
+            for payload in pushed:
+                assert await producer.call("PUSH", payload) == b"+OK\r\n"
+            assert b"parent-01" in await worker.call("FETCH", "default")
+            for _ in range(10):
+                harness.application.faktory.use(None)
+                await turn_on(harness, address, file)
+            harness.application.faktory.use(None)
+            await worker.call("ACK", {"jid": "parent-01"})  # releases the child while the frontend is off
+            assert b"-ERR" in await producer.call("PUSH", job("refused-1", harness))
+            await harness.pass_time(2_500)
+            assert {"jid": "missed-01", "final": "refused"} in harness.logged("job_answered")
+            await turn_on(harness, address, file)
+            for jid, due_in_ms in (("timed-001", 500), ("child-001", 1000)):
+                worker.send(b"FETCH default\r\n")
+                await harness.pass_time(due_in_ms - 50)
+                assert await worker.received_after_settling() == b""
+                await harness.pass_time(50)
+                assert jid.encode() in await worker.reply()
+                assert await worker.call("ACK", {"jid": jid}) == b"+OK\r\n"
+            finals = {str(event["jid"]): event["final"] for event in harness.logged("job_answered")}
+            assert finals == {
+                "parent-01": "served",
+                "timed-001": "served",
+                "child-001": "served",
+                "missed-01": "refused",
+            }
+
+    run_async(test)
--- a/tests/frontends/test_states.py
+++ b/tests/frontends/test_states.py
@@ -1,5 +1,7 @@
-"""Tests the state transitions of HTTP client connections and Faktory sessions."""
+"""Tests the state transitions of HTTP client connections, Faktory sessions and the Faktory frontend."""
 
+from heronlug.frontends.faktory.frontend_state import FrontendEvent, FrontendState
+from heronlug.frontends.faktory.frontend_state import next_state as next_frontend_state
 from heronlug.frontends.faktory.session_state import SessionEvent, SessionState
 from heronlug.frontends.faktory.session_state import next_state as next_session_state
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState
@@ -48,3 +50,9 @@
     """Guards against an event that reopens a closed Faktory session."""
     for event in SessionEvent:
         assert next_session_state(SessionState.CLOSED, event) is SessionState.CLOSED
+
+
+def test_stopping_frontend_accepts_no_jobs_again() -> None:
+    """Guards against a frontend that an apply turns on after the stop of the process has begun."""
+    for event in FrontendEvent:
+        assert next_frontend_state(FrontendState.STOPPING, event) is FrontendState.STOPPING
