Count a delivery before a restart as an attempt of the recovered Faktory job

Cause: a restart judged the window once, and handed the job to the core as a request without attempts.

Evidence: job_recovered knows of the delivery 1,806 ms before; job_delivered after the restart, 10.0 s after the first, is relay 0. The row has the first delivery all the time.

Fix: JobScheduler.resume gives the core the first delivery as an earlier attempt that may have run, by Core.adopt, as a hot restart does. The window, the group of servers that drop repeats and the number of attempts are thus judged by the one rule that holds within a process, at assignment and at the write, however late a worker asks and however many restarts come.

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -205,7 +205,7 @@
             left=round(remaining_ms(record, now)),
         )
         if record.first_delivered_at:  # a job is delivered only after its parents have ended
-            self.scheduler.start_now(job, remaining_ms(record, now))
+            self.scheduler.resume(job, remaining_ms(record, now), record.first_delivered_at)
         elif self.scheduler.may_start(job, JobTiming(record.time_allowed_ms, record.not_before)):
             scheduled = action is RecoveryAction.SCHEDULE
             allowed_ms = record.time_allowed_ms if scheduled else remaining_ms(record, now)
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -3,15 +3,19 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from heronlug.balancer.events import AttemptSnapshot, ServerState
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
 from heronlug.frontends.faktory.frontend_state import FrontendState
 from heronlug.frontends.faktory.job import Job, JobTiming
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.requests.deadlines import Key
-from heronlug.requests.model import FinalAnswer, Request
+from heronlug.requests.model import FinalAnswer, ListedServer, Request
 from heronlug.scheduling.chains import ChainState, Edge, RequestChains, parse_edges
 
+EARLIER_WORKER = ListedServer(name="", address="", state=ServerState.REMOVED)
+"""The worker of a delivery by an earlier process; a worker that connects never has an empty wid."""
+
 
 class _DelayedJob(NamedTuple):
     """A job whose start time is in the future, with the pending deadline that starts the job."""
@@ -76,6 +80,29 @@
         self._delayed.pop(job.jid, None)
         return self._context.core.accept(job, job.class_index, remaining_ms, size=job.size, policy=job.policy)
 
+    def resume(self, job: Job, remaining_ms: float, delivered_at: float) -> None:
+        """Hands a job to the core that an earlier process delivered to a worker, so that the job may have run.
+
+        The core counts the earlier delivery as an attempt, so a later delivery is allowed only as for any further
+        attempt: within the repeat window, counted from the earlier delivery, and up to the maximum number of attempts.
+
+        Args:
+            job: the job.
+            remaining_ms: time in ms until the final answer.
+            delivered_at: time in ms of the first delivery.
+        """
+        now = self._context.deadlines.clock()
+        request = Request(job, job.class_index, job.policy, now + remaining_ms, now)
+        earlier_delivery = AttemptSnapshot(
+            server=0,
+            sent_at=delivered_at,
+            in_flight=False,
+            unstarted=False,
+            may_have_run=True,
+            last_progress_at=delivered_at,
+        )
+        self._context.core.adopt(request, [(EARLIER_WORKER, earlier_delivery)])
+
     def may_start(self, job: Job, timing: JobTiming) -> bool:
         """Records the dependencies of a job and returns whether the job may start.
 
--- /dev/null
+++ b/tests/frontends/test_faktory_restart.py
@@ -0,0 +1,48 @@
+"""Tests what a restart knows of the jobs that an earlier process accepted and delivered, in virtual time."""
+
+import pytest
+from exchange import SETTINGS
+
+from frontends.virtual_faktory import VirtualFaktory
+
+WINDOW_MS = 6000.0
+TIME_MS = 25_000.0
+KEYED_CLASSES = [
+    {**request_class, "deadline": TIME_MS, "repeat_window": WINDOW_MS}
+    if request_class["effect"] == "by_key"
+    else request_class
+    for request_class in SETTINGS["lanes"]
+]
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize("key_scope", ["all", "cell"])
+def test_keyed_job_is_not_delivered_after_its_repeat_window_once_restarted(key_scope: str, restarts: int) -> None:
+    """Guards against a repeat window that a restart forgets, for a worker that asks late."""
+    classes = [{**request_class, "key_scope": key_scope} for request_class in KEYED_CLASSES]
+    for asks_after_ms, delivered in ((WINDOW_MS - 1000, True), (WINDOW_MS + 100, False), (TIME_MS - 1000, False)):
+        faktory = VirtualFaktory(lanes=classes)
+        assert faktory.push("parent-01") == "OK"
+        assert faktory.push("keyed-001", "keyed", after=["parent-01"]) == "OK"
+        first = faktory.worker("w1")
+        assert faktory.fetch("w1", first) == "parent-01"
+        faktory.end_job("w1", "parent-01")
+        assert faktory.fetch("w1", first) == "keyed-001"
+        delivered_at = faktory.now
+        for _ in range(restarts):
+            faktory.pass_time(1000)
+            faktory.kill_and_start()
+        faktory.pass_time(delivered_at + asks_after_ms - faktory.now)
+        assert (faktory.fetch("w2", faktory.worker("w2")) == "keyed-001") == delivered
+        faktory.pass_time(TIME_MS)
+        assert len(faktory.finals("keyed-001")) == 1
+
+
+def test_delivery_before_a_restart_counts_as_an_attempt() -> None:
+    """Guards against more deliveries than the settings allow, by a restart."""
+    faktory = VirtualFaktory(lanes=KEYED_CLASSES, limits={**SETTINGS["limits"], "attempts_cap": 1})
+    faktory.push("keyed-001", "keyed")
+    assert faktory.fetch("w1", faktory.worker("w1")) == "keyed-001"
+    faktory.kill_and_start()
+    assert faktory.fetch("w2", faktory.worker("w2")) == ""
+    assert len(faktory.finals("keyed-001")) == 1
