Give up Faktory jobs at the end of a planned stop, or keep them in the store

Cause: GracefulShutdown gave up the requests of the HTTP core only, while the jobs of both cores keep the process from ending.

Fix: at the end of the time to answer the Faktory frontend stops assigning, takes back what no worker has fetched, gives up all open jobs and resets what workers hold, so its core is empty. The state `stopped` of the frontend's table tells an end by the stop from any other refusal: only a job that never ran stays in a durable store. Delayed and released jobs are kept, or refused without a store, instead of being started before their time.

--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -96,6 +96,17 @@
         self._apply_event(FrontendEvent.STOP_BEGAN)
         self.jobs.scheduler.stop()
 
+    def give_up_jobs(self) -> None:
+        """Ends all open jobs because the process ends.
+
+        With a durable store, a job that never ran stays in the store for the next process instead.
+        """
+        self._apply_event(FrontendEvent.TIME_TO_ANSWER_ENDED)
+        self.workers.drain_all()
+        self.core.give_up_all()
+        self.workers.reset_reservations("shutdown")
+        self.jobs.scheduler.keep_dependent_jobs()
+
     def _apply_event(self, event: FrontendEvent) -> None:
         """Changes the state and logs a change with the open jobs by what they wait for."""
         before = self.context.state
@@ -125,7 +136,8 @@
 
     def answer(self, request: Request, final: FinalAnswer, body: bytes, retry_after: float) -> None:
         """Ends a job; the protocol has no message for that, so the end is recorded under the jid and logged."""
-        self.jobs.answer(request.payload, final)
+        may_have_run = any(attempt.may_have_run for attempt in request.attempts)
+        self.jobs.answer(request.payload, final, may_have_run)
 
     # -- sessions
 
--- a/heronlug/frontends/faktory/frontend_state.py
+++ b/heronlug/frontends/faktory/frontend_state.py
@@ -19,6 +19,14 @@
     STOPPING = "stopping"
     """The process stops: new jobs are rejected, and accepted jobs that have not started do not start any more."""
 
+    STOPPED = "stopped"
+    """The time to answer is over: each open job has ended, or stays in the store for the next process."""
+
+    @property
+    def starts_jobs(self) -> bool:
+        """Returns whether accepted jobs start at their time."""
+        return self in (FrontendState.OFF, FrontendState.ON)
+
 
 class FrontendEvent(Enum):
     """Events that change the state of the frontend."""
@@ -26,6 +34,7 @@
     TURNED_ON = "turned on"
     TURNED_OFF = "turned off"
     STOP_BEGAN = "stop began"
+    TIME_TO_ANSWER_ENDED = "time to answer ended"
 
 
 TRANSITIONS = {
@@ -37,7 +46,8 @@
         FrontendEvent.TURNED_OFF: FrontendState.OFF,
         FrontendEvent.STOP_BEGAN: FrontendState.STOPPING,
     },
-    FrontendState.STOPPING: {},
+    FrontendState.STOPPING: {FrontendEvent.TIME_TO_ANSWER_ENDED: FrontendState.STOPPED},
+    FrontendState.STOPPED: {},
 }
 """The next state by current state and event; an event that is not listed leaves the state unchanged."""
 
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -164,16 +164,16 @@
         self._context.deadlines.call_after(self._context.config.remember_ms, self._forget, job)
         self.scheduler.job_ended(job.jid, final_answer is FinalAnswer.SERVED)
 
-    def answer(self, job: Job, final_answer: FinalAnswer) -> None:
+    def answer(self, job: Job, final_answer: FinalAnswer, may_have_run: bool) -> None:
         """Ends a job with the final answer of the core.
 
-        A job that is rejected because the dispatcher stops stays in a durable store for the next process.
+        A job that never ran and is rejected because the process ends stays in a durable store for the next process.
         """
-        stopping = self._context.state is FrontendState.STOPPING
-        if stopping and self._context.store.is_durable and final_answer is FinalAnswer.REFUSED:
-            self._context.log("job_kept", jid=job.jid)
-            return
-        self.finish(job, final_answer)
+        given_up = self._context.state is FrontendState.STOPPED and final_answer is FinalAnswer.REFUSED
+        if given_up and not may_have_run and self._context.store.is_durable:
+            self.scheduler.keep(job)
+        else:
+            self.finish(job, final_answer)
 
     def _forget(self, job: Job) -> None:
         if self.by_jid.get(job.jid) is job:
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -6,7 +6,6 @@
 from heronlug.balancer.events import AttemptSnapshot, ServerState
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
-from heronlug.frontends.faktory.frontend_state import FrontendState
 from heronlug.frontends.faktory.job import Job, JobTiming
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.requests.deadlines import Key
@@ -65,11 +64,13 @@
         """Hands a job to the core, immediately or at its start time.
 
         Returns:
-            The request, or None if the job starts later.
+            The request, or None if the job starts later or, because the process stops, not at all.
         """
         deadlines = self._context.deadlines
-        stopping = self._context.state is FrontendState.STOPPING
-        if timing.due_at > deadlines.clock() and not stopping:
+        if not self._context.state.starts_jobs:
+            self._end_without_start(job)
+            return None
+        if timing.due_at > deadlines.clock():
             deadline = deadlines.call_at(timing.due_at, self.start_now, job, timing.remaining_ms)
             self._delayed[job.jid] = _DelayedJob(deadline, job)
             return None
@@ -165,18 +166,32 @@
 
         The jobs are rejected, or stay in a durable store for the next process.
         """
-        durable = self._context.store.is_durable
-        for delayed in list(self._delayed.values()):
-            self._context.deadlines.cancel(delayed.deadline)
-            if not durable:
-                self._finish(delayed.job, FinalAnswer.REFUSED)
+        delayed_jobs = list(self._delayed.values())
         self._delayed.clear()
-        if durable:
-            return
+        for delayed in delayed_jobs:
+            self._context.deadlines.cancel(delayed.deadline)
+            self._end_without_start(delayed.job)
+        if self._context.store.is_durable:
+            return  # the dependent jobs still fail if a parent fails
         for dependent in list(self._dependent.values()):
             if dependent.job.final_answer is None:
                 self._finish(dependent.job, FinalAnswer.REFUSED)
 
+    def keep_dependent_jobs(self) -> None:
+        """Leaves the jobs that still wait for their parents to the next process."""
+        for dependent in self._dependent.values():
+            self.keep(dependent.job)
+
+    def keep(self, job: Job) -> None:
+        """Leaves a job that never ran in the durable store for the next process."""
+        self._context.log("job_kept", jid=job.jid)
+
+    def _end_without_start(self, job: Job) -> None:
+        if self._context.store.is_durable:
+            self.keep(job)
+        else:
+            self._finish(job, FinalAnswer.REFUSED)
+
 
 def _parse_dependencies(custom: JsonObject) -> list[Edge]:
     """Returns the edges to the parents of a job.
--- a/heronlug/frontends/faktory/workers.py
+++ b/heronlug/frontends/faktory/workers.py
@@ -70,6 +70,21 @@
             self._drain(worker, REPORTED_STATES[reported])
         return worker.state
 
+    def drain_all(self) -> None:
+        """Stops assigning jobs and returns all assigned jobs that no worker has fetched."""
+        connected = [worker for worker in self.by_wid.values() if worker.connections]
+        for worker in connected:
+            worker.state = worker.state or QUIET
+            self._report(worker, ServerState.DRAINING)
+        for worker in connected:
+            self._reservations.return_assigned(worker)
+
+    def reset_reservations(self, reason: str) -> None:
+        """Resets the reservations of all workers; ``reason`` is for the log."""
+        for worker in self.by_wid.values():
+            for jid in list(worker.reservations):
+                self._reservations.reset(worker, jid, reason)
+
     def _restart_heartbeat_timeout(self, worker: Worker) -> None:
         deadlines = self._context.deadlines
         deadlines.cancel(worker.heartbeat_timeout)
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -143,7 +143,7 @@
             others_serve=lambda: self.peers.others_serve() or self.state_transfer.third_process_serves,
             leave_peers=self.peers.leave,
             rejoin_peers=self.peers.rejoin,
-            give_up_requests=self.core.give_up_all,
+            give_up_requests=self._give_up_requests,
             close_idle=self.frontend.close_idle,
             stopped=self.stopped.set,
         )
@@ -160,7 +160,9 @@
         """Creates the Faktory frontend, the cluster membership, the admin endpoint, and plan, apply and reload."""
         config = self.config
         deadlines = self.deadline_loop.deadlines
-        self.faktory = FaktoryService(config, self.core, deadlines, self.log, self.turn)
+        self.faktory = FaktoryService(
+            config, self.core, deadlines, self.log, self.turn, is_stopping=lambda: self.shutdown.stopping
+        )
         self.cluster = ClusterService(config, self.core, self.discovery, self.log, self.turn)
         changes = ConfigurationChanges(config, self.log, self.core, self.discovery, self.faktory, self.cluster)
         self.running_state = RunningState(changes)
@@ -282,6 +284,11 @@
         hands_over = self.hot_restart.handed_over and self.clock.now() < answer_by
         return float("inf") if hands_over else answer_by
 
+    def _give_up_requests(self) -> None:
+        """Ends all open requests of both frontends."""
+        self.core.give_up_all()
+        self.faktory.give_up_jobs()
+
     def _cores(self) -> list[Core]:
         return [self.core, *self.faktory.cores]
 
--- a/heronlug/lifecycle/faktory_service.py
+++ b/heronlug/lifecycle/faktory_service.py
@@ -41,9 +41,24 @@
     """
 
     def __init__(
-        self, config: Config, http_core: Core, deadlines: Deadlines, log: Log, turn: Callable[[], None]
+        self,
+        config: Config,
+        http_core: Core,
+        deadlines: Deadlines,
+        log: Log,
+        turn: Callable[[], None],
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Creates a service without a frontend; ``http_core`` has the settings that both frontends share."""
+        """Creates a service without a frontend.
+
+        Args:
+            config: the configuration of the dispatcher.
+            http_core: the core whose settings both frontends share.
+            deadlines: the deadlines of the process, and its clock.
+            log: the event log.
+            turn: runs the deadlines that are due.
+            is_stopping: returns whether a planned stop of the process has begun.
+        """
         self.frontend: FaktoryFrontend | None = None
         self.listener: Listener | None = None
         self._config = config
@@ -52,6 +67,7 @@
         self._deadlines = deadlines
         self._log = log
         self._turn = turn
+        self._is_stopping = is_stopping
 
     @property
     def cores(self) -> list[Core]:
@@ -93,6 +109,8 @@
         else:
             self.frontend.turn_on()
             listener.accept()
+        if self._is_stopping():  # the frontend may be opened after the stop has begun
+            self.frontend.begin_stop()
 
     def discard(self, opened: OpenedListener) -> None:
         """Closes a listener that was opened but is not in use."""
@@ -104,6 +122,11 @@
         if self.frontend is not None:
             self.frontend.begin_stop()
 
+    def give_up_jobs(self) -> None:
+        """Ends all open jobs because the time to answer is over, or leaves them to the next process."""
+        if self.frontend is not None:
+            self.frontend.give_up_jobs()
+
     def close(self) -> None:
         """Closes the listener, all connections and the store."""
         if self.frontend is not None:
--- a/tests/end_to_end/test_faktory.py
+++ b/tests/end_to_end/test_faktory.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import UTC, datetime
@@ -196,3 +198,47 @@
             }
 
     run_async(test)
+
+
+@pytest.mark.parametrize("store", ["", "jobs.sqlite"])
+def test_planned_stop_ends_or_keeps_each_job_and_ends_the_process(store: str, tmp_path: Path) -> None:
+    """Guards against jobs without an end at SIGTERM, and a process that waits for them past the kill."""
+    file = str(tmp_path / store) if store else ""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness, open_faktory(harness, file) as address:
+            workers = [FaktoryClient(address, harness, wid=f"w{number}") for number in range(3)]
+            producer = FaktoryClient(address, harness)
+            for jid in ("running-1", "acked-001"):
+                assert await producer.call("PUSH", job(jid, harness)) == b"+OK\r\n"
+            for worker, jid in zip(workers, ("running-1", "acked-001"), strict=False):
+                assert jid.encode() in await worker.call("FETCH", "default")
+            never_ran = {
+                "waiting-1": job("waiting-1", harness),
+                "waiting-2": {**job("waiting-2", harness), "queue": "other"},
+                "timed-001": job("timed-001", harness, 1000),
+                "child-001": job("child-001", harness, after=["running-1"]),
+                "child-002": job("child-002", harness, after=["waiting-1"]),
+                "released1": job("released1", harness, after=["acked-001"]),
+            }
+            for payload in never_ran.values():
+                assert await producer.call("PUSH", payload) == b"+OK\r\n"
+            os.kill(os.getpid(), signal.SIGTERM)
+            await harness.pass_time(1000)
+            assert b"stopping" in await producer.call("PUSH", job("refused-1", harness))
+            await turn_on(harness, f"127.0.0.1:{free_port()}", file)
+            assert b"stopping" in await producer.call("PUSH", job("refused-1", harness))
+            assert await workers[1].call("ACK", {"jid": "acked-001"}) == b"+OK\r\n"
+            await harness.pass_time(2450)
+            finals = {str(event["jid"]): event["final"] for event in harness.logged("job_answered")}
+            kept = {event["jid"] for event in harness.logged("job_kept")}
+            assert (finals.pop("running-1"), finals.pop("acked-001")) == ("failed", "served")
+            assert finals.pop("child-001") in ("failed", "refused")
+            del never_ran["child-001"]
+            assert (kept if store else finals.keys()) == never_ran.keys()
+            assert (finals if store else kept) in ({}, set())
+            assert set(finals.values()) <= {"refused"}
+            await harness.pass_time(200)
+            assert harness.ended
+
+    run_async(test)
--- a/tests/frontends/test_faktory_restart.py
+++ b/tests/frontends/test_faktory_restart.py
@@ -46,3 +46,20 @@
     faktory.kill_and_start()
     assert faktory.fetch("w2", faktory.worker("w2")) == ""
     assert len(faktory.finals("keyed-001")) == 1
+
+
+def test_job_that_a_planned_stop_keeps_is_delivered_once_by_the_next_process() -> None:
+    """Guards against a kept job that is lost, or that a worker of the stopping process gets as well."""
+    faktory = VirtualFaktory()
+    faktory.worker("w1")  # the jobs are assigned to it, and it never asks
+    for jid, due_in_ms in (("waiting-1", 0), ("timed-001", 4000)):
+        assert faktory.push(jid, "once", due_in_ms) == "OK"
+    assert faktory.push("child-001", "once", after=["waiting-1"]) == "OK"
+    faktory.stop_and_start(3450)
+    assert {fields["jid"] for fields in faktory.logged("job_kept")} == {"waiting-1", "timed-001", "child-001"}
+    worker = faktory.worker("w2")
+    fetched = [faktory.fetch("w2", worker)]
+    faktory.end_job("w2", "waiting-1")
+    faktory.pass_time(100)
+    fetched += [faktory.fetch("w2", worker), faktory.fetch("w2", worker), faktory.fetch("w2", worker)]
+    assert sorted(fetched) == ["", "child-001", "timed-001", "waiting-1"]
--- a/tests/frontends/test_states.py
+++ b/tests/frontends/test_states.py
@@ -54,5 +54,8 @@
 
 def test_stopping_frontend_accepts_no_jobs_again() -> None:
     """Guards against a frontend that an apply turns on after the stop of the process has begun."""
-    for event in FrontendEvent:
-        assert next_frontend_state(FrontendState.STOPPING, event) is FrontendState.STOPPING
+    stop_states = {FrontendState.STOPPING, FrontendState.STOPPED}
+    for state in stop_states:
+        assert not state.starts_jobs
+        assert {next_frontend_state(state, event) for event in FrontendEvent} <= stop_states
+    assert {next_frontend_state(FrontendState.STOPPED, event) for event in FrontendEvent} == {FrontendState.STOPPED}
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -138,6 +138,16 @@
         self.now += down_ms
         self.start()
 
+    def stop_and_start(self, stop_ms: float, down_ms: float = 500) -> None:
+        """Ends the process by a planned stop whose time to answer is ``stop_ms``, and starts the next one."""
+        self.frontend.begin_stop()
+        self.pass_time(stop_ms)
+        self.frontend.give_up_jobs()
+        self.turn()
+        assert not len(self.frontend.core.requests), "the stop waits for a job"
+        self.store.close()
+        self.kill_and_start(down_ms)
+
     def turn(self) -> None:
         """Runs the deadlines that are due and makes the changes of the store durable."""
         self._commit()
