Store when a chained Faktory job was released, so a restart gives its rest of time

Cause: the release of a chained job was in no row of the store; remaining_ms gave such a job all of its time, whether it waited, had started or was delivered.

Fix: Store.release keeps the release as the earliest start of the row (`due`, no new column, so older programs and files work as before). Where the file lacks it, a kill between the end of the parent and the release, or an older file, the end of the last parent counts. Waiting for parents is a recovery action of its own (WAIT), so only a job that has not been released has its whole time.

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -207,8 +207,9 @@
         if record.first_delivered_at:  # a job is delivered only after its parents have ended
             self.scheduler.resume(job, remaining_ms(record, now), record.first_delivered_at)
         elif self.scheduler.may_start(job, JobTiming(record.time_allowed_ms, record.not_before)):
-            scheduled = action is RecoveryAction.SCHEDULE
-            allowed_ms = record.time_allowed_ms if scheduled else remaining_ms(record, now)
+            # The time of a job counts from its start, unless the job had started before the restart.
+            started = action is RecoveryAction.RESTART
+            allowed_ms = remaining_ms(record, now) if started else record.time_allowed_ms
             self.scheduler.start(job, JobTiming(allowed_ms, record.not_before))
 
     def _recover_job(self, record: StoredRequest, action: RecoveryAction, now: float) -> Job:
--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -4,8 +4,11 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import orjson
+
 from heronlug.balancer.settings import Effect, RequestClass
 from heronlug.requests.interfaces import EventLog
+from heronlug.scheduling.chains import parse_edges
 from heronlug.storage.memory import MemoryStore
 from heronlug.storage.model import FinalState, RecoveryAction, Store, StoredRequest, recovery_action
 
@@ -66,8 +69,17 @@
     """
     records: list[tuple[StoredRequest, RecoveryAction]] = []
     counts: dict[str, int] = {}
-    for record in store.load():
-        action = recovery_action(record, classes.get(record.class_name), now, remember_ms)
+    stored = {record.jid: record for record in store.load()}
+    for record in stored.values():
+        parents = _stored_parents(record, stored)
+        record = _with_release(record, parents)
+        action = recovery_action(
+            record,
+            classes.get(record.class_name),
+            now,
+            remember_ms,
+            has_open_parents=any(not parent.final_state for parent in parents),
+        )
         counts[action.value] = counts.get(action.value, 0) + 1
         if action is RecoveryAction.FORGET:
             store.forget(record.jid)
@@ -78,3 +90,21 @@
             record = record._replace(final_state=final_state.value, ended_at=now)
         records.append((record, action))
     return records, counts
+
+
+def _stored_parents(record: StoredRequest, stored: dict[str, StoredRequest]) -> list[StoredRequest]:
+    """Returns the parents of a stored job that are in the store; a parent that is not ended long ago."""
+    if not record.chained:
+        return []
+    custom = orjson.loads(record.job)["custom"]
+    edges = parse_edges(custom["after"], custom.get("on_failure"))
+    return [stored[edge.parent] for edge in edges if edge.parent in stored]
+
+
+def _with_release(record: StoredRequest, parents: list[StoredRequest]) -> StoredRequest:
+    """Returns a job whose earliest start is not before the end of its last parent.
+
+    The store file may lack the release itself, as it is written after the end of the parent.
+    """
+    released_at = max((parent.ended_at for parent in parents), default=0.0)
+    return record._replace(not_before=max(record.not_before, released_at))
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -159,6 +159,7 @@
             self._finish(failed.job, FinalAnswer.FAILED)
         for child in chain_end.released:
             released = self._dependent.pop(child)
+            self._context.store.release(child, self._context.deadlines.clock())
             self.start(released.job, released.timing)
 
     def stop(self) -> None:
--- a/heronlug/storage/memory.py
+++ b/heronlug/storage/memory.py
@@ -26,6 +26,9 @@
         """Calls back immediately with success."""
         callback("")
 
+    def release(self, jid: str, released_at: float) -> None:
+        """Does nothing."""
+
     def record_final_state(self, jid: str, final_state: str, ended_at: float) -> None:
         """Does nothing."""
 
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -34,7 +34,7 @@
         job: the pushed job as JSON; empty once the request has ended.
         accepted_at: time of acceptance.
         time_allowed_ms: time until the final answer, counted from the later of ``accepted_at`` and ``not_before``.
-        not_before: earliest start; 0 for an immediate start.
+        not_before: earliest start, or the release by the last parent if that is later; 0 for an immediate start.
         first_delivered_at: time of the first delivery to a worker; 0 if the request was never delivered.
         final_state: a value of :class:`FinalState`; empty until the request has ended.
         ended_at: time of the end; 0 until the request has ended.
@@ -77,6 +77,9 @@
     def deliver(self, jid: str, delivered_at: float, callback: DurabilityCallback) -> None:
         """Stores the first delivery of a request before the request is sent to a worker."""
 
+    def release(self, jid: str, released_at: float) -> None:
+        """Stores the time from which the allowed time of a request counts whose last parent has ended."""
+
     def record_final_state(self, jid: str, final_state: str, ended_at: float) -> None:
         """Stores the final state of a request; the write is retried until it is durable."""
 
@@ -95,8 +98,9 @@
 
     Attributes:
         REMEMBER: keep the jid known, because the request has ended.
-        RESTART: start the request immediately, or once its parents have ended.
+        RESTART: start the request immediately.
         SCHEDULE: start the request at its ``not_before`` time.
+        WAIT: start the request once its parents have ended.
         REJECT: reject the request, which never ran, because no time is left or its class no longer exists.
         FAIL: fail the request, which may have run, because it must not run again, no time is left or its class no
             longer exists.
@@ -106,13 +110,19 @@
     REMEMBER = "known"
     RESTART = "again"
     SCHEDULE = "later"
+    WAIT = "waits"
     REJECT = "refused"
     FAIL = "failed"
     FORGET = "forget"
 
 
 def recovery_action(
-    request: StoredRequest, policy: RequestClass | None, now: float, remember_ms: float
+    request: StoredRequest,
+    policy: RequestClass | None,
+    now: float,
+    remember_ms: float,
+    *,
+    has_open_parents: bool = False,
 ) -> RecoveryAction:
     """Returns the action for a stored request after a restart.
 
@@ -121,6 +131,7 @@
         policy: the request class; None if the settings no longer contain the class, so that the request cannot run.
         now: Unix time in ms.
         remember_ms: time in ms for which the jid of an ended request stays known.
+        has_open_parents: whether a parent of the request has not ended.
     """
     if request.final_state:
         forgotten = now - request.ended_at > remember_ms
@@ -129,12 +140,11 @@
         return RecoveryAction.FAIL if request.first_delivered_at else RecoveryAction.REJECT
     if request.first_delivered_at:
         return _action_after_delivery(request, policy, now)
+    if has_open_parents:
+        return RecoveryAction.WAIT
     if request.not_before > now:
         return RecoveryAction.SCHEDULE
-    # The allowed time of a request with parents counts from its release, which is not stored, so the request gets the
-    # full time again.
-    may_start = request.chained or remaining_ms(request, now) > 0
-    return RecoveryAction.RESTART if may_start else RecoveryAction.REJECT
+    return RecoveryAction.RESTART if remaining_ms(request, now) > 0 else RecoveryAction.REJECT
 
 
 def _action_after_delivery(request: StoredRequest, policy: RequestClass, now: float) -> RecoveryAction:
@@ -150,6 +160,4 @@
 def remaining_ms(request: StoredRequest, now: float) -> float:
     """Returns the remaining time of a request in ms, at most its allowed time even if the clock was set back."""
     allowed = request.time_allowed_ms
-    if request.chained:
-        return allowed
     return min(allowed, max(request.accepted_at, request.not_before) + allowed - now)
--- a/heronlug/storage/sqlite.py
+++ b/heronlug/storage/sqlite.py
@@ -40,6 +40,7 @@
 SELECT_REQUESTS = "select jid, lane, queue, job, accepted_at, remaining, due, delivered_at, final, ended_at from jobs"
 INSERT_REQUEST = "insert or ignore into jobs values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)"
 SET_DELIVERED_AT = "update jobs set delivered_at = ? where jid = ? and delivered_at = 0"
+SET_RELEASED_AT = "update jobs set due = ? where jid = ? and due < ? and final = ''"
 SET_FINAL_STATE = "update jobs set final = ?, ended_at = ?, job = x'' where jid = ? and final = ''"
 DELETE_REQUEST = "delete from jobs where jid = ?"
 FAULT_VARIABLE = "HERONLUG_STORE_FAULT"
@@ -211,6 +212,10 @@
         """Stores the first delivery of a request before the request is sent to a worker."""
         self._enqueue(_Operation("deliver", SET_DELIVERED_AT, (delivered_at, jid), callback))
 
+    def release(self, jid: str, released_at: float) -> None:
+        """Stores the time from which the allowed time of a request counts whose last parent has ended."""
+        self._enqueue(_Operation("release", SET_RELEASED_AT, (released_at, jid, released_at), None))
+
     def record_final_state(self, jid: str, final_state: str, ended_at: float) -> None:
         """Stores the final state of a request; the first stored state is kept."""
         self._enqueue(_Operation("end", SET_FINAL_STATE, (final_state, ended_at, jid), None))
--- a/tests/frontends/test_faktory_restart.py
+++ b/tests/frontends/test_faktory_restart.py
@@ -63,3 +63,28 @@
     faktory.pass_time(100)
     fetched += [faktory.fetch("w2", worker), faktory.fetch("w2", worker), faktory.fetch("w2", worker)]
     assert sorted(fetched) == ["", "child-001", "timed-001", "waiting-1"]
+
+
+@pytest.mark.parametrize("delivered", [False, True])
+@pytest.mark.parametrize("remember_ms", [60_000.0, 1.0])
+def test_released_job_has_its_time_once_over_restarts(remember_ms: float, delivered: bool) -> None:
+    """Guards against a job of a chain that has its whole time again after each restart."""
+    faktory = VirtualFaktory(lanes=KEYED_CLASSES, config={"remember_ms": remember_ms})
+    worker = faktory.worker("w1")
+    faktory.push("parent-01")
+    assert faktory.push("child-001", "keyed", after=["parent-01"]) == "OK"
+    assert faktory.fetch("w1", worker) == "parent-01"
+    faktory.pass_time(3000)
+    faktory.kill_and_start()  # the child waits for its parent: it keeps its whole time
+    worker = faktory.worker("w1")
+    faktory.end_job("w1", faktory.fetch("w1", worker))
+    released_at = faktory.now
+    if delivered:
+        assert faktory.fetch("w1", worker) == "child-001"
+    for _ in range(2):
+        faktory.pass_time(1000)
+        faktory.kill_and_start()
+    faktory.pass_time(1000)
+    assert faktory.finals("child-001") == []
+    faktory.pass_time(released_at + TIME_MS - faktory.now)
+    assert len(faktory.finals("child-001")) == 1
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -40,6 +40,11 @@
     def deliver(self, jid: str, delivered_at: float, callback: DurabilityCallback) -> None:
         self._update(jid, callback, lambda row: not row.first_delivered_at, first_delivered_at=delivered_at)
 
+    def release(self, jid: str, released_at: float) -> None:
+        self._update(
+            jid, None, lambda row: not row.final_state and row.not_before < released_at, not_before=released_at
+        )
+
     def record_final_state(self, jid: str, final_state: str, ended_at: float) -> None:
         end = {"final_state": final_state, "ended_at": ended_at, "job": b""}
         self._update(jid, None, lambda row: not row.final_state, **end)
@@ -135,6 +140,7 @@
 
     def kill_and_start(self, down_ms: float = 500) -> None:
         """Kills the process; changes that are not durable are lost, and connections have ended."""
+        self.store = MemoryStore()
         self.now += down_ms
         self.start()
 
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -103,6 +103,8 @@
     opened.store.record_final_state("jid-00002", "served", 7.0)
     opened.store.record_final_state("jid-00002", "failed", 8.0)  # the first final state is kept
     opened.store.forget("jid-00003")
+    opened.store.release("jid-00004", 6.0)
+    opened.store.release("jid-00004", 5.0)  # a release before the earliest start changes nothing
     opened.store.close()
     reopened = OpenedStore(path)
     jobs = {job.jid: job for job in reopened.store.load()}
@@ -111,6 +113,7 @@
     assert jobs["jid-00001"].first_delivered_at == 5.0
     assert jobs["jid-00002"][-2:] == ("served", 7.0)
     assert jobs["jid-00002"].job == b""
+    assert jobs["jid-00004"].not_before == 6.0
     reopened.store.close()
 
 
