End the child of a Faktory job that its own push refuses by the child's edge

Cause: the parent was known when the child was pushed, and deleted before the child was stored. The look-up by jid at that moment takes an unknown parent for one that ended long ago and let go.

Fix: a push keeps the parents it has found (Job.parents), and the outcome is read from them: a refused parent counts as not served, however soon its jid is forgotten. A parent whose push could not be stored counts the same. Only a restart looks parents up by jid.

--- a/heronlug/frontends/faktory/job.py
+++ b/heronlug/frontends/faktory/job.py
@@ -12,6 +12,7 @@
 from heronlug.frontends.faktory.resp import JsonObject, optional_number
 from heronlug.net import http
 from heronlug.requests.model import FinalAnswer
+from heronlug.scheduling.chains import Edge
 
 MIN_JID_CHARACTERS = 8
 """Minimum length of a jid in characters."""
@@ -41,6 +42,8 @@
         final_answer: the final answer; None until the job has ended.
         being_stored: whether the store has not yet confirmed that the job is durable.
         push_callbacks: callbacks to be called once the store has reported success or failure.
+        parents: the parents that the job names, until the job starts or waits for them; a parent may be forgotten
+            while the job is being stored.
     """
 
     jid: str
@@ -53,6 +56,7 @@
     final_answer: FinalAnswer | None = None
     being_stored: bool = False
     push_callbacks: list[PushCallback] = field(default_factory=list)
+    parents: list["Parent"] = field(default_factory=list)
 
     @property
     def custom(self) -> JsonObject:
@@ -60,6 +64,13 @@
         return self.payload.get("custom") or {}
 
 
+class Parent(NamedTuple):
+    """A parent of a job and the edge that leads to it."""
+
+    edge: Edge
+    job: Job
+
+
 class JobTiming(NamedTuple):
     """The earliest start of a job and the time that the job may take.
 
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -101,8 +101,9 @@
         if len(self.by_jid) >= self._context.config.max_known_jobs:
             raise TooManyJobsError
         due_at = parse_due_at(payload)
-        self.scheduler.check_parents(arguments.custom)
-        self._store(self._new_job(jid, arguments, callback), arguments, due_at)
+        job = self._new_job(jid, arguments, callback)
+        job.parents = self.scheduler.parents_of_push(arguments.custom)
+        self._store(job, arguments, due_at)
 
     def _new_job(self, jid: str, arguments: PushArguments, callback: PushCallback) -> Job:
         return Job(
@@ -142,6 +143,7 @@
     def _start_stored(self, job: Job, timing: JobTiming, failure: str) -> CommandError | None:
         """Starts a job unless storing it failed; returns the error if the job is not accepted, else None."""
         if failure:
+            job.final_answer = FinalAnswer.REFUSED
             del self.by_jid[job.jid]
             return JobNotStoredError(failure)
         if not self.scheduler.may_start(job, timing):
@@ -192,6 +194,7 @@
         jobs = [self._recover_job(record, action, now) for record, action in records]
         for job, (record, action) in zip(jobs, records, strict=True):
             if job.final_answer is None:
+                job.parents = self.scheduler.known_parents(job.custom)
                 self._restart(job, record, action, now)
         if records:
             context.log("recovered", jobs=len(records), **counts)
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -6,11 +6,11 @@
 from heronlug.balancer.events import AttemptSnapshot, ServerState
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
-from heronlug.frontends.faktory.job import Job, JobTiming
+from heronlug.frontends.faktory.job import Job, JobTiming, Parent
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.requests.deadlines import Key
 from heronlug.requests.model import FinalAnswer, ListedServer, Request
-from heronlug.scheduling.chains import ChainState, Edge, RequestChains, parse_edges
+from heronlug.scheduling.chains import ChainState, RequestChains, parse_edges
 
 EARLIER_WORKER = ListedServer(name="", address="", state=ServerState.REMOVED)
 """The worker of a delivery by an earlier process; a worker that connects never has an empty wid."""
@@ -110,10 +110,7 @@
         A job with open parents waits until its parents have ended. A job that needs a parent to be served fails
         immediately if this parent has ended without being served.
         """
-        # A parent whose jid has been forgotten ended long ago and released this job at that time.
-        parents = [
-            (edge, self._jobs[edge.parent]) for edge in _parse_dependencies(job.custom) if edge.parent in self._jobs
-        ]
+        parents, job.parents = job.parents, []
         chain_state = self._chains.add(
             job.jid,
             [edge for edge, parent in parents if parent.final_answer is None],
@@ -131,20 +128,32 @@
             self._finish(job, FinalAnswer.FAILED)
         return chain_state is ChainState.READY
 
-    def check_parents(self, custom: JsonObject) -> None:
-        """Checks the dependencies of a pushed job.
+    def known_parents(self, custom: JsonObject) -> list[Parent]:
+        """Returns the parents of a recovered job.
+
+        A parent whose jid has been forgotten ended long ago and released the job at that time.
+
+        Raises:
+            ValueError: if ``after`` or ``on_failure`` is malformed.
+        """
+        edges = parse_edges(custom.get("after"), custom.get("on_failure"))
+        return [Parent(edge, self._jobs[edge.parent]) for edge in edges if edge.parent in self._jobs]
+
+    def parents_of_push(self, custom: JsonObject) -> list[Parent]:
+        """Returns the parents of a pushed job, each of which must be known.
 
         Raises:
             InvalidArgumentError: if ``after`` or ``on_failure`` is malformed.
             UnknownParentError: if the jid of a parent is not known.
         """
         try:
-            edges = _parse_dependencies(custom)
+            edges = parse_edges(custom.get("after"), custom.get("on_failure"))
         except ValueError as error:
             raise InvalidArgumentError(str(error)) from error
         for edge in edges:
             if edge.parent not in self._jobs:
                 raise UnknownParentError(edge.parent)
+        return [Parent(edge, self._jobs[edge.parent]) for edge in edges]
 
     def job_ended(self, jid: str, served: bool) -> None:
         """Starts the jobs whose last open parent has ended.
@@ -192,12 +201,3 @@
             self.keep(job)
         else:
             self._finish(job, FinalAnswer.REFUSED)
-
-
-def _parse_dependencies(custom: JsonObject) -> list[Edge]:
-    """Returns the edges to the parents of a job.
-
-    Raises:
-        ValueError: if ``after`` or ``on_failure`` is malformed.
-    """
-    return parse_edges(custom.get("after"), custom.get("on_failure"))
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -171,20 +171,33 @@
 
     # -- clients
 
+    def job(self, jid: str, jobtype: str = "safe", due_in_ms: float = 0, **custom: Any) -> dict[str, Any]:
+        """Returns the payload of a job."""
+        due = {"at": datetime.fromtimestamp((self.now + due_in_ms) / 1000, UTC).isoformat()} if due_in_ms else {}
+        return {"jid": jid, "jobtype": jobtype, "args": [], "custom": custom, **due}
+
     def push(self, jid: str, jobtype: str = "safe", due_in_ms: float = 0, **custom: Any) -> str:
         """Pushes a job and returns ``OK`` or the error text; an empty text if the reply waits."""
-        job: dict[str, Any] = {"jid": jid, "jobtype": jobtype, "args": [], "custom": custom}
-        if due_in_ms:
-            job["at"] = datetime.fromtimestamp((self.now + due_in_ms) / 1000, UTC).isoformat()
         replies: list[str] = []
 
         def on_pushed(error: CommandError | None) -> None:
             replies.append("OK" if error is None else str(error))
 
-        self.frontend.jobs.push(job, on_pushed)
+        self.frontend.jobs.push(self.job(jid, jobtype, due_in_ms, **custom), on_pushed)
         self.turn()
         return replies[0] if replies else ""
 
+    def push_all(self, *jobs: dict[str, Any]) -> dict[str, str]:
+        """Pushes several jobs at once and returns the error texts by jid."""
+        replies: list[dict[str, str]] = []
+        self.frontend.jobs.push_all(list(jobs), replies.append)
+        self.turn()
+        return replies[0]
+
+    def reject_classes(self, *class_indexes: int) -> None:
+        """Installs a plug-in that rejects all jobs of these classes."""
+        self.frontend.core.plugins = mock.Mock(admit=lambda class_index, *rest: class_index not in class_indexes)
+
     def worker(self, wid: str) -> VirtualConnection:
         """Connects a worker."""
         connection = VirtualConnection()
