Handle the ends of a long chain of Faktory jobs one after another

Cause: a released job that the core refuses at once ends within the end of its parent, and releases the next one there.

Fix: JobScheduler queues an end that comes while another one is handled, as the core's EventQueue does.

Test: test_long_chain_ends_without_recursion with 10,000 jobs: `release` failed before with RecursionError (`fail` held), both pass.

--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -1,5 +1,6 @@
 """Schedules accepted jobs: hands each job to the core immediately, at its start time or after its parents end."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -49,6 +50,8 @@
         self._delayed: dict[str, _DelayedJob] = {}
         self._dependent: dict[str, _DependentJob] = {}
         self._chains = RequestChains()
+        self._ended_jobs: deque[tuple[str, bool]] = deque()
+        self._handling_ends = False
 
     @property
     def delayed_count(self) -> int:
@@ -159,8 +162,20 @@
         """Starts the jobs whose last open parent has ended.
 
         If the ended job was not served, the jobs that need it to be served fail, and in turn the jobs that need these.
+        A job that ends while this end is handled is handled afterwards, so that a long chain takes no recursion.
         """
         self._dependent.pop(jid, None)
+        self._ended_jobs.append((jid, served))
+        if self._handling_ends:
+            return
+        self._handling_ends = True
+        try:
+            while self._ended_jobs:
+                self._handle_end(*self._ended_jobs.popleft())
+        finally:
+            self._handling_ends = False
+
+    def _handle_end(self, jid: str, served: bool) -> None:
         chain_end = self._chains.request_ended(jid, served)
         for child in chain_end.failed:
             failed = self._dependent.pop(child)
