Judge each request of the large fleet's tests by its own time

Cause: a fault of the harness. The play ends at 13.0 s. A client that is behind asks later than planned, and its request is due after that end; it was counted as lost with time left.

Change: run_until goes on while a request has time left. Each request is judged as before, at its due time and 0.5 s; none is left out.

Test: test_request_that_is_asked_late_is_judged_by_its_own_time, where the play stands still for 2.5 s before the clients ask: failed before (2 requests "lost", due at 5.5 s of a play of 4 s), passes.

--- a/tests/scale/fleet.py
+++ b/tests/scale/fleet.py
@@ -229,13 +229,16 @@
                 client_request.answered_at = self.clock.now()
 
     async def run_until(self, end_at: float) -> None:
-        """Handles all events in order until ``end_at`` ms after the start."""
+        """Handles all events in order until ``end_at`` ms after the start, and on until no request has time left.
+
+        A client that is behind asks later than planned, and its request has all of its time from then on.
+        """
         end_at, deadlines = START_TIME + end_at, self.application.deadline_loop.deadlines
         while True:
             head = deadlines.next_due()
             callback_at = self._callbacks[0][0] if self._callbacks else float("inf")
             due = min(callback_at, head if head is not None else float("inf"))
-            if due > end_at or self.clock.now() > 2 * end_at - START_TIME:
+            if due > max(end_at, self._last_due()) or self.clock.now() > 2 * end_at - START_TIME:
                 break
             self.clock.time_ms = due
             if callback_at <= due:
@@ -247,6 +250,11 @@
             self._serve()
             self._note_answers()
 
+    def _last_due(self) -> float:
+        """Returns the time up to which a request without an answer is not lost, 0 if all are answered."""
+        waiting = [request for request in self.client_requests if not request.answered_at]
+        return max((request.due + ANSWER_SLACK_MS for request in waiting), default=0.0)
+
     def lost(self) -> list[tuple[str, float, float]]:
         """Returns the requests without a final answer in time.
 
--- a/tests/scale/test_release.py
+++ b/tests/scale/test_release.py
@@ -1,5 +1,7 @@
 """Tests that each request is answered in time in a large fleet, with a dispatcher on a part of a core."""
 
+from functools import partial
+
 import pytest
 from end_to_end.harness import START_TIME, run_async
 
@@ -74,3 +76,20 @@
         harness.close()
 
     run_async(test)
+
+
+def test_request_that_is_asked_late_is_judged_by_its_own_time() -> None:
+    """Fails if a play that falls behind ends before the time of its last request, and counts that request as lost."""
+
+    async def test() -> None:
+        harness = LargeFleet(SERVERS // 16, peers=False)
+        async with harness.open():
+            clients = await harness.clients(2)
+            harness.at(START_TIME + 999, partial(harness.stall, 2500.0))
+            harness.at(START_TIME + 1000, partial(harness.ask_in_turn, clients, 25.0, 2, REMAINING_MS))
+            await harness.run_until(4000)
+            assert len(harness.client_requests) == 2
+            assert harness.lost() == []
+        harness.close()
+
+    run_async(test)
