Let a step of a fault plan wait for a dispatcher that it can act on

Cause: a fault of the harness. A step with the selector `reading` took whoever had a watch open at that instant. Where the fleet starts later than the step is due, and for the milliseconds between two watches, nobody has, and the step went on with an empty name.

Change: such a step waits for its condition, 10 s at most (the time in which restarted dispatchers have to be ready), and then fails with the step, its time and its selector in words.

Test: test_step_on_readers_waits_for_one_or_says_that_there_is_none.

--- a/heronlug/faults/steps.py
+++ b/heronlug/faults/steps.py
@@ -1,6 +1,7 @@
 """Applies the steps of a test plan and reverts those that have a duration."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -21,6 +22,20 @@
 from heronlug.faults.servers import StandInServers
 from heronlug.faults.tasks import BackgroundTasks
 
+PARTIES_WITHIN_S = 10.0
+"""Longest wait for a dispatcher that a step selects by its state; restarted dispatchers have to be ready by then."""
+PARTIES_CHECK_INTERVAL_S = 0.005
+"""Interval between two checks whether a dispatcher is in that state; a dispatcher has no watch for some ms at times."""
+
+
+class NoPartyError(RuntimeError):
+    """Raised if a step selects nobody to act on."""
+
+    def __init__(self, step: Step, waited_s: float) -> None:
+        selectors = ", ".join(step.who)
+        super().__init__(f'step "{step.do}" at {step.at_s:g} s: nobody is {selectors!r} within {waited_s:g} s')
+
+
 Undo = Callable[[], Awaitable[None] | None]
 """Function that reverts a step."""
 
@@ -48,9 +63,13 @@
         self._random = Random(plan.seed)
 
     async def run(self, step: Step) -> None:
-        """Waits until a step is due and applies the step to each party that its selectors name."""
+        """Waits until a step is due and applies the step to each party that its selectors name.
+
+        Raises:
+            NoPartyError: if the selectors name nobody within ``PARTIES_WITHIN_S``.
+        """
         await asyncio.sleep(max(0.0, step.at_s - self._history.elapsed_s()))
-        parties = self._choose(step.who)
+        parties = await self._wait_for_parties(step)
         for number, name in enumerate(parties or [""]):
             if number and step.every_s:
                 await asyncio.sleep(step.every_s)
@@ -59,6 +78,15 @@
             if step.for_s is not None and step.do in TIMED_ACTIONS:
                 self._tasks.spawn(self._undo_later(step.for_s, f"end of {step.do} {name}".strip(), undo))
 
+    async def _wait_for_parties(self, step: Step) -> list[str]:
+        """Returns the parties that a step acts on, as soon as there is one; none for a step without selectors."""
+        began_at = time.monotonic()
+        while not (parties := self._choose(step.who)) and step.who:
+            if time.monotonic() - began_at >= PARTIES_WITHIN_S:
+                raise NoPartyError(step, PARTIES_WITHIN_S)
+            await asyncio.sleep(PARTIES_CHECK_INTERVAL_S)
+        return parties
+
     def _choose(self, selectors: list[str]) -> list[str]:
         return select_parties(selectors, self._plan, self._random, self._discovery.stand_in.watching())
 
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -9,6 +9,7 @@
 import pytest
 
 from heronlug.config.strict_toml import ConfigProblems, Source
+from heronlug.faults import steps
 from heronlug.faults.harness import FaultHarness, play
 from heronlug.faults.plan import FaultPlan, parse
 
@@ -73,6 +74,23 @@
     assert asyncio.run(run()) == ["d0", "d1"]
 
 
+@pytest.mark.parametrize("reading", [[[], [], ["d1"]], [[]]])
+def test_step_on_readers_waits_for_one_or_says_that_there_is_none(reading: list[list[str]]) -> None:
+    """Guards against a step on the reading dispatchers that acts on nobody, because none has a watch just then."""
+    plan = parse_plan('[[step]]\nat_s = 0\ndo = "kill"\nwho = ["reading"]\n')
+    dispatchers, discovery = mock.Mock(apply=mock.AsyncMock()), mock.Mock()
+    discovery.stand_in.watching.side_effect = lambda: reading.pop(0) if len(reading) > 1 else reading[0]
+    history = mock.Mock(elapsed_s=lambda: 0.0)
+    runner = steps.StepRunner(plan, history, dispatchers, mock.Mock(), discovery, mock.Mock(), mock.Mock())
+    with mock.patch.object(steps, "PARTIES_WITHIN_S", 0.1):
+        if reading == [[]]:
+            with pytest.raises(steps.NoPartyError, match="kill"):
+                asyncio.run(runner.run(plan.step[0]))
+        else:
+            asyncio.run(runner.run(plan.step[0]))
+    assert [call.args[1] for call in dispatchers.apply.await_args_list] == reading[-1]
+
+
 def test_unexpected_process_exit_is_reported(tmp_path: Path) -> None:
     """Guards against a run that passes although its dispatchers exit, here with status 3 right after their start."""
     (tmp_path / "heronlug").mkdir()
