Explore what happens to Faktory jobs by random orders of events

Change: a hypothesis state machine drives the real job table, scheduler, core and balancer in virtual time: pushes alone and in pairs, later times, parents, workers that fetch, end jobs and leave, the frontend off and on, a plug-in, a stalling disk, kills with a part of the changes written, planned stops. After each event each accepted job must be known, in exactly one place, not early, not beyond its time, not repeated beyond its class, with an end that never changes. 500 sequences of 30 events with and without a store in the suite, the same in each run; `make model` plays more from another seed.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run try soak demo
+.PHONY: build test model lint run try soak demo
 
 PYTHON = .venv-dev/bin/python
 # files of tests that run at once: most of their time is waiting, and a file's own tests stay in one process
@@ -15,6 +15,12 @@
 	CLUSTER_SEEDS=10000 CLUSTER_STATES=100000 $(PYTHON) -m pytest -q -s tests/cluster/test_virtual_network.py tests/cluster/test_lease_states.py
 	RIG_ALL=1 $(PYTHON) -m pytest -q tests/faults/test_plans.py
 
+# random orders of events of Faktory jobs, from another seed than the suite's
+SEED = 1
+FAKTORY_SEQUENCES ?= 10000
+model: .venv-dev/ready
+	FAKTORY_SEQUENCES=$(FAKTORY_SEQUENCES) $(PYTHON) -m pytest -q -p no:cacheprovider --hypothesis-seed=$(SEED) tests/frontends/test_faktory_model.py
+
 lint: .venv-dev/ready
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -66,6 +66,12 @@
             if callback is not None:
                 callback("")
 
+    def write(self, count: int) -> None:
+        """Writes the first changes without a callback, as before a kill."""
+        for change, _ in self._changes[:count]:
+            change()
+        del self._changes[:count]
+
     def _add(self, request: StoredRequest) -> None:
         self.rows.setdefault(request.jid, request)
 
@@ -111,13 +117,15 @@
 
     Attributes:
         now: the current time in ms.
-        events: the logged events of all processes, each with its fields.
+        events: the logged events of all processes, each with its fields and its time ``at_ms``.
+        disk_stalled: whether changes of the store do not become durable for now; a kill loses them.
         frontend: the frontend of the current process.
     """
 
     def __init__(self, *, durable: bool = True, config: dict[str, Any] | None = None, **settings: Any) -> None:
         self.now = START_TIME
         self.events: list[tuple[str, dict[str, Any]]] = []
+        self.disk_stalled = False
         self.rows: dict[str, StoredRequest] = {}
         self._durable = durable
         self._faktory_config = FaktoryConfig(("127.0.0.1", 0), **(config or {}))
@@ -230,8 +238,8 @@
         return [fields["final"] for fields in self.logged("job_answered") if fields["jid"] == jid]
 
     def _log(self, event: str, /, **fields: Any) -> None:
-        self.events.append((event, fields))
+        self.events.append((event, {**fields, "at_ms": self.now}))
 
     def _commit(self) -> None:
-        if isinstance(self.store, DurableStore):
+        if isinstance(self.store, DurableStore) and not self.disk_stalled:
             self.store.commit()
