Keep the time limit that a Faktory job was pushed under over a restart

Cause: the store kept the time that the producer or the deadline of the class gives a job, and the operators' give_up_ms was applied when the core took the job: a restart counted it anew from then.

Fix: the stored time is the smaller of the two, so a restart gives the rest of it, whatever the limits are by then.

Test: test_job_keeps_the_time_that_its_class_allowed_when_it_was_pushed: failed before, passes.

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -121,8 +121,7 @@
     def _store(self, job: Job, arguments: PushArguments, due_at: float) -> None:
         """Stores a new job; the job is accepted once the store confirms that the job is durable."""
         self.by_jid[job.jid] = job
-        deadline_ms = job.policy.deadline
-        timing = JobTiming(deadline_ms if arguments.remaining_ms is None else arguments.remaining_ms, due_at)
+        timing = JobTiming(_allowed_ms(job, arguments), due_at)
         accepted_at = self._context.deadlines.clock()
         class_name = self._class_names()[job.class_index]
         record = StoredRequest(
@@ -251,6 +250,12 @@
         return reserve_s * 1000 if reserve_s else self._context.config.reserve_ms
 
 
+def _allowed_ms(job: Job, arguments: PushArguments) -> float:
+    """Returns the time that a pushed job may take, at most the limit of its class, which a restart may change."""
+    allowed_ms = job.policy.deadline if arguments.remaining_ms is None else arguments.remaining_ms
+    return min(allowed_ms, job.policy.give_up_after or allowed_ms)
+
+
 def _push_known_job(job: Job, callback: PushCallback) -> None:
     """Handles the push of a jid that is already known.
 
--- a/tests/frontends/test_faktory_restart.py
+++ b/tests/frontends/test_faktory_restart.py
@@ -1,5 +1,7 @@
 """Tests what a restart knows of the jobs that an earlier process accepted and delivered, in virtual time."""
 
+from dataclasses import replace
+
 import pytest
 from exchange import SETTINGS
 
@@ -88,3 +90,16 @@
     assert faktory.finals("child-001") == []
     faktory.pass_time(released_at + TIME_MS - faktory.now)
     assert len(faktory.finals("child-001")) == 1
+
+
+def test_job_keeps_the_time_that_its_class_allowed_when_it_was_pushed() -> None:
+    """Guards against a job that has more time by a restart than the limit of its class gave it."""
+    faktory = VirtualFaktory()
+    core = faktory.frontend.core
+    core.use_classes(tuple(replace(each, give_up_after=1000.0) for each in core.settings.classes))
+    assert faktory.push("job-00001") == "OK"
+    faktory.pass_time(400)
+    faktory.kill_and_start(100)
+    assert faktory.finals("job-00001") == []
+    faktory.pass_time(500)
+    assert faktory.finals("job-00001") == ["refused"]
