End a stored Faktory job that cannot be read, instead of the start

Cause: a row whose JSON is cut off, no object, or with fields of a wrong type raised an error while the jobs were resumed, and the process did not start: every other job waited for it.

Fix: such a row is logged (job_damaged, with the reason) and ends as a job whose class is gone: failed if it was delivered, else refused. The others go on.

Test: test_stored_job_waits_for_its_parents_or_ends_if_it_cannot_be_read. It takes the place of test_only_a_job_with_parents_waits_for_them, which tested the property `chained` that nothing uses any more; its three cases are in it, judged by the recovery action and thus as strict, with five damaged rows, for which the start raised before (orjson or type errors, read in the code before).

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -188,7 +188,7 @@
         context = self._context
         now = context.deadlines.clock()
         classes = {policy.name: policy for policy in context.core.settings.classes}
-        records, counts = recover_records(stored, context.store, classes, now, context.config.remember_ms)
+        records, counts = recover_records(stored, context.store, classes, now, context.config.remember_ms, context.log)
         # All jobs must be known before the first one starts, because a dependent job looks up its parents.
         jobs = [self._recover_job(record, action, now) for record, action in records]
         for job, (record, action) in zip(jobs, records, strict=True):
--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -4,15 +4,19 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import orjson
-
 from heronlug.balancer.settings import Effect, RequestClass
-from heronlug.requests.interfaces import EventLog
+from heronlug.frontends.faktory.errors import CommandError
+from heronlug.frontends.faktory.resp import optional_number, parse_object
+from heronlug.requests.interfaces import EventLog, log_nothing
 from heronlug.scheduling.chains import parse_edges
 from heronlug.storage.memory import MemoryStore
 from heronlug.storage.model import FinalState, RecoveryAction, Store, StoredRequest, recovery_action
 
 
+class DamagedRecordError(ValueError):
+    """Raised for a row of the store whose job cannot be read."""
+
+
 def open_store(path: str, log: EventLog, run_due: Callable[[], None]) -> Store:
     """Returns a store in a file, or a store in memory if the path is empty.
 
@@ -54,7 +58,12 @@
 
 
 def recover_records(
-    loaded: list[StoredRequest], store: Store, classes: dict[str, RequestClass], now: float, remember_ms: float
+    loaded: list[StoredRequest],
+    store: Store,
+    classes: dict[str, RequestClass],
+    now: float,
+    remember_ms: float,
+    log: EventLog = log_nothing,
 ) -> tuple[list[tuple[StoredRequest, RecoveryAction]], dict[str, int]]:
     """Decides what becomes of each stored job, and stores the final states that follow from the restart.
 
@@ -64,6 +73,7 @@
         classes: the request classes by name.
         now: Unix time in ms.
         remember_ms: time in ms for which the jid of an ended job stays known.
+        log: the event log.
 
     Returns:
         The jobs that stay known, each with its recovery action, and the number of stored jobs by action.
@@ -72,15 +82,15 @@
     counts: dict[str, int] = {}
     stored = {record.jid: record for record in loaded}
     for record in stored.values():
-        parents = _stored_parents(record, stored)
+        policy = classes.get(record.class_name)
+        try:
+            parents = _stored_parents(record, stored)
+        except DamagedRecordError as error:
+            log("job_damaged", jid=record.jid, why=str(error))
+            parents, policy = [], None  # the job cannot run, like a job whose class no longer exists
         record = _with_release(record, parents)
-        action = recovery_action(
-            record,
-            classes.get(record.class_name),
-            now,
-            remember_ms,
-            has_open_parents=any(not parent.final_state for parent in parents),
-        )
+        has_open_parents = any(not parent.final_state for parent in parents)
+        action = recovery_action(record, policy, now, remember_ms, has_open_parents=has_open_parents)
         counts[action.value] = counts.get(action.value, 0) + 1
         if action is RecoveryAction.FORGET:
             store.forget(record.jid)
@@ -88,17 +98,26 @@
         if action in (RecoveryAction.FAIL, RecoveryAction.REJECT):
             final_state = FinalState.FAILED if action is RecoveryAction.FAIL else FinalState.REFUSED
             store.record_final_state(record.jid, final_state.value, now)
-            record = record._replace(final_state=final_state.value, ended_at=now)
+            record = record._replace(final_state=final_state.value, ended_at=now, job=b"")
         records.append((record, action))
     return records, counts
 
 
 def _stored_parents(record: StoredRequest, stored: dict[str, StoredRequest]) -> list[StoredRequest]:
-    """Returns the parents of a stored job that are in the store; a parent that is not ended long ago."""
-    if not record.chained:
+    """Returns the parents of a stored job that are in the store; a parent that is not ended long ago.
+
+    Raises:
+        DamagedRecordError: if the stored job is not a valid job.
+    """
+    if record.final_state:
         return []
-    custom = orjson.loads(record.job)["custom"]
-    edges = parse_edges(custom["after"], custom.get("on_failure"))
+    try:
+        payload = parse_object(record.job)
+        optional_number(payload, "reserve_for")
+        custom = payload.get("custom") or {}
+        edges = parse_edges(custom.get("after"), custom.get("on_failure"))
+    except (ValueError, AttributeError, CommandError) as error:
+        raise DamagedRecordError(str(error)) from error
     return [stored[edge.parent] for edge in edges if edge.parent in stored]
 
 
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -24,6 +24,7 @@
     "job_recovered": LEVELS["debug"],
     "client_dropped": LEVELS["warning"],
     "exception": LEVELS["warning"],
+    "job_damaged": LEVELS["warning"],
     "overdue": LEVELS["warning"],
     "inventory_failed": LEVELS["warning"],
     "too_many_clients": LEVELS["warning"],
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -8,8 +8,6 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-import orjson
-
 from heronlug.balancer.settings import Effect, RequestClass
 
 DurabilityCallback = Callable[[str], None]
@@ -51,12 +49,6 @@
     final_state: str = ""
     ended_at: float = 0.0
 
-    @property
-    def chained(self) -> bool:
-        """Returns whether the job names parents to wait for."""
-        custom = orjson.loads(self.job).get("custom") if self.job else None
-        return isinstance(custom, dict) and bool(custom.get("after"))
-
 
 class Store(Protocol):
     """A store of accepted requests.
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -7,6 +7,8 @@
 
 from heronlug.balancer.settings import Effect, RequestClass
 from heronlug.cli import group
+from heronlug.frontends.faktory.recovery import recover_records
+from heronlug.storage.memory import MemoryStore
 from heronlug.storage.model import RecoveryAction, StoredRequest, recovery_action
 from heronlug.storage.sqlite import SqliteStore, StoreError, connect
 
@@ -51,11 +53,32 @@
     assert recovery_action(request_, policy, now, 10_000.0) is action
 
 
-def test_only_a_job_with_parents_waits_for_them() -> None:
-    """Guards against a job whose time starts anew because one of its arguments is the text "after"."""
-    jobs = {b'{"args":["after"]}': False, b'{"custom":{"after":["p"]}}': True, b'{"custom":{"after":[]}}': False}
-    for job, chained in jobs.items():
-        assert REQUEST._replace(job=job).chained is chained
+@pytest.mark.parametrize(
+    ("job", "action"),
+    [
+        (b'{"args":["after"]}', RecoveryAction.RESTART),
+        (b'{"custom":{"after":["p"]}}', RecoveryAction.WAIT),
+        (b'{"custom":{"after":[]}}', RecoveryAction.RESTART),
+        (b'{"custom":{"after":["p"]', RecoveryAction.REJECT),
+        (b'{"custom":{"after":"p"}}', RecoveryAction.REJECT),
+        (b'{"custom":"after"}', RecoveryAction.REJECT),
+        (b'{"reserve_for":"long"}', RecoveryAction.REJECT),
+        (b'["after"]', RecoveryAction.REJECT),
+    ],
+)
+def test_stored_job_waits_for_its_parents_or_ends_if_it_cannot_be_read(job: bytes, action: RecoveryAction) -> None:
+    """Guards against a job that waits because an argument is "after", and a damaged row that ends the start."""
+    parent = REQUEST._replace(jid="p")
+    rows = [REQUEST._replace(job=job), parent]
+    logged: list[str] = []
+    classes = {"c": IDEMPOTENT_CLASS}
+    records, _ = recover_records(
+        rows, MemoryStore(), classes, 1100.0, 10_000.0, lambda event, /, **fields: logged.append(event)
+    )
+    assert records[1] == (parent, RecoveryAction.RESTART)  # the other rows are not affected
+    assert records[0][1] is action
+    assert logged == (["job_damaged"] if action is RecoveryAction.REJECT else [])
+    assert bool(records[0][0].final_state) == (action is RecoveryAction.REJECT)
 
 
 class OpenedStore:
