Follow a wall clock that was stepped between two processes in the job store

Cause: times in the store are Unix times. If the wall clock was set back by an hour while the process was down, a keyed job had its whole window for repeats again and a job its whole time; set forward, jobs ended at once.

Fix: the store file holds the difference between the wall clock and the monotonic one (a table of its own, which older programs do not read; the format stays). At a start in the same boot of the machine the stored times are moved by what this difference has changed, but for starts in the future, which producers gave as times on the wall clock. Linux names a boot by its boot_id; without it, and over a boot, the wall clock is believed, and a delivery in the future counts as a window that is over.

Tests: test_step_of_the_wall_clock_between_two_processes_changes_no_span, an hour forward, back and none, and a case of the recovery action: the clock cases need the new argument of the store, so they could not run before; the recovery action gave `again` before.

--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -17,7 +17,7 @@
     """Raised for a row of the store whose job cannot be read."""
 
 
-def open_store(path: str, log: EventLog, run_due: Callable[[], None]) -> Store:
+def open_store(path: str, log: EventLog, run_due: Callable[[], None], clock: Callable[[], float]) -> Store:
     """Returns a store in a file, or a store in memory if the path is empty.
 
     SQLite is imported only if a file is used.
@@ -26,6 +26,7 @@
         path: path of the store file; empty for a store in memory.
         log: the event log.
         run_due: runs the deadlines that are due; called after each callback of the store.
+        clock: returns the Unix time in ms by the clock of this process.
 
     Raises:
         ValueError: if the file cannot be used as a store.
@@ -46,7 +47,7 @@
         if not loop.is_closed():
             loop.call_soon_threadsafe(run_callback, callback)
 
-    return SqliteStore(Path(path), call_on_loop, log)
+    return SqliteStore(Path(path), call_on_loop, log, clock)
 
 
 def must_be_stored_before_delivery(policy: RequestClass) -> bool:
--- a/heronlug/lifecycle/faktory_service.py
+++ b/heronlug/lifecycle/faktory_service.py
@@ -155,7 +155,7 @@
         from heronlug.frontends.faktory.frontend import FaktoryFrontend
         from heronlug.frontends.faktory.recovery import open_store
 
-        store = open_store(faktory_config.store, self._log, self._turn)
+        store = open_store(faktory_config.store, self._log, self._turn, self._deadlines.clock)
         frontend = FaktoryFrontend(faktory_config, self._deadlines, self._log, self._turn, store)
         settings = replace(
             self._http_core.settings,
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -143,7 +143,8 @@
     """Returns the action for a request that may have run: the request runs again only if its effect allows that."""
     if policy.effect is Effect.NON_IDEMPOTENT:
         return RecoveryAction.FAIL
-    key_expired = now - request.first_delivered_at >= policy.repeat_window
+    # The time of the delivery lies in the future if the clock was set back; how long ago it was is then unknown.
+    key_expired = not 0 <= now - request.first_delivered_at < policy.repeat_window
     if policy.effect is Effect.IDEMPOTENT_BY_KEY and key_expired:
         return RecoveryAction.FAIL
     return RecoveryAction.RESTART if remaining_ms(request, now) > 0 else RecoveryAction.FAIL
--- a/heronlug/storage/sqlite.py
+++ b/heronlug/storage/sqlite.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 
 from heronlug.requests.interfaces import EventLog
+from heronlug.storage.clock_steps import follow_clock
 from heronlug.storage.model import DurabilityCallback, StoredRequest
 
 FORMAT_VERSION = 1
@@ -176,18 +177,28 @@
 
     is_durable = True
 
-    def __init__(self, path: Path, call_soon: Callable[[Callable[[], None]], object], log: EventLog) -> None:
+    def __init__(
+        self,
+        path: Path,
+        call_soon: Callable[[Callable[[], None]], object],
+        log: EventLog,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
         """Opens the file and starts the writer thread.
 
         Args:
             path: path of the file.
             call_soon: schedules a call on the event loop from any thread.
             log: the event log.
+            clock: returns the Unix time in ms by which the stored times are corrected after a step of the wall clock;
+                None corrects nothing.
 
         Raises:
             StoreError: if the file cannot be used as a store.
         """
         self._connection = connect(path)
+        if clock is not None:
+            self._follow_clock(path, clock, log)
         self._call_soon, self._log = call_soon, log
         self._operations: deque[_Operation] = deque()
         self._condition = threading.Condition()
@@ -200,6 +211,16 @@
         self._thread = threading.Thread(target=self._write_operations, name="store", daemon=True)
         self._thread.start()
 
+    def _follow_clock(self, path: Path, clock: Callable[[], float], log: EventLog) -> None:
+        try:
+            step_ms = follow_clock(self._connection, clock())
+        except sqlite3.Error as error:
+            self._connection.close()
+            msg = f"{path}: {error}"
+            raise StoreError(msg) from error
+        if step_ms:
+            log("store_clock_step", ms=round(step_ms))
+
     def load(self) -> Iterable[StoredRequest]:
         """Returns all stored requests."""
         return list(read_requests(self._connection))
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the request store: stored data, recovery actions, and damaged, full, locked or unsupported files."""
 
 import threading
+import time
 from pathlib import Path
 
 import pytest
@@ -37,6 +38,7 @@
         (REQUEST._replace(first_delivered_at=1050.0), BY_KEY_CLASS, 1600.0, RecoveryAction.FAIL),
         (REQUEST._replace(first_delivered_at=1050.0), None, 1100.0, RecoveryAction.FAIL),
         (REQUEST, IDEMPOTENT_CLASS, 0.0, RecoveryAction.RESTART),  # the clock was set back
+        (REQUEST._replace(first_delivered_at=1050.0), BY_KEY_CLASS, 1000.0, RecoveryAction.FAIL),  # the same
         (
             REQUEST._replace(final_state="served", ended_at=1100.0),
             NON_IDEMPOTENT_CLASS,
@@ -140,6 +142,36 @@
     reopened.store.close()
 
 
+@pytest.mark.parametrize("step_ms", [3_600_000.0, -3_600_000.0, 0.0])
+def test_step_of_the_wall_clock_between_two_processes_changes_no_span(tmp_path: Path, step_ms: float) -> None:
+    """Guards against more time, or a longer repeat window, by a clock that is stepped while the process is down."""
+    path = tmp_path / "jobs.sqlite"
+    due_later = 2e12
+    steps: list[object] = []
+    for clock_step_ms in (0.0, step_ms, step_ms):
+        store = SqliteStore(
+            path,
+            lambda callback: callback(),
+            lambda event, /, **fields: steps.append((event, fields)),
+            lambda: time.time_ns() / 1e6 + clock_step_ms,  # noqa: B023 (called by the constructor)
+        )
+        if not clock_step_ms and not list(store.load()):
+            store.accept(REQUEST._replace(first_delivered_at=1200.0, not_before=900.0), lambda result: None)
+            store.accept(REQUEST._replace(jid="jid-00002", not_before=due_later), lambda result: None)
+        store.close()
+    store = SqliteStore(path, lambda callback: callback(), lambda event, /, **fields: None)
+    first, second = store.load()
+    store.close()
+    assert len(steps) == bool(step_ms)
+    for stored, expected in (
+        (first.accepted_at, 1000.0),
+        (first.first_delivered_at, 1200.0),
+        (first.not_before, 900.0),
+    ):
+        assert abs(stored - step_ms - expected) < 50.0
+    assert (second.not_before, first.ended_at, second.first_delivered_at) == (due_later, 0.0, 0.0)
+
+
 def test_second_process_cannot_open_the_store(tmp_path: Path) -> None:
     """Guards against two processes writing to one store; the second open must fail without harm to the first store."""
     path = tmp_path / "jobs.sqlite"
