End a duty's command with its owner, together with what the command has started

Cause: only the process that started a command killed it, and only the command itself, not what it had started.

Fix: a shell supervises each command in a process group of its own. It reads a pipe from the owner on which nothing comes: the pipe ends with the owner, however that ends, and the shell kills the group. Cancelling kills the group as well. A command that leaves its group (setsid) is not reached.

--- a/heronlug/cluster/task_runner.py
+++ b/heronlug/cluster/task_runner.py
@@ -6,7 +6,6 @@
 import asyncio
 import os
 import time
-from asyncio.subprocess import DEVNULL, Process
 from collections.abc import Awaitable, Callable
 from functools import partial
 from math import inf
@@ -15,6 +14,7 @@
 
 from heronlug.cluster.model import FencingToken
 from heronlug.cluster.periodic_tasks import PeriodicTask, TaskSchedule
+from heronlug.cluster.supervised_command import run_command
 from heronlug.requests.deadlines import Deadlines, Key
 
 TaskFunction = Callable[[str, FencingToken], Awaitable[int]]
@@ -53,22 +53,13 @@
 
 
 async def _run_command(command: list[str], name: str, token: FencingToken) -> int:
-    """Runs a command and returns its exit status; kills the process when the coroutine is cancelled.
+    """Runs a command under a fencing token and returns its exit status.
 
     Raises:
         OSError: If the command cannot be started.
     """
     environment = {**os.environ, "HERONLUG_DUTY": name, "HERONLUG_FENCE": f"{token.number}.{token.owner}"}
-    process: Process | None = None
-    try:
-        process = await asyncio.create_subprocess_exec(
-            *command, env=environment, stdin=DEVNULL, stdout=DEVNULL, stderr=DEVNULL
-        )
-        return await process.wait()
-    finally:
-        if process is not None and process.returncode is None:
-            process.kill()
-            await process.wait()
+    return await run_command(command, environment)
 
 
 async def _delete_old_files(table: dict[str, Any], log: Callable[..., None], name: str, token: FencingToken) -> int:
