Give a Faktory job one state, changed by an explicit table

Change: JobState and its transitions (job_state.py); Job.enter is the one way to change it and raises for a transition that the table lacks, so an ended job cannot end again. Behaviour, wire and log stay, but for the count `kept` in faktory_state.

--- a/heronlug/frontends/faktory/info.py
+++ b/heronlug/frontends/faktory/info.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime
 
 from heronlug.frontends.faktory.job import Job
+from heronlug.frontends.faktory.job_state import JobState
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.worker import Worker
 from heronlug.requests.model import FinalAnswer
@@ -27,7 +28,7 @@
         connection_count: number of open connections.
         reset_count: number of reservations that were reset.
     """
-    open_jobs = [job for job in jobs if job.final_answer is None]
+    open_jobs = [job for job in jobs if job.state is not JobState.ENDED]
     counts = {final.value: count for final, count in answer_counts.items()}
     return {
         "server_utc_time": datetime.fromtimestamp(now / 1000, UTC).strftime("%H:%M:%S UTC"),
--- a/heronlug/frontends/faktory/job.py
+++ b/heronlug/frontends/faktory/job.py
@@ -9,8 +9,10 @@
 
 from heronlug.balancer.settings import RequestClass
 from heronlug.frontends.faktory.errors import CommandError, InvalidArgumentError, JobTooLargeError
+from heronlug.frontends.faktory.job_state import TRANSITIONS, JobState, JobStateError
 from heronlug.frontends.faktory.resp import JsonObject, optional_number
 from heronlug.net import http
+from heronlug.requests.deadlines import Key
 from heronlug.requests.model import FinalAnswer
 from heronlug.scheduling.chains import Edge
 
@@ -40,7 +42,9 @@
         reserve_ms: time in ms within which a worker must end the job after fetching it.
         policy: the request class with the limits at the time of acceptance; later reloads do not change it.
         final_answer: the final answer; None until the job has ended.
-        being_stored: whether the store has not yet confirmed that the job is durable.
+        timing: the start time of the job and the time that it may take.
+        state: what the job waits for; changed by :meth:`enter` alone.
+        start_deadline: the pending deadline that starts a delayed job.
         push_callbacks: callbacks to be called once the store has reported success or failure.
         parents: the parents that the job names, until the job starts or waits for them; a parent may be forgotten
             while the job is being stored.
@@ -53,11 +57,23 @@
     size: int
     reserve_ms: float
     policy: RequestClass
+    timing: "JobTiming"
+    state: JobState = JobState.BEING_STORED
+    start_deadline: Key | None = None
     final_answer: FinalAnswer | None = None
-    being_stored: bool = False
     push_callbacks: list[PushCallback] = field(default_factory=list)
     parents: list["Parent"] = field(default_factory=list)
 
+    def enter(self, state: JobState) -> None:
+        """Changes the state.
+
+        Raises:
+            JobStateError: if the table of transitions does not allow the change.
+        """
+        if state not in TRANSITIONS[self.state]:
+            raise JobStateError(self.jid, self.state, state)
+        self.state = state
+
     @property
     def custom(self) -> JsonObject:
         """Returns the ``custom`` object of the payload, or an empty object if there is none."""
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -1,10 +1,12 @@
 """Manages the known jobs: accepts, stores and ends them, and recovers them after a restart."""
 
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
 import orjson
 
+from heronlug.balancer.settings import RequestClass
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import (
     CommandError,
@@ -24,6 +26,7 @@
     parse_jid,
     parse_push,
 )
+from heronlug.frontends.faktory.job_state import JobState
 from heronlug.frontends.faktory.recovery import recover_records
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.scheduler import JobScheduler
@@ -50,15 +53,14 @@
     def open_counts(self) -> dict[str, int]:
         """Returns the number of jobs that have not ended, in all and by what they wait for, as fields of the log.
 
-        A job counts as ``started`` while the core has it. Each open job must be in one of the other counts.
+        The jobs that the core has are counted there. Each open job must be in one of the other counts.
         """
-        open_jobs = [job for job in self.by_jid.values() if job.final_answer is None]
+        counts = Counter(job.state for job in self.by_jid.values())
+        waiting = (JobState.BEING_STORED, JobState.DELAYED, JobState.DEPENDENT, JobState.KEPT)
         return {
-            "open": len(open_jobs),
-            "being_stored": sum(job.being_stored for job in open_jobs),
-            "delayed": self.scheduler.delayed_count,
-            "dependent": self.scheduler.dependent_count,
-            "started": self._context.core.requests.open_count,
+            "open": len(self.by_jid) - counts[JobState.ENDED],
+            **{state.value: counts[state] for state in waiting},
+            JobState.STARTED.value: self._context.core.requests.open_count,
         }
 
     # -- acceptance
@@ -101,11 +103,13 @@
         if len(self.by_jid) >= self._context.config.max_known_jobs:
             raise TooManyJobsError
         due_at = parse_due_at(payload)
-        job = self._new_job(jid, arguments, callback)
+        job = self._new_job(jid, arguments, due_at)
+        job.push_callbacks.append(callback)
         job.parents = self.scheduler.parents_of_push(arguments.custom)
-        self._store(job, arguments, due_at)
+        self._store(job, arguments)
 
-    def _new_job(self, jid: str, arguments: PushArguments, callback: PushCallback) -> Job:
+    def _new_job(self, jid: str, arguments: PushArguments, due_at: float) -> Job:
+        policy = self._context.core.settings.classes[arguments.class_index]
         return Job(
             jid,
             arguments.class_index,
@@ -113,41 +117,40 @@
             arguments.payload,
             len(arguments.encoded),
             self._reserve_ms(arguments.reserve_s),
-            self._context.core.settings.classes[arguments.class_index],
-            being_stored=True,
-            push_callbacks=[callback],
+            policy,
+            JobTiming(_allowed_ms(policy, arguments), due_at),
         )
 
-    def _store(self, job: Job, arguments: PushArguments, due_at: float) -> None:
+    def _store(self, job: Job, arguments: PushArguments) -> None:
         """Stores a new job; the job is accepted once the store confirms that the job is durable."""
         self.by_jid[job.jid] = job
-        timing = JobTiming(_allowed_ms(job, arguments), due_at)
         accepted_at = self._context.deadlines.clock()
         class_name = self._class_names()[job.class_index]
         record = StoredRequest(
-            job.jid, class_name, job.queue, arguments.encoded, accepted_at, timing.remaining_ms, due_at
+            job.jid, class_name, job.queue, arguments.encoded, accepted_at, job.timing.remaining_ms, job.timing.due_at
         )
-        self._context.store.accept(record, partial(self._on_stored, job, timing))
+        self._context.store.accept(record, partial(self._on_stored, job))
 
-    def _on_stored(self, job: Job, timing: JobTiming, failure: str) -> None:
+    def _on_stored(self, job: Job, failure: str) -> None:
         """Starts a stored job, or rejects the job if ``failure``, the error text of the store, is not empty."""
         callbacks, job.push_callbacks = job.push_callbacks, []
-        job.being_stored = False
-        error = self._start_stored(job, timing, failure)
+        error = self._start_stored(job, failure)
         if error is not None:
             self.scheduler.job_ended(job.jid, False)
         for callback in callbacks:
             callback(error)
 
-    def _start_stored(self, job: Job, timing: JobTiming, failure: str) -> CommandError | None:
+    def _start_stored(self, job: Job, failure: str) -> CommandError | None:
         """Starts a job unless storing it failed; returns the error if the job is not accepted, else None."""
         if failure:
+            job.enter(JobState.ENDED)
             job.final_answer = FinalAnswer.REFUSED
             del self.by_jid[job.jid]
             return JobNotStoredError(failure)
-        if not self.scheduler.may_start(job, timing):
+        job.enter(JobState.STORED)
+        if not self.scheduler.may_start(job):
             return None
-        request = self.scheduler.start(job, timing)
+        request = self.scheduler.start(job)
         if request is None or request.final_answer is not FinalAnswer.REFUSED or request.attempts:
             return None
         del self.by_jid[job.jid]  # the job was never accepted, so the producer may push the same jid again
@@ -158,6 +161,7 @@
 
     def finish(self, job: Job, final_answer: FinalAnswer) -> None:
         """Ends a job; its jid stays known for the configured time."""
+        job.enter(JobState.ENDED)
         job.final_answer = final_answer
         job.payload = {}
         self._context.store.record_final_state(job.jid, final_answer.value, self._context.deadlines.clock())
@@ -192,7 +196,7 @@
         # All jobs must be known before the first one starts, because a dependent job looks up its parents.
         jobs = [self._recover_job(record, action, now) for record, action in records]
         for job, (record, action) in zip(jobs, records, strict=True):
-            if job.final_answer is None:
+            if job.state is not JobState.ENDED:
                 job.parents = self.scheduler.known_parents(job.custom)
                 self._restart(job, record, action, now)
         if records:
@@ -208,11 +212,10 @@
         )
         if record.first_delivered_at:  # a job is delivered only after its parents have ended
             self.scheduler.resume(job, remaining_ms(record, now), record.first_delivered_at)
-        elif self.scheduler.may_start(job, JobTiming(record.time_allowed_ms, record.not_before)):
-            # The time of a job counts from its start, unless the job had started before the restart.
-            started = action is RecoveryAction.RESTART
-            allowed_ms = remaining_ms(record, now) if started else record.time_allowed_ms
-            self.scheduler.start(job, JobTiming(allowed_ms, record.not_before))
+        elif self.scheduler.may_start(job):
+            if action is RecoveryAction.RESTART:  # the time of a job that had started counts from that start
+                job.timing = JobTiming(remaining_ms(record, now), record.not_before)
+            self.scheduler.start(job)
 
     def _recover_job(self, record: StoredRequest, action: RecoveryAction, now: float) -> Job:
         names = self._class_names()
@@ -226,6 +229,8 @@
             len(record.job),
             self._reserve_ms(float(payload.get("reserve_for") or 0)),
             self._context.core.settings.classes[class_index],
+            JobTiming(record.time_allowed_ms, record.not_before),
+            JobState.STORED,
         )
         self.by_jid[record.jid] = job
         if record.final_state:
@@ -234,6 +239,7 @@
 
     def _recover_end(self, job: Job, record: StoredRequest, action: RecoveryAction, now: float) -> None:
         """Keeps the jid of an ended job known for the rest of the configured time."""
+        job.enter(JobState.ENDED)
         job.final_answer = FinalAnswer(record.final_state)
         job.payload = {}
         since_end_ms = max(0.0, now - record.ended_at)
@@ -250,10 +256,10 @@
         return reserve_s * 1000 if reserve_s else self._context.config.reserve_ms
 
 
-def _allowed_ms(job: Job, arguments: PushArguments) -> float:
+def _allowed_ms(policy: RequestClass, arguments: PushArguments) -> float:
     """Returns the time that a pushed job may take, at most the limit of its class, which a restart may change."""
-    allowed_ms = job.policy.deadline if arguments.remaining_ms is None else arguments.remaining_ms
-    return min(allowed_ms, job.policy.give_up_after or allowed_ms)
+    allowed_ms = policy.deadline if arguments.remaining_ms is None else arguments.remaining_ms
+    return min(allowed_ms, policy.give_up_after or allowed_ms)
 
 
 def _push_known_job(job: Job, callback: PushCallback) -> None:
@@ -264,7 +270,7 @@
     """
     if job.final_answer in (FinalAnswer.REFUSED, FinalAnswer.FAILED):
         raise JobEndedError(job.jid, job.final_answer.value)
-    if job.being_stored:
+    if job.state is JobState.BEING_STORED:
         job.push_callbacks.append(callback)
     else:
         callback(None)
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -2,14 +2,13 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 from heronlug.balancer.events import AttemptSnapshot, ServerState
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
-from heronlug.frontends.faktory.job import Job, JobTiming, Parent
+from heronlug.frontends.faktory.job import Job, Parent
+from heronlug.frontends.faktory.job_state import JobState
 from heronlug.frontends.faktory.resp import JsonObject
-from heronlug.requests.deadlines import Key
 from heronlug.requests.model import FinalAnswer, ListedServer, Request
 from heronlug.scheduling.chains import ChainState, RequestChains, parse_edges
 
@@ -17,27 +16,13 @@
 """The worker of a delivery by an earlier process; a worker that connects never has an empty wid."""
 
 
-class _DelayedJob(NamedTuple):
-    """A job whose start time is in the future, with the pending deadline that starts the job."""
-
-    deadline: Key
-    job: Job
-
-
-class _DependentJob(NamedTuple):
-    """A job that waits for its parents, with its start time."""
-
-    job: Job
-    timing: JobTiming
-
-
 class JobScheduler:
-    """Holds the accepted jobs that have not started."""
+    """Decides when accepted jobs start, and what becomes of those that have not started when the process stops."""
 
     def __init__(
         self, context: FaktoryContext, jobs: dict[str, Job], finish: Callable[[Job, FinalAnswer], None]
     ) -> None:
-        """Creates an empty scheduler.
+        """Creates a scheduler.
 
         Args:
             context: the configuration and services.
@@ -47,23 +32,11 @@
         self._context = context
         self._jobs = jobs
         self._finish = finish
-        self._delayed: dict[str, _DelayedJob] = {}
-        self._dependent: dict[str, _DependentJob] = {}
         self._chains = RequestChains()
         self._ended_jobs: deque[tuple[str, bool]] = deque()
         self._handling_ends = False
 
-    @property
-    def delayed_count(self) -> int:
-        """Returns the number of jobs that wait for their start time."""
-        return len(self._delayed)
-
-    @property
-    def dependent_count(self) -> int:
-        """Returns the number of jobs that wait for their parents."""
-        return len(self._dependent)
-
-    def start(self, job: Job, timing: JobTiming) -> Request | None:
+    def start(self, job: Job) -> Request | None:
         """Hands a job to the core, immediately or at its start time.
 
         Returns:
@@ -73,15 +46,15 @@
         if not self._context.state.starts_jobs:
             self._end_without_start(job)
             return None
-        if timing.due_at > deadlines.clock():
-            deadline = deadlines.call_at(timing.due_at, self.start_now, job, timing.remaining_ms)
-            self._delayed[job.jid] = _DelayedJob(deadline, job)
+        if job.timing.due_at > deadlines.clock():
+            job.enter(JobState.DELAYED)
+            job.start_deadline = deadlines.call_at(job.timing.due_at, self._start_now, job)
             return None
-        return self.start_now(job, timing.remaining_ms)
+        return self._start_now(job)
 
-    def start_now(self, job: Job, remaining_ms: float) -> Request:
-        """Hands a job to the core immediately and returns the request."""
-        self._delayed.pop(job.jid, None)
+    def _start_now(self, job: Job) -> Request:
+        job.enter(JobState.STARTED)
+        remaining_ms = job.timing.remaining_ms
         return self._context.core.accept(job, job.class_index, remaining_ms, size=job.size, policy=job.policy)
 
     def resume(self, job: Job, remaining_ms: float, delivered_at: float) -> None:
@@ -95,6 +68,7 @@
             remaining_ms: time in ms until the final answer.
             delivered_at: time in ms of the first delivery.
         """
+        job.enter(JobState.STARTED)
         now = self._context.deadlines.clock()
         request = Request(job, job.class_index, job.policy, now + remaining_ms, now)
         earlier_delivery = AttemptSnapshot(
@@ -107,7 +81,7 @@
         )
         self._context.core.adopt(request, [(EARLIER_WORKER, earlier_delivery)])
 
-    def may_start(self, job: Job, timing: JobTiming) -> bool:
+    def may_start(self, job: Job) -> bool:
         """Records the dependencies of a job and returns whether the job may start.
 
         A job with open parents waits until its parents have ended. A job that needs a parent to be served fails
@@ -124,7 +98,7 @@
             ],
         )
         if chain_state is ChainState.WAITS:
-            self._dependent[job.jid] = _DependentJob(job, timing)
+            job.enter(JobState.DEPENDENT)
         elif chain_state is ChainState.FAILED:
             # Operators' pages quote this cause; it must not change.
             self._context.log("job_chain_failed", jid=job.jid, cause="a parent had failed")
@@ -164,7 +138,6 @@
         If the ended job was not served, the jobs that need it to be served fail, and in turn the jobs that need these.
         A job that ends while this end is handled is handled afterwards, so that a long chain takes no recursion.
         """
-        self._dependent.pop(jid, None)
         self._ended_jobs.append((jid, served))
         if self._handling_ends:
             return
@@ -178,39 +151,38 @@
     def _handle_end(self, jid: str, served: bool) -> None:
         chain_end = self._chains.request_ended(jid, served)
         for child in chain_end.failed:
-            failed = self._dependent.pop(child)
             self._context.log("job_chain_failed", jid=child, cause=jid)
-            self._finish(failed.job, FinalAnswer.FAILED)
+            self._finish(self._jobs[child], FinalAnswer.FAILED)
         for child in chain_end.released:
-            released = self._dependent.pop(child)
             self._context.store.release(child, self._context.deadlines.clock())
-            self.start(released.job, released.timing)
+            self.start(self._jobs[child])
 
     def stop(self) -> None:
         """Ends the jobs that have not started, because the process stops.
 
         The jobs are rejected, or stay in a durable store for the next process.
         """
-        delayed_jobs = list(self._delayed.values())
-        self._delayed.clear()
-        for delayed in delayed_jobs:
-            self._context.deadlines.cancel(delayed.deadline)
-            self._end_without_start(delayed.job)
-        if self._context.store.is_durable:
-            return  # the dependent jobs still fail if a parent fails
-        for dependent in list(self._dependent.values()):
-            if dependent.job.final_answer is None:
-                self._finish(dependent.job, FinalAnswer.REFUSED)
+        for job in self._jobs_in(JobState.DELAYED):
+            self._context.deadlines.cancel(job.start_deadline)
+            self._end_without_start(job)
+        if not self._context.store.is_durable:  # otherwise dependent jobs still fail if a parent fails
+            for job in self._jobs_in(JobState.DEPENDENT):
+                if job.state is JobState.DEPENDENT:  # the end of another job may have ended this one
+                    self._finish(job, FinalAnswer.REFUSED)
 
     def keep_dependent_jobs(self) -> None:
         """Leaves the jobs that still wait for their parents to the next process."""
-        for dependent in self._dependent.values():
-            self.keep(dependent.job)
+        for job in self._jobs_in(JobState.DEPENDENT):
+            self.keep(job)
 
     def keep(self, job: Job) -> None:
         """Leaves a job that never ran in the durable store for the next process."""
+        job.enter(JobState.KEPT)
         self._context.log("job_kept", jid=job.jid)
 
+    def _jobs_in(self, state: JobState) -> list[Job]:
+        return [job for job in self._jobs.values() if job.state is state]
+
     def _end_without_start(self, job: Job) -> None:
         if self._context.store.is_durable:
             self.keep(job)
--- a/tests/frontends/test_faktory_model.py
+++ b/tests/frontends/test_faktory_model.py
@@ -241,7 +241,7 @@
 
     def _check_places(self) -> None:
         counts = self.faktory.frontend.jobs.open_counts()
-        places = ("being_stored", "delayed", "dependent", "started")
+        places = ("being_stored", "delayed", "dependent", "started", "kept")
         assert counts["open"] == sum(counts[place] for place in places), counts
         assert self.faktory.frontend.context.state in (FrontendState.ON, FrontendState.OFF)
 
--- a/tests/frontends/test_states.py
+++ b/tests/frontends/test_states.py
@@ -1,7 +1,8 @@
-"""Tests the state transitions of HTTP client connections, Faktory sessions and the Faktory frontend."""
+"""Tests the state transitions of HTTP client connections, and of Faktory sessions, jobs and the Faktory frontend."""
 
 from heronlug.frontends.faktory.frontend_state import FrontendEvent, FrontendState
 from heronlug.frontends.faktory.frontend_state import next_state as next_frontend_state
+from heronlug.frontends.faktory.job_state import TRANSITIONS, JobState
 from heronlug.frontends.faktory.session_state import SessionEvent, SessionState
 from heronlug.frontends.faktory.session_state import next_state as next_session_state
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState
@@ -59,3 +60,11 @@
         assert not state.starts_jobs
         assert {next_frontend_state(state, event) for event in FrontendEvent} <= stop_states
     assert {next_frontend_state(FrontendState.STOPPED, event) for event in FrontendEvent} == {FrontendState.STOPPED}
+
+
+def test_job_has_one_end_and_can_always_reach_it() -> None:
+    """Guards against a second end of a job, and against a state of an accepted job without a way to its end."""
+    assert not TRANSITIONS[JobState.ENDED]
+    assert not TRANSITIONS[JobState.KEPT]  # the next process ends the job
+    assert all(JobState.ENDED in TRANSITIONS[state] for state in set(JobState) - {JobState.ENDED, JobState.KEPT})
+    assert TRANSITIONS[JobState.BEING_STORED] == {JobState.STORED, JobState.ENDED}
