Move the recovery of stored Faktory jobs into a module of its own

Change: JobRecovery (job_recovery.py) resumes stored jobs; JobTable accepts, stores and ends them. No behaviour changes.

--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -11,6 +11,7 @@
 from heronlug.frontends.faktory.delivery import JobDelivery
 from heronlug.frontends.faktory.frontend_state import FrontendEvent, next_state
 from heronlug.frontends.faktory.info import server_info
+from heronlug.frontends.faktory.job_recovery import JobRecovery
 from heronlug.frontends.faktory.jobs import JobTable
 from heronlug.frontends.faktory.reservations import Reservations
 from heronlug.frontends.faktory.resp import JsonObject
@@ -83,7 +84,7 @@
     def recover(self) -> None:
         """Resumes the jobs that were in the store when it was opened."""
         stored, self._stored = self._stored, []
-        self.jobs.recover(stored)
+        JobRecovery(self.context, self.jobs).recover(stored)
 
     def turn_on(self) -> None:
         """Starts to accept new jobs; has no effect once the process stops."""
--- a/heronlug/frontends/faktory/job.py
+++ b/heronlug/frontends/faktory/job.py
@@ -8,6 +8,7 @@
 import orjson
 
 from heronlug.balancer.settings import RequestClass
+from heronlug.frontends.faktory.config import FaktoryConfig
 from heronlug.frontends.faktory.errors import CommandError, InvalidArgumentError, JobTooLargeError
 from heronlug.frontends.faktory.job_state import TRANSITIONS, JobState, JobStateError
 from heronlug.frontends.faktory.resp import JsonObject, optional_number
@@ -180,3 +181,8 @@
     except ValueError as error:
         msg = "at is no time"
         raise InvalidArgumentError(msg) from error
+
+
+def reserve_ms(reserve_s: float | None, config: FaktoryConfig) -> float:
+    """Returns the time in ms within which a worker must end a job with this ``reserve_for``."""
+    return reserve_s * 1000 if reserve_s else config.reserve_ms
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -1,11 +1,9 @@
-"""Manages the known jobs: accepts, stores and ends them, and recovers them after a restart."""
+"""Manages the known jobs: accepts, stores and ends them."""
 
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
-import orjson
-
 from heronlug.balancer.settings import RequestClass
 from heronlug.frontends.faktory.context import FaktoryContext
 from heronlug.frontends.faktory.errors import (
@@ -25,13 +23,13 @@
     parse_due_at,
     parse_jid,
     parse_push,
+    reserve_ms,
 )
 from heronlug.frontends.faktory.job_state import JobState
-from heronlug.frontends.faktory.recovery import recover_records
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.scheduler import JobScheduler
 from heronlug.requests.model import FinalAnswer
-from heronlug.storage.model import RecoveryAction, StoredRequest, remaining_ms
+from heronlug.storage.model import StoredRequest
 
 PushAllCallback = Callable[[dict[str, str]], None]
 """Called once each job of a PUSHB is accepted or rejected, with the error texts of rejected jobs by jid."""
@@ -116,7 +114,7 @@
             arguments.queue,
             arguments.payload,
             len(arguments.encoded),
-            self._reserve_ms(arguments.reserve_s),
+            reserve_ms(arguments.reserve_s, self._context.config),
             policy,
             JobTiming(_allowed_ms(policy, arguments), due_at),
         )
@@ -166,7 +164,7 @@
         job.payload = {}
         self._context.store.record_final_state(job.jid, final_answer.value, self._context.deadlines.clock())
         self._context.log("job_answered", jid=job.jid, final=final_answer.value)
-        self._context.deadlines.call_after(self._context.config.remember_ms, self._forget, job)
+        self.forget_after(self._context.config.remember_ms, job)
         self.scheduler.job_ended(job.jid, final_answer is FinalAnswer.SERVED)
 
     def answer(self, job: Job, final_answer: FinalAnswer, may_have_run: bool) -> None:
@@ -180,81 +178,18 @@
         else:
             self.finish(job, final_answer)
 
+    def forget_after(self, remember_ms: float, job: Job) -> None:
+        """Keeps the jid of an ended job known for this time in ms."""
+        self._context.deadlines.call_after(remember_ms, self._forget, job)
+
     def _forget(self, job: Job) -> None:
         if self.by_jid.get(job.jid) is job:
             del self.by_jid[job.jid]
             self._context.store.forget(job.jid)
 
-    # -- restart
-
-    def recover(self, stored: list[StoredRequest]) -> None:
-        """Resumes the stored jobs after a restart, each as its request class allows."""
-        context = self._context
-        now = context.deadlines.clock()
-        classes = {policy.name: policy for policy in context.core.settings.classes}
-        records, counts = recover_records(stored, context.store, classes, now, context.config.remember_ms, context.log)
-        # All jobs must be known before the first one starts, because a dependent job looks up its parents.
-        jobs = [self._recover_job(record, action, now) for record, action in records]
-        for job, (record, action) in zip(jobs, records, strict=True):
-            if job.state is not JobState.ENDED:
-                job.parents = self.scheduler.known_parents(job.custom)
-                self._restart(job, record, action, now)
-        if records:
-            context.log("recovered", jobs=len(records), **counts)
-
-    def _restart(self, job: Job, record: StoredRequest, action: RecoveryAction, now: float) -> None:
-        self._context.log(
-            "job_recovered",
-            jid=job.jid,
-            action=action.value,
-            delivered_ms_ago=round(now - record.first_delivered_at) if record.first_delivered_at else None,
-            left=round(remaining_ms(record, now)),
-        )
-        if record.first_delivered_at:  # a job is delivered only after its parents have ended
-            self.scheduler.resume(job, remaining_ms(record, now), record.first_delivered_at)
-        elif self.scheduler.may_start(job):
-            if action is RecoveryAction.RESTART:  # the time of a job that had started counts from that start
-                job.timing = JobTiming(remaining_ms(record, now), record.not_before)
-            self.scheduler.start(job)
-
-    def _recover_job(self, record: StoredRequest, action: RecoveryAction, now: float) -> Job:
-        names = self._class_names()
-        class_index = names.index(record.class_name) if record.class_name in names else 0
-        payload: JsonObject = orjson.loads(record.job) if record.job else {}
-        job = Job(
-            record.jid,
-            class_index,
-            record.queue,
-            payload,
-            len(record.job),
-            self._reserve_ms(float(payload.get("reserve_for") or 0)),
-            self._context.core.settings.classes[class_index],
-            JobTiming(record.time_allowed_ms, record.not_before),
-            JobState.STORED,
-        )
-        self.by_jid[record.jid] = job
-        if record.final_state:
-            self._recover_end(job, record, action, now)
-        return job
-
-    def _recover_end(self, job: Job, record: StoredRequest, action: RecoveryAction, now: float) -> None:
-        """Keeps the jid of an ended job known for the rest of the configured time."""
-        job.enter(JobState.ENDED)
-        job.final_answer = FinalAnswer(record.final_state)
-        job.payload = {}
-        since_end_ms = max(0.0, now - record.ended_at)
-        remember_ms = max(0.0, self._context.config.remember_ms - since_end_ms)
-        self._context.deadlines.call_after(remember_ms, self._forget, job)
-        if action is not RecoveryAction.REMEMBER:
-            note = " (may have run)" if record.first_delivered_at else ""
-            self._context.log("job_answered", jid=job.jid, final=record.final_state + note, cause="restart")
-
     def _class_names(self) -> list[str]:
         return [policy.name for policy in self._context.core.settings.classes]
 
-    def _reserve_ms(self, reserve_s: float | None) -> float:
-        return reserve_s * 1000 if reserve_s else self._context.config.reserve_ms
-
 
 def _allowed_ms(policy: RequestClass, arguments: PushArguments) -> float:
     """Returns the time that a pushed job may take, at most the limit of its class, which a restart may change."""
