--- a/heronlug/discovery/freshness.py
+++ b/heronlug/discovery/freshness.py
@@ -22,8 +22,7 @@
 UNCONFIRMED any change: the list was given at the start of the process with unknown age, so it is not usable
 WATCHED     changes that the poll in progress missed, if its connection broke without an error
 UNWATCHED   changes made since the watch ended
-MISSED      changes that an unanswered poll missed, since discovery was at hand; only an answer removes the limit, which
-            a refused dial no longer extends
+MISSED      changes that a timed-out poll missed; the limit set when that poll was sent outlasts later polls
 =========== ====================================================================================================
 
 Times are in milliseconds on one clock.
@@ -106,9 +105,6 @@
     (FreshnessState.WATCHED, FreshnessEvent.UNREACHABLE): FreshnessState.UNWATCHED,
     (FreshnessState.WATCHED, FreshnessEvent.ADDRESS_CHANGED): FreshnessState.UNWATCHED,
     (FreshnessState.UNWATCHED, FreshnessEvent.ANSWERED): FreshnessState.WATCHED,
-    # An unanswered poll had reached discovery, which may have had a change by then.
-    (FreshnessState.UNWATCHED, FreshnessEvent.FAILED): FreshnessState.MISSED,
-    (FreshnessState.UNWATCHED, FreshnessEvent.TIMED_OUT): FreshnessState.MISSED,
     (FreshnessState.MISSED, FreshnessEvent.ANSWERED): FreshnessState.WATCHED,
 }
 """Next state by state and event; any pair not listed leaves the state unchanged."""
--- a/tests/discovery/test_freshness.py
+++ b/tests/discovery/test_freshness.py
@@ -42,7 +42,7 @@
     )
     answers = [number for number, (_, event) in enumerate(history) if event is FreshnessEvent.ANSWERED]
     events_since_answer = history[answers[-1] + 1 :] if answers else history
-    limit, unwatched, poll_timed_out, was_reached = -inf, not answers, False, False
+    limit, unwatched, poll_timed_out = -inf, not answers, False
     if answers:
         limit = history[answers[-1]].at + POLL_WAIT + 2_000.0 + GRACE
     for at, event in events_since_answer:
@@ -52,12 +52,6 @@
             not unwatched and not poll_timed_out and event in WATCH_ENDS and event is not FreshnessEvent.ADDRESS_CHANGED
         ):
             unwatched, limit = True, min(limit, at + notified_after + GRACE)
-        elif unwatched and limit > -inf and event in (FreshnessEvent.FAILED, FreshnessEvent.TIMED_OUT):
-            was_reached = (
-                True  # discovery had all earlier changes and could be reached, so a refusal proves nothing now
-            )
-        elif was_reached:
-            pass
         elif not answers and limit == -inf and event in (FreshnessEvent.REFUSED, FreshnessEvent.UNREACHABLE):
             limit = at + notified_after + GRACE  # discovery is unreachable, and no newer list exists
         elif unwatched and event is FreshnessEvent.REFUSED and at < limit - GRACE_MARGIN:
