Move the span of counted failures with the step before it in plans of faults

When the harness comes late to the step, the first burst falls into the span.

Change: the span moves with the last step planned before it. The bound stays.

--- a/heronlug/faults/steps.py
+++ b/heronlug/faults/steps.py
@@ -73,6 +73,7 @@
         for number, name in enumerate(parties or [""]):
             if number and step.every_s:
                 await asyncio.sleep(step.every_s)
+            self._history.record_delay(step.at_s + number * (step.every_s or 0.0))
             self._history.record_step(f"{step.do} {name}".strip())
             undo = await self._apply(step, name)
             if step.for_s is not None and step.do in TIMED_ACTIONS:
--- a/heronlug/faults/verdict.py
+++ b/heronlug/faults/verdict.py
@@ -111,6 +111,7 @@
         "peak MB of one": round(max((usage.peak_mb for usage in used), default=0.0), 1),
         "descriptors of one": max((usage.descriptors for usage in used), default=0),
         "bytes of lists": run.list_bytes,
+        "longest delay of a step s": round(max((delay.delay_s for delay in run.history.delays), default=0.0), 2),
     }
 
 
@@ -155,10 +156,13 @@
 
 
 def _count_failed_attempts(run: FinishedRun, process: Process, table: FailedTable) -> int:
-    """Returns the number of failed attempts into a zone that a dispatcher logged and began within the time span."""
-    count = 0
+    """Returns the number of failed attempts into a zone that a dispatcher logged and began within the time span.
+
+    The span moves with the last step planned before it, because a busy machine may delay the steps of a run.
+    """
+    count, delay_s = 0, run.history.delay_at(table.from_s)
     for line in process.logged_events("relay_ended"):
         at = (line["at"] * 1000 - line["ms"] - run.history.began_at_ms) / 1000
         counts = run.plan.zone_of(line["host"]) == table.hall and line["outcome"] not in ("moot", "cancelled")
-        count += counts and table.from_s <= at < table.to_s
+        count += counts and table.from_s <= at - delay_s < table.to_s
     return count
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -6,12 +6,17 @@
 from pathlib import Path
 from unittest import mock
 
+import orjson
 import pytest
 
 from heronlug.config.strict_toml import ConfigProblems, Source
+from heronlug.conformance import Checker
 from heronlug.faults import steps
 from heronlug.faults.harness import FaultHarness, play
+from heronlug.faults.history import History
 from heronlug.faults.plan import FaultPlan, parse
+from heronlug.faults.processes import Process
+from heronlug.faults.verdict import FinishedRun, judge
 
 PLAN_HEAD = """
 name = "x"
@@ -91,6 +96,27 @@
     assert [call.args[1] for call in dispatchers.apply.await_args_list] == reading[-1]
 
 
+def test_span_of_failed_attempts_moves_with_the_step_before_it(tmp_path: Path) -> None:
+    """Guards against failures in the first second after a fault that count because the step came late."""
+    plan = parse_plan(
+        '[[step]]\nat_s = 1\ndo = "die"\nwho = ["r0"]\n[[expect.failed]]\nhall = "a"\nfrom_s = 2\nto_s = 3\n'
+    )
+    history = History(Checker(slack=0.0, drain_grace=0.0))
+    history.began_at_ms = history.now() - 1800  # the step, planned at 1 s, is applied after 1.8 s
+    runner = steps.StepRunner(plan, history, mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock())
+    asyncio.run(runner.run(plan.step[0]))
+    process = Process("d0", tmp_path, 0)
+    process.incarnation = 1
+    for begun_after_s in (1.9, 2.5, 2.9, 3.7, 3.9):
+        ended_at = history.began_at_ms / 1000 + begun_after_s + 0.1
+        relay = {"event": "relay_ended", "at": ended_at, "ms": 100, "host": "r0", "outcome": "refused"}
+        with (tmp_path / "d0.log").open("ab") as log:
+            log.write(orjson.dumps(relay) + b"\n")
+    verdict = judge(FinishedRun(plan, history, {"d0": process}, [], [], {}, {}, 0, 0, []))
+    assert [fault.partition(", at most")[0] for fault in verdict.faults] == ["failed relays into a, 2 to 3 s: 2"]
+    assert verdict.figures["longest delay of a step s"] == pytest.approx(0.8, abs=0.1)
+
+
 def test_unexpected_process_exit_is_reported(tmp_path: Path) -> None:
     """Guards against a run that passes although its dispatchers exit, here with status 3 right after their start."""
     (tmp_path / "heronlug").mkdir()
