Count descriptors that processes of an upgrade run held at the same moment

Cause: the harness reads the processes one after another, and one hands its connections to the other meanwhile.

Change: a sum above the peak so far is read again, and only descriptors that are open in both readings of all processes count: these were all held between the two. The limit stays.

Measured: the new test fails without the second reading (20 for 10).

--- a/heronlug/faults/upgrades/usage.py
+++ b/heronlug/faults/upgrades/usage.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -37,18 +38,42 @@
     def sample(self) -> None:
         """Takes one sample."""
         pids = self.pids()
-        parts = [descriptors_of(pid) for pid in pids]
+        parts = held_together(pids, self.peak_descriptors)
         if sum(parts) > self.peak_descriptors:
             self.peak_descriptors, self.peak_parts = sum(parts), parts
         self.peak_memory_mb = max(self.peak_memory_mb, sum(private_memory_mb(pid) for pid in pids))
 
 
+def held_together(pids: list[int], least: int) -> list[int]:
+    """Returns numbers of descriptors that the processes held at the same moment.
+
+    The processes can only be read one after another, and one may hand descriptors over meanwhile. Descriptors that are
+    open in two readings of all processes were all held between the two.
+
+    Args:
+        pids: Ids of the processes.
+        least: Sum up to which one reading is exact enough.
+    """
+    first = [open_files(pid) for pid in pids]
+    if sum(map(len, first)) <= least:
+        return [len(files) for files in first]
+    second = [open_files(pid) for pid in pids]
+    return [len(before & after) for before, after in zip(first, second, strict=True)]
+
+
+def open_files(pid: int) -> set[tuple[str, str]]:
+    """Returns the number and the file of each open descriptor of a process; none if it has ended."""
+    files = set()
+    with suppress(OSError):
+        for name in os.listdir(f"/proc/{pid}/fd"):
+            with suppress(FileNotFoundError):
+                files.add((name, os.readlink(f"/proc/{pid}/fd/{name}")))
+    return files
+
+
 def descriptors_of(pid: int) -> int:
     """Returns the number of open file descriptors of a process; 0 if it has ended."""
-    try:
-        return len(list(Path(f"/proc/{pid}/fd").iterdir()))
-    except OSError:
-        return 0
+    return len(open_files(pid))
 
 
 def private_memory_mb(pid: int) -> float:
--- a/tests/faults/test_upgrades.py
+++ b/tests/faults/test_upgrades.py
@@ -1,7 +1,11 @@
 """Replaces the process of a dispatcher under load, with real processes, and checks that no request is lost."""
 
 from random import Random
+from unittest import mock
 
+import pytest
+
+from heronlug.faults.upgrades import usage
 from heronlug.faults.upgrades.clients import End
 from heronlug.faults.upgrades.plan import ClientKind, Moment, SuccessorFault, Upgrade, UpgradePlan, series
 from heronlug.faults.upgrades.run import UpgradeReport, play
@@ -49,6 +53,17 @@
     play_and_expect_no_violation(2, 7.0, clients, upgrades, sockets=256, run_s=(0.02, 0.5))
 
 
+@pytest.mark.parametrize(("handed_over", "held"), [(True, 10), (False, 20)])
+def test_descriptors_handed_over_between_two_readings_count_once(handed_over: bool, held: int) -> None:
+    """Guards against descriptors that count in two processes, because these are read one after another."""
+    files = {(str(number), f"socket:[{number}]") for number in range(10)}
+    readings = [files, files, set() if handed_over else files, files]
+    sampler = usage.UsageSampler(lambda: [1, 2])
+    with mock.patch.object(usage, "open_files", side_effect=readings):
+        sampler.sample()
+    assert sampler.peak_descriptors == held
+
+
 def test_successor_that_hangs_loses_no_request_that_it_has_not_taken() -> None:
     """Guards against requests and connections that wait in the channel to a process that does not read."""
     clients = {ClientKind.STEADY: 100, ClientKind.HALVES: 20}
