Judge whether an attempt may run twice by the class of its acceptance

Cause: Core.is_non_idempotent asked the present settings, while a request that another process has accepted carries the class of that process. A once request taken over by a process whose settings made its class repeatable was written like a repeatable one: on any idle connection, and without the last byte withheld that proves that it has not run.

Change: the request's own class is asked, as every other rule does.

--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -312,7 +312,7 @@
 
         Such a request is sent again only if the earlier attempt provably never ran.
         """
-        return self.settings.classes[attempt.request.class_index].effect is Effect.NON_IDEMPOTENT
+        return attempt.request.policy.effect is Effect.NON_IDEMPOTENT
 
     def attempt_written(self) -> None:
         """Counts an attempt whose last byte has been written."""
--- a/tests/requests/test_core.py
+++ b/tests/requests/test_core.py
@@ -129,6 +129,14 @@
         self.advance(2000)
         assert self.transport.answers == [("m", FinalAnswer.SERVED, b"r")]
 
+    def test_request_accepted_as_non_idempotent_stays_so_when_its_class_changes(self) -> None:
+        """Failure: a request that must not run twice is written without its last byte withheld, after an upgrade."""
+        request = Request("m", 0, ONCE, self.now + 1000.0, self.now)  # the class with index 0 is idempotent
+        self.core.adopt(request, [])
+        self.dispatcher.actions = [StartAttempt(request.handle, self.server_number)]
+        self.core.peer_message(0, b"")
+        assert self.core.is_non_idempotent(self.transport.sent[-1])
+
     def test_attempt_of_a_closed_request_is_cancelled_before_start(self) -> None:
         """Failure: the dispatcher starts an attempt of a request whose client has left, and a server runs it."""
         request, _ = self.accept_and_send()
