Move handing over and adopting requests out of the core

Cause: requests/core.py had 537 lines and two jobs, the life of a request and its move between processes; the reset of all reservations of a worker stood twice.

Change: RequestHandover (requests/handover.py, 111 lines) has adopt, hand_over and what they need; the core has 449 lines. Nothing behaves otherwise.

Measured: make lint, and 332 tests of requests, frontends, lifecycle, end to end, compatibility and recorded exchanges pass.

--- a/heronlug/frontends/faktory/reservations.py
+++ b/heronlug/frontends/faktory/reservations.py
@@ -56,3 +56,8 @@
         self.reset_count += 1
         self._context.log("job_reset", jid=jid, wid=worker.wid, why=reason)
         self._context.core.attempt_ended(attempt, Outcome.RESET if reservation.written else Outcome.CONNECT_FAILED)
+
+    def reset_all(self, worker: Worker, reason: str) -> None:
+        """Ends all reservations of a worker without an acknowledgement; ``reason`` is for the log."""
+        for jid in list(worker.reservations):
+            self.reset(worker, jid, reason)
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -80,7 +80,7 @@
             may_have_run=True,
             last_progress_at=delivered_at,
         )
-        self._context.core.adopt(request, [(EARLIER_WORKER, earlier_delivery)] * deliveries)
+        self._context.core.handover.adopt(request, [(EARLIER_WORKER, earlier_delivery)] * deliveries)
 
     def may_start(self, job: Job) -> bool:
         """Records the dependencies of a job and returns whether the job may start.
--- a/heronlug/frontends/faktory/workers.py
+++ b/heronlug/frontends/faktory/workers.py
@@ -82,8 +82,7 @@
     def reset_reservations(self, reason: str) -> None:
         """Resets the reservations of all workers; ``reason`` is for the log."""
         for worker in self.by_wid.values():
-            for jid in list(worker.reservations):
-                self._reservations.reset(worker, jid, reason)
+            self._reservations.reset_all(worker, reason)
 
     def _restart_heartbeat_timeout(self, worker: Worker) -> None:
         deadlines = self._context.deadlines
@@ -96,8 +95,7 @@
         for connection in list(worker.connections):
             connection.abort()
         self._remove(worker)
-        for jid in list(worker.reservations):
-            self._reservations.reset(worker, jid, "beat missed")
+        self._reservations.reset_all(worker, "beat missed")
 
     def _drain(self, worker: Worker, state: str) -> None:
         """Stops assigning jobs to a worker that has reported a draining state."""
--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -109,7 +109,7 @@
             handover.accepted_at,
             http_request.request_id,
         )
-        self._core.adopt(request, handover.attempts, http_request.workload, handover.not_before)
+        self._core.handover.adopt(request, handover.attempts, http_request.workload, handover.not_before)
         self._adopt_exchanges(request, handover, servers)
         if not request.closed:
             connection.resume_request(request)
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -68,7 +68,7 @@
     def release(self) -> None:
         """Forgets the request and closes the descriptors of this process."""
         self.request.withdraw_offer = None
-        self.core.hand_over(self.request)
+        self.core.handover.hand_over(self.request)
         self.client.detach()
         for exchange in (*self.servers, *self.unsent):
             exchange.detach()
@@ -134,7 +134,7 @@
     def _offer_request(self, request: Request) -> None:
         """Offers a request that may outlast this process; does nothing while a connection is not ready."""
         connections = self._pausable_connections(request) if request.withdraw_offer is None else None
-        attempts = self._core.attempt_snapshots(request) if connections is not None else None
+        attempts = self._core.handover.attempt_snapshots(request) if connections is not None else None
         if attempts is None or connections is None:
             return
         paused_exchanges = [exchange.pause_for_handover() for exchange in connections.servers]
@@ -143,7 +143,7 @@
             give_up_at=request.give_up_at,
             accepted_at=request.accepted_at,
             policy=request.policy,
-            not_before=self._core.not_before(request),
+            not_before=self._core.handover.not_before(request),
             attempts=_without_unsent(request, attempts),
             exchanges=[
                 ExchangeState(answered=connection.answered, last=connection.last) for connection in paused_exchanges
--- a/heronlug/lifecycle/operations.py
+++ b/heronlug/lifecycle/operations.py
@@ -79,8 +79,8 @@
     yield POSTPONED, sum(core.postponed for core in cores)
     yield SLOW_EVENTS, sum(core.events.slow_events for core in cores)
     yield QUEUED, sum(core.dispatcher.queue_length for core in cores)
-    yield HANDED_OVER, sum(core.handed_over for core in cores)
-    yield ADOPTED, sum(core.adopted for core in cores)
+    yield HANDED_OVER, sum(core.handover.handed_over for core in cores)
+    yield ADOPTED, sum(core.handover.adopted for core in cores)
 
 
 def _metric_header(metric: Metric) -> Iterator[str]:
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -25,7 +25,6 @@
     NEVER_RAN,
     AttemptEnded,
     AttemptProgress,
-    AttemptSnapshot,
     ClientGone,
     Event,
     FinalAnswerDue,
@@ -34,14 +33,12 @@
     PeerGone,
     PeerMessage,
     ProgressKind,
-    RequestAdopted,
-    RequestArrived,
-    RequestHandedOver,
     TimerFired,
 )
 from heronlug.balancer.settings import Effect, RequestClass, Settings
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.event_queue import EventQueue
+from heronlug.requests.handover import RequestHandover, arrival_event
 from heronlug.requests.interfaces import EventLog, Plugins, Transport, log_nothing
 from heronlug.requests.model import Attempt, FinalAnswer, ListedServer, RejectReason, Request, Workload
 from heronlug.requests.request_table import RequestTable
@@ -76,8 +73,7 @@
         answer_counts: Number of final answers since the start, by class index and kind.
         dispatches: Number of attempts that were written completely.
         postponed: Number of attempts that have waited until an update of the endpoint list was read.
-        handed_over: Number of requests that another process has continued.
-        adopted: Number of requests continued from another process.
+        handover: Hands requests over to another process, and continues those of another process.
     """
 
     def __init__(
@@ -122,11 +118,10 @@
         self.answer_counts = [dict.fromkeys(FinalAnswer, 0) for _ in self.class_names]
         self.dispatches = 0
         self.postponed = 0
-        self.handed_over = 0
-        self.adopted = 0
         self._log, self._subscribe, self._send_peer_message = log, subscribe, send_peer_message
         self._retry_after = max_retry_after / 2
         self.events = EventQueue(Dispatcher(settings, seed), deadlines.clock, self._execute, self._log_slow_event)
+        self.handover = RequestHandover(self, log)
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -163,7 +158,7 @@
             remaining = min(remaining, policy.give_up_after)
         give_up_at = min(now + remaining, self.answer_by())
         request = Request(payload, class_index, policy, give_up_at, now, request_id)
-        self.requests.add(request, self._on_deadline)
+        self.requests.add(request, self.time_out)
         self.requests.announce(request)
         self._log(
             "taken", message=request.handle, id=request_id, lane=policy.name, left=round(request.give_up_at - now)
@@ -172,7 +167,7 @@
         if reason is not None:
             self._close(request, FinalAnswer.REFUSED, b"", self._retry_after, reason.value)
         else:
-            self.events.handle(_arrival_event(request, workload))
+            self.events.handle(arrival_event(request, workload))
         return request
 
     def _reason_to_reject(self, request: Request, now: float, remaining: float, size: int) -> RejectReason | None:
@@ -185,72 +180,6 @@
             return RejectReason.NOT_ADMITTED
         return None
 
-    def adopt(
-        self,
-        request: Request,
-        handed_over: Sequence[tuple[ListedServer, AttemptSnapshot]],
-        workload: Workload | None = None,
-        not_before: float = 0.0,
-    ) -> None:
-        """Continues a request that another process accepted.
-
-        The caller assigns connections to the attempts in flight.
-
-        Args:
-            request: Request that is not in any table yet.
-            handed_over: Attempts of the request, each with its server.
-            workload: Work of the request as stated by the client.
-            not_before: Time at which the backoff of the request ends; 0 if there is none.
-        """
-        self.requests.add(request, self._on_deadline)
-        snapshots = []
-        for entry, snapshot in handed_over:
-            number = self.directory.number_of(entry.name)
-            if number not in self.directory.by_number:
-                self.update_servers(ListKind.CHANGES, [entry])
-            server = self.directory.by_number[number]
-            attempt = Attempt(request, len(request.attempts), server, snapshot.sent_at)
-            attempt.in_flight, attempt.may_have_run = snapshot.in_flight, snapshot.may_have_run
-            request.attempts.append(attempt)
-            if attempt.in_flight:
-                attempt.handle = self.attempts.add(attempt)
-            snapshots.append(snapshot._replace(server=number))
-        self._log(
-            "request_adopted",
-            message=request.handle,
-            id=request.request_id,
-            hosts=request.hosts_in_flight,
-            left=round(request.give_up_at - self.deadlines.clock()),
-        )
-        self.adopted += 1
-        arrival = _arrival_event(request, workload)
-        self.events.handle(RequestAdopted(arrival, request.accepted_at, tuple(snapshots), not_before))
-
-    def attempt_snapshots(self, request: Request) -> list[tuple[ListedServer, AttemptSnapshot]] | None:
-        """Returns the attempts of a request for a handover to another process; None if the request is closed."""
-        snapshots = None if request.closed else self.dispatcher.attempt_snapshots(request.handle)
-        if snapshots is None or len(snapshots) != len(request.attempts):
-            return None
-        pairs = zip(request.attempts, snapshots, strict=True)
-        return [(attempt.server.entry, snapshot) for attempt, snapshot in pairs]
-
-    def not_before(self, request: Request) -> float:
-        """Returns the time at which the backoff of a request ends; 0 if there is none."""
-        return self.dispatcher.not_before(request.handle)
-
-    def hand_over(self, request: Request) -> None:
-        """Forgets a request that another process continues, without an answer and without ending its attempts."""
-        self._log("request_handed_over", message=request.handle, id=request.request_id, hosts=request.hosts_in_flight)
-        self.handed_over += 1
-        request.client_gone = True
-        self.requests.count_closed()
-        for attempt in request.attempts:
-            if attempt.in_flight:
-                attempt.in_flight = False
-                self.attempts.remove(attempt.handle)
-        self.events.handle(RequestHandedOver(request.handle))
-        self.requests.forget(request)
-
     def use_classes(self, classes: tuple[RequestClass, ...]) -> None:
         """Applies new limits, all at once, to the requests that are accepted from now on.
 
@@ -475,7 +404,7 @@
             self._close(request, final, b"", self._retry_after, action.reason.value)
             self.requests.forget(request)
 
-    def _on_deadline(self, request: Request) -> None:
+    def time_out(self, request: Request) -> None:
         """Times out the attempts in flight at the deadline of a request, and fails the request if it is still open."""
         for attempt in request.attempts:
             self._cancel_attempt(attempt, Outcome.TIMEOUT)
@@ -518,20 +447,3 @@
             host=attempt.server.entry.name,
             **fields,
         )
-
-
-def _arrival_event(request: Request, workload: Workload | None) -> RequestArrived:
-    """Returns the arrival event of a request for the balancer."""
-    slots, memory, work_hint, tenant, key, retry = workload or Workload()
-    return RequestArrived(
-        request.handle,
-        request.class_index,
-        request.give_up_at,
-        slots,
-        memory,
-        work_hint,
-        tenant,
-        key,
-        retry,
-        request.policy,
-    )
--- a/tests/requests/test_core.py
+++ b/tests/requests/test_core.py
@@ -132,7 +132,7 @@
     def test_request_accepted_as_non_idempotent_stays_so_when_its_class_changes(self) -> None:
         """Failure: a request that must not run twice is written without its last byte withheld, after an upgrade."""
         request = Request("m", 0, ONCE, self.now + 1000.0, self.now)  # the class with index 0 is idempotent
-        self.core.adopt(request, [])
+        self.core.handover.adopt(request, [])
         self.dispatcher.actions = [StartAttempt(request.handle, self.server_number)]
         self.core.peer_message(0, b"")
         assert self.core.is_non_idempotent(self.transport.sent[-1])
