--- a/heronlug/cli/__init__.py
+++ b/heronlug/cli/__init__.py
@@ -14,6 +14,7 @@
 from heronlug.cli.fleet import fleet
 from heronlug.cli.inspect import check, limits
 from heronlug.cli.load import demo, load, stand_in
+from heronlug.cli.pressure import pressure
 from heronlug.cli.serve import serve, try_
 from heronlug.cli.store import store
 from heronlug.cli.upgrades import upgrades
@@ -52,6 +53,7 @@
     demo,
     fleet,
     upgrades,
+    pressure,
 ):
     group.add_command(command)
 
--- a/heronlug/faults/upgrades/plan.py
+++ b/heronlug/faults/upgrades/plan.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from random import Random
 
+from heronlug.faults.abuse.plan import Abuse
+
 
 class ClientKind(Enum):
     """How a client behaves on its connection; the values appear in reports."""
@@ -93,6 +95,8 @@
         seed: Seed of all random draws of the run.
         span_s: Length of the load, in seconds.
         sockets: Limit of file descriptors of the dispatcher, over all of its processes.
+        memory_mb: Memory limit of the dispatcher, over all of its processes, in MB.
+        abuses: Clients that abuse the dispatcher meanwhile.
         clients: Number of clients of each kind.
         pause_s: Minimum and maximum pause of a client after an answer, in seconds.
         servers: Number of servers.
@@ -122,6 +126,8 @@
     single_core: bool = False
     clock_steps_s: tuple[int, ...] = (0,)
     log_level: str = "debug"
+    memory_mb: float = 192.0
+    abuses: tuple[Abuse, ...] = ()
 
     @property
     def longest_pause_s(self) -> float:
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import tempfile
+import time
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -11,6 +13,7 @@
 import uvloop
 
 from heronlug.conformance.process_logs import check_process_logs
+from heronlug.faults.abuse.process import AbuserProcess
 from heronlug.faults.upgrades.clients import Crowd, End, RequestRecord
 from heronlug.faults.upgrades.coverage import Cell, reached
 from heronlug.faults.upgrades.plan import UpgradePlan
@@ -24,8 +27,6 @@
 """Effect of each request class in the settings."""
 KILL_NOTICE_S = 0.2
 """Time within which clients notice that the process of their connection was killed, in seconds."""
-MEMORY_MB = 192
-"""Memory limit of the dispatcher, in MB."""
 
 
 @dataclass
@@ -38,6 +39,9 @@
         violations: What broke a rule, one line each.
         figures: Figures of the run by name.
         reached: Number of connections that ended in a process, by their state and the moment of the upgrade.
+        load_began_at: Unix time at which the load began, in seconds.
+        usage: What the processes of the dispatcher held.
+        abuse_figures: What the abusive clients counted, in the order of the plan.
     """
 
     plan: UpgradePlan
@@ -45,6 +49,9 @@
     violations: list[str] = field(default_factory=list)
     figures: dict[str, Any] = field(default_factory=dict)
     reached: Counter[Cell] = field(default_factory=Counter)
+    load_began_at: float = 0.0
+    usage: UsageSampler = field(default_factory=lambda: UsageSampler(list))
+    abuse_figures: list[dict[str, Any]] = field(default_factory=list)
 
     def count(self, end: End) -> int:
         """Returns the number of requests with this end."""
@@ -71,6 +78,9 @@
         self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core, plan.clock_steps_s, plan.log_level)
         self._crowd = Crowd(plan, self._port)
         self._usage = UsageSampler(self._dispatcher.running_pids)
+        self._abusers = [AbuserProcess(abuse, {}) for abuse in plan.abuses]
+        self._load_began_at = 0.0
+        self._non_idempotent_ids: set[str] = set()
 
     async def play(self) -> UpgradeReport:
         """Plays the run.
@@ -83,8 +93,9 @@
             await self._open()
             await self._dispatcher.start()
             load = asyncio.create_task(self._crowd.run())
-            disturbances = asyncio.gather(self._reload(), self._pause())
+            disturbances = asyncio.gather(self._reload(), self._pause(), *self._abuse())
             began_at = asyncio.get_running_loop().time()
+            self._load_began_at = time.time()
             for upgrade in self.plan.upgrades:
                 await asyncio.sleep(max(0.0, began_at + upgrade.at_s - asyncio.get_running_loop().time()))
                 await self._dispatcher.upgrade(upgrade)
@@ -115,6 +126,13 @@
             await asyncio.sleep(max(0.0, began_at + pause.at_s - asyncio.get_running_loop().time()))
             await self._dispatcher.pause(pause)
 
+    def _abuse(self) -> list[Coroutine[Any, Any, None]]:
+        class_names = list(self.plan.deadlines_s)
+        return [
+            abusers.run(self._port, self.plan.seed + number, class_names)
+            for number, abusers in enumerate(self._abusers)
+        ]
+
     async def _open(self) -> None:
         for number, server in enumerate(self._servers):
             port = await server.open()
@@ -123,6 +141,8 @@
         self._dispatcher.configuration = self._configuration(discovery)
 
     def _behaviour(self, begun: Begun) -> Behaviour:
+        if EFFECTS.get(begun.request_class) == "once":
+            self._non_idempotent_ids.add(begun.txn)
         if sum(server.running for server in self._servers) >= self.plan.servers * self.plan.slots:
             return Behaviour(0.0, "turned_away")
         return Behaviour(self._rng.uniform(*self.plan.run_s))
@@ -134,7 +154,7 @@
             "listen": f"127.0.0.1:{self._port}",
             "discovery": discovery,
             "seed": f"{self.plan.seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self.plan.sockets},
+            "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": self.plan.sockets},
             "known": known,
             "settings": _settings(self.plan),
         }
@@ -165,7 +185,14 @@
 
     def _report(self) -> UpgradeReport:
         self._classify_lost_requests()
-        report = UpgradeReport(self.plan, self._crowd.records, reached=reached(self._dispatcher.processes))
+        report = UpgradeReport(
+            self.plan,
+            self._crowd.records,
+            reached=reached(self._dispatcher.processes),
+            load_began_at=self._load_began_at,
+            usage=self._usage,
+            abuse_figures=[abusers.figures for abusers in self._abusers],
+        )
         report.violations += self._dispatcher.failures
         report.violations += [
             f"{record.request_id} ({record.class_name}, {record.kind.value}) of {record.client_address}, sent "
@@ -192,12 +219,11 @@
         return report
 
     def _repeated_executions(self) -> list[str]:
-        """Returns a line for each request of class ``once`` that began more than once."""
+        """Returns a line for each non-idempotent request that began more than once, also for one of abusive clients."""
         began: Counter[str] = Counter()
         for server in self._servers:
             began += server.begun
-        once = {record.request_id for record in self._crowd.records if record.class_name == "once"}
-        return [f"{name} began {count} times" for name, count in began.items() if count > 1 and name in once]
+        return [f"{name} began {began[name]} times" for name in self._non_idempotent_ids if began[name] > 1]
 
 
 class ConnectionOwners:
--- a/heronlug/faults/upgrades/usage.py
+++ b/heronlug/faults/upgrades/usage.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import time
+from collections import defaultdict
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -13,6 +15,24 @@
 """Index of the user CPU time in /proc/PID/stat after the program's name; the system CPU time follows."""
 
 
+@dataclass(frozen=True)
+class ResidentMemory:
+    """Resident memory of the processes of a dispatcher at a moment.
+
+    Attributes:
+        at: Unix time in seconds.
+        by_pid: Resident memory in MB by process id.
+    """
+
+    at: float
+    by_pid: dict[int, float]
+
+    @property
+    def total_mb(self) -> float:
+        """Returns the resident memory of all processes, in MB."""
+        return sum(self.by_pid.values())
+
+
 @dataclass
 class UsageSampler:
     """Peaks of descriptors and memory over all processes of a dispatcher.
@@ -22,12 +42,16 @@
         peak_descriptors: Largest number of descriptors that the processes held together.
         peak_memory_mb: Largest anonymous resident memory of all processes together, in MB.
         peak_parts: Number of descriptors of each process at that peak.
+        resident: Resident memory at each sample.
+        peak_resident_mb: Peak of the resident memory in MB by process id, as the kernel keeps it.
     """
 
     pids: Callable[[], list[int]]
     peak_descriptors: int = 0
     peak_memory_mb: float = 0.0
     peak_parts: list[int] = field(default_factory=list)
+    resident: list[ResidentMemory] = field(default_factory=list)
+    peak_resident_mb: dict[int, float] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Samples until the task is cancelled."""
@@ -41,7 +65,11 @@
         parts = held_together(pids, self.peak_descriptors)
         if sum(parts) > self.peak_descriptors:
             self.peak_descriptors, self.peak_parts = sum(parts), parts
-        self.peak_memory_mb = max(self.peak_memory_mb, sum(private_memory_mb(pid) for pid in pids))
+        memory = {pid: memory_mb(pid) for pid in pids}
+        self.peak_memory_mb = max(self.peak_memory_mb, sum(sizes["RssAnon"] for sizes in memory.values()))
+        self.resident.append(ResidentMemory(time.time(), {pid: sizes["VmRSS"] for pid, sizes in memory.items()}))
+        for pid, sizes in memory.items():
+            self.peak_resident_mb[pid] = max(self.peak_resident_mb.get(pid, 0.0), sizes["VmHWM"])
 
 
 def held_together(pids: list[int], least: int) -> list[int]:
@@ -76,13 +104,15 @@
     return len(open_files(pid))
 
 
-def private_memory_mb(pid: int) -> float:
-    """Returns the anonymous resident memory of a process in MB; 0 if it has ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0.0
-    return next((int(line.split()[1]) / 1024 for line in status.splitlines() if line.startswith("RssAnon:")), 0.0)
+def memory_mb(pid: int) -> defaultdict[str, float]:
+    """Returns the memory of a process in MB by the names of ``/proc/PID/status``; 0 for each if it has ended."""
+    sizes: defaultdict[str, float] = defaultdict(float)
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            name, _, value = line.partition(":")
+            if value.endswith(" kB"):
+                sizes[name] = int(value.split()[0]) / 1024
+    return sizes
 
 
 def cpu_s_of(pid: int) -> float:
