Log and count who holds the memory of the process, and when its limit is near

Change: heronlug/memory has the account of what others make the process hold, by holder; bodies are its first holder, with the limit that they had. Metrics svc_memory_*; a line memory_pressure at each change (calm, short, full) with the bytes by holder; memory_near_limit from 85% of the process's limit on, whoever holds it; bad_request names the client, what was being read, the bytes held and the requests behind.

Measured: tests of the account, the lines and the metrics; no figure of load.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -456,7 +456,15 @@
         """
         if self.closing or self.transport is None:
             return
-        self._frontend.log("bad_request", status=error.status, text=error.text)
+        self._frontend.log(
+            "bad_request",
+            status=error.status,
+            text=error.text,
+            client=self.client_address,
+            reading=self._reader.phase.value,
+            held=self._reader.request.reserved_bytes,
+            queued=len(self._pipeline),
+        )
         unserved = responses.unserved_response() * len(self._pipeline)
         self._pipeline.count_rejected(self._frontend.core)
         self._frontend.body_memory.release(self._reader.request)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -16,6 +16,7 @@
 from heronlug.frontends.http.eviction import NEW_CONNECTION_GRACE_MS, EvictionOrder, EvictionRank
 from heronlug.frontends.http.request import NO_CLASS, AnswerableConnection, HttpRequest
 from heronlug.frontends.http.request_policy import RequestPolicy
+from heronlug.memory.account import MemoryAccount
 from heronlug.requests.core import Core
 from heronlug.requests.interfaces import EventLog
 from heronlug.requests.model import FinalAnswer, Request
@@ -66,17 +67,17 @@
         owner: FrontendOwner,
         settings: Settings,
         max_connections: int,
-        max_body_bytes: int,
+        memory: MemoryAccount,
         run_due: Callable[[], None],
     ) -> None:
-        """Creates a frontend without connections; ``max_body_bytes`` limits the total size of all request bodies."""
+        """Creates a frontend without connections; ``memory`` counts what its clients make the process hold."""
         self.policy = RequestPolicy(settings)
         self.deadlines = owner.core.deadlines
         self.run_due = run_due
         self.max_connections = max_connections
         self.arriving: Callable[[], int] = lambda: 0
         self.clients_wait: Callable[[], bool] = lambda: False
-        self.body_memory = BodyMemory(max_body_bytes)
+        self.body_memory = BodyMemory(memory)
         self.connections: SlotTable[ClientConnection] = SlotTable()
         self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -27,18 +27,21 @@
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown, ShutdownHooks
 from heronlug.lifecycle.hot_restart.state_transfer import StateTransfer
 from heronlug.lifecycle.log import Log
+from heronlug.lifecycle.memory_monitor import MemoryMonitor
 from heronlug.lifecycle.operations import (
     ACCEPT_FAILURES,
     CLIENTS_CLOSED,
     SERVERS_CLOSED,
     OperatorCalls,
     labelled_metric,
+    memory_metrics,
 )
 from heronlug.lifecycle.peer_messages import PeerMessages
 from heronlug.lifecycle.process_signals import StopSignals, ignore_signals, startup_signals
 from heronlug.lifecycle.readiness import Readiness
 from heronlug.lifecycle.running_state import RunningState
 from heronlug.lifecycle.transport import HttpTransport
+from heronlug.memory.account import MemoryAccount
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.listener import Listener
 from heronlug.requests.core import Core
@@ -123,10 +126,10 @@
         bodies_mb = max(
             MIN_BODIES_MB, (config.memory_mb - PROGRAM_MB) / 2
         )  # half of the memory that remains besides the program
+        self.memory = MemoryAccount(int(bodies_mb * 1024 * 1024))
+        self.memory_monitor = MemoryMonitor(self.memory, config.memory_mb, self.deadline_loop.deadlines, self.log)
         self.readiness = Readiness(self.core, self.discovery.client, self.log)
-        self.frontend = HttpFrontend(
-            self.readiness, config.settings, _max_connections(config), int(bodies_mb * 1024 * 1024), self.turn
-        )
+        self.frontend = HttpFrontend(self.readiness, config.settings, _max_connections(config), self.memory, self.turn)
         self.transport.frontend = self.frontend
         self.listener = Listener(Acceptor("clients", self.frontend.protocol, self.log))
         acceptor = self.listener.acceptor
@@ -229,6 +232,7 @@
             self.admin_listener.accept()
         gc.collect()
         gc.freeze()
+        self.memory_monitor.start()
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)), pid=os.getpid())
         # A reload needs a running configuration, so earlier signals were only recorded.
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.begin)
@@ -311,6 +315,7 @@
             labelled_metric(ACCEPT_FAILURES, "listener", failures),
             labelled_metric(CLIENTS_CLOSED, "why", dict(sorted(self.frontend.closes.items()))),
             labelled_metric(SERVERS_CLOSED, "why", dict(sorted(self.backend.closes.items()))),
+            memory_metrics(self.memory, self.config.memory_mb),
         ]
         return "".join(counts) + self.cluster.metrics()
 
--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -34,6 +34,7 @@
     "bad_host": LEVELS["warning"],
     "slow_event": LEVELS["warning"],
     "late_turn": LEVELS["warning"],
+    "memory_near_limit": LEVELS["warning"],
     "accept_failed": LEVELS["warning"],
 }
 """Levels of events by the name of the event."""
--- a/heronlug/lifecycle/operations.py
+++ b/heronlug/lifecycle/operations.py
@@ -6,6 +6,9 @@
 
 from heronlug.lifecycle.admin import Answer, CallKey, Calls
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown
+from heronlug.memory.account import MemoryAccount
+from heronlug.memory.holders import Holder
+from heronlug.memory.process_memory import peak_resident_bytes, resident_bytes
 from heronlug.requests.core import Core
 from heronlug.requests.model import FinalAnswer
 
@@ -41,6 +44,12 @@
 ACCEPT_FAILURES = Metric("accept_failures", "counter", "calls of accept that failed")
 CLIENTS_CLOSED = Metric("clients_closed", "counter", "connections of clients that have ended, by reason")
 SERVERS_CLOSED = Metric("hosts_closed", "counter", "connections to runners that have ended, by reason")
+MEMORY_HELD = Metric("memory_held", "gauge", "bytes that others make this process hold, by holder")
+MEMORY_REFUSED = Metric("memory_refused", "counter", "reservations of memory that failed, by holder")
+MEMORY_ACCOUNT_LIMIT = Metric("memory_held_limit", "gauge", "limit of all bytes that others make this process hold")
+MEMORY_LIMIT = Metric("memory_limit", "gauge", "memory limit of this process in bytes")
+MEMORY_RESIDENT = Metric("memory_resident", "gauge", "resident memory of this process in bytes")
+MEMORY_PEAK = Metric("memory_peak", "gauge", "largest resident memory of this process so far in bytes")
 
 
 def format_metrics(cores: Iterable[Core]) -> str:
@@ -94,6 +103,23 @@
     return "\n".join([*_metric_header(metric), *lines, ""])
 
 
+def memory_metrics(account: MemoryAccount, limit_mb: float) -> str:
+    """Returns the metrics of the memory of this process; ``limit_mb`` is its limit in MB."""
+    values = {
+        MEMORY_ACCOUNT_LIMIT: account.limit,
+        MEMORY_LIMIT: int(limit_mb * 1024 * 1024),
+        MEMORY_RESIDENT: resident_bytes(),
+        MEMORY_PEAK: peak_resident_bytes(),
+    }
+    lines = [
+        line for metric, value in values.items() for line in (*_metric_header(metric), f"svc_{metric.name} {value}")
+    ]
+    by_holder = {holder.value: size for holder, size in account.by_holder.items()}
+    refusals = {holder.value: account.refusals[holder] for holder in Holder}
+    held = labelled_metric(MEMORY_HELD, "holder", by_holder)
+    return held + labelled_metric(MEMORY_REFUSED, "holder", refusals) + "\n".join([*lines, ""])
+
+
 class OperatorCalls:
     """The calls of operators; each call is idempotent."""
 
