Release what an ended connection held without the garbage collector

Callers saw: a process passed its memory limit and was killed while clients came with halves of requests, one connection after another; its memory never went back.

Cause: every ended client connection was part of reference cycles (reader and receiver, request and connection, an error and the frame that raised it again), with all that it had sent; so were each request with its attempts and each response reader with its connection. A full collection is rare in a process with many live objects: some 15 MB a second stayed.

Fix: what ends breaks its cycles: the reader drops its receiver, a request its connection once it is answered or its client left, a removed request its attempts, a connection to a server its response reader; the error of a request is raised by a function that keeps no reference.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -191,6 +191,7 @@
         never_ran = self._has_unwritten_bytes or not is_active
         self._end_attempt(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
         self.close(CloseReason.SERVER_CLOSED)
+        self._drop_response()
         self._pool.descriptor_freed(self)
         self._pool.flush()
 
@@ -221,7 +222,7 @@
 
     def release(self) -> None:
         """Marks the connection as idle, so that the pool can reuse it."""
-        self._response = None
+        self._drop_response()
         self.reused = self.reused or self.state is ConnectionState.ACTIVE
         self.state = ConnectionState.IDLE
 
@@ -312,6 +313,11 @@
         )
         return self._response
 
+    def _drop_response(self) -> None:
+        response, self._response = self._response, None
+        if response is not None:
+            response.close()
+
     def _withhold(self, last_byte: bytes) -> None:
         self._withheld_byte = last_byte
         if self._response is not None:
--- a/heronlug/backends/response.py
+++ b/heronlug/backends/response.py
@@ -102,6 +102,11 @@
         self._parser.feed_data(data)
         self._between_chunks = self._between_chunks and data.endswith(b"\r\n")
 
+    def close(self) -> None:
+        """Breaks the reference cycles with the parser and the connection; the reader must not be used any more."""
+        self._parser = None
+        del self._on_progress, self._on_invalid_line
+
     def skip_head(self, closes_connection: bool) -> None:
         """Prepares to read the chunks of a response whose head another process has read."""
         connection = b"Connection: close\r\n" if closes_connection else b""
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -168,15 +168,17 @@
         """Releases the resources of the connection and reports its open request to the core as abandoned."""
         self.log_end(CloseReason.CLIENT_CLOSED)
         self._apply_event(ConnectionEvent.CLOSED)
-        self._reader.close()
         self._timeout.cancel()
         self._frontend.connection_closed(self)
         self._frontend.body_memory.release(self._reader.request)
+        self._reader.close()
         self._pipeline.clear(self._frontend.body_memory)
         if self.open_request is not None:
             request, self.open_request = self.open_request, None
             self._frontend.body_memory.release(request.payload)
             self._frontend.core.client_left(request)
+            request.payload.connection = None
+        self._adopted_state = None
         self._frontend.run_due()
 
     # -- callbacks of the request reader
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -233,7 +233,7 @@
     def answer(self, request: Request, final: FinalAnswer, body: bytes, retry_after: float) -> None:
         """Writes the final answer of a request to its connection; ``retry_after`` is in ms, 0 for none."""
         http_request: HttpRequest = request.payload
-        connection = http_request.connection
+        connection, http_request.connection = http_request.connection, None
         self.body_memory.release(http_request)
         if connection is not None:
             keep_alive = self._keeps_alive(http_request, connection)
--- a/heronlug/frontends/http/pipeline.py
+++ b/heronlug/frontends/http/pipeline.py
@@ -53,4 +53,5 @@
         """Removes all requests and releases their body memory."""
         for request in self._requests:
             body_memory.release(request)
+            request.connection = None
         self._requests.clear()
--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -103,20 +103,20 @@
         except httptools.HttpParserUpgrade as error:
             raise UpgradeError from error
         except httptools.HttpParserError as error:
-            # the parser wraps exceptions raised by the on_ methods
-            cause = error.__context__ or error.__cause__
-            if isinstance(cause, BadRequestError):
-                raise cause from None
-            raise MalformedRequestError from error
+            raise _bad_request(error) from None
         self._check_size()
         self._keep_partial_request(data)
 
     def close(self) -> None:
-        """Drops the parser to break the reference cycle with the reader.
+        """Drops what has been read and breaks the reference cycles with parser and receiver; the reader is unusable.
 
-        During an overload the garbage collector would free the cycle only after a long time.
+        The garbage collector would free the cycles only after a long time, with all that ended connections have sent.
         """
+        self.request = HttpRequest()
+        self.partial_request = None
+        self._body = bytearray()
         self._parser = None
+        del self._receiver
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
@@ -196,6 +196,12 @@
             raise FramingTooLargeError
 
 
+def _bad_request(error: httptools.HttpParserError) -> BadRequestError:
+    """Returns the error that an ``on_`` method raised, which the parser wraps, or else the one for malformed input."""
+    cause = error.__context__ or error.__cause__
+    return cause if isinstance(cause, BadRequestError) else MalformedRequestError()
+
+
 def _check_framing(length: bytes | None, coding: bytes | None) -> None:
     """Checks Content-Length and Transfer-Encoding.
 
--- a/heronlug/requests/request_table.py
+++ b/heronlug/requests/request_table.py
@@ -63,10 +63,14 @@
         self.open_count -= 1
 
     def forget(self, request: Request) -> None:
-        """Removes a request if it is closed and has no attempt in flight."""
+        """Removes a request if it is closed and has no attempt in flight.
+
+        Request and attempts refer to each other; without the attempts, nothing holds a removed request.
+        """
         if not request.closed or any(attempt.in_flight for attempt in request.attempts):
             return
         self._deadlines.cancel(request.deadline_key)
+        request.attempts = []
         if self._slots.remove(request.handle) is None or not request.request_id:
             return
         self.ids.discard(request.request_id)
