Hold the body of an unfinished request once

Callers saw: a process passed its memory limit while a crowd held halves of bodies.

Cause: beside the body itself the reader kept all bytes of the request for the other process of an upgrade, for a body in small chunks up to 528 KB; only the body was counted.

Evidence: test_half_a_body_is_held_once took 5.1 MB for 2.5 MB of bodies before (limit of the test 3.75 MB), 2.6 MB now.

Fix: the reader keeps the bytes of the head only. What another process needs is the head and the body; a body in chunks is no longer handed over in part, since its framing is gone: as behind another request, the connection passes once the request is whole, at most 2.5 s later. The tests of upgrades hold.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -320,7 +320,7 @@
             has_sent_request=self.has_sent_request,
             age_ms=self.age_ms,
             queued=self._pipeline.requests,
-            partial_request=bytes(self._reader.partial_request or b""),
+            partial_request=self._reader.partial_request or b"",
             reading_ms=reading_ms,
         )
 
--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -73,14 +73,12 @@
     Attributes:
         phase: Part of the current request that is being read.
         request: Current request; the last complete request between two requests.
-        partial_request: Bytes of the current request so far; None if they are unknown, because its first bytes came
-            together with the end of the previous request.
     """
 
     def __init__(self, receiver: RequestReceiver) -> None:
         self.phase = ReadPhase.BETWEEN_REQUESTS
         self.request = HttpRequest()
-        self.partial_request: bytearray | None = bytearray()
+        self._head: bytearray | None = bytearray()  # None if unknown: it began together with the end of a request
         self._receiver = receiver
         self._parser: Any = httptools.HttpRequestParser(self)
         self._body = bytearray()
@@ -92,6 +90,23 @@
         """Returns whether a request is partly read."""
         return self.phase is not ReadPhase.BETWEEN_REQUESTS
 
+    @property
+    def partial_request(self) -> bytes | None:
+        """Returns the bytes of the current request so far; None if they are unknown.
+
+        They are unknown if its first bytes came together with the end of the previous request, and in a chunked body.
+        """
+        if self._head is None:
+            return None
+        if self.phase is ReadPhase.BODY:
+            return bytes(self._head + self._body) if b"content-length" in self.request.headers else None
+        return bytes(self._head)
+
+    @property
+    def held_bytes(self) -> int:
+        """Returns the memory that the current request takes, in bytes: parser and reader both hold its head."""
+        return 2 * len(self._head or b"") + len(self._body) if self.reading else 0
+
     def feed(self, data: bytes) -> None:
         """Parses bytes from the client.
 
@@ -99,6 +114,7 @@
             BadRequestError: The bytes violate the protocol; the reader must not be used again.
         """
         self._request_size += len(data)
+        was_in_body = self.phase is ReadPhase.BODY
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -106,7 +122,7 @@
         except httptools.HttpParserError as error:
             raise _bad_request(error) from None
         self._check_size()
-        self._keep_partial_request(data)
+        self._keep_head(data, was_in_body)
 
     def close(self) -> None:
         """Drops what has been read and breaks the reference cycles with parser and receiver; the reader is unusable.
@@ -114,7 +130,7 @@
         The garbage collector would free the cycles only after a long time, with all that ended connections have sent.
         """
         self.request = HttpRequest()
-        self.partial_request = None
+        self._head = None
         self._body = bytearray()
         self._parser = None
         del self._receiver
@@ -182,14 +198,14 @@
         if self._head_size > http.MAX_HEAD:
             raise HeadTooLargeError
 
-    def _keep_partial_request(self, data: bytes) -> None:
+    def _keep_head(self, data: bytes, was_in_body: bool) -> None:
+        """Keeps the bytes of a head for another process; those of a body are in the body itself."""
         if not self.reading:
-            if self.partial_request != b"":
-                self.partial_request = bytearray()
+            self._head = bytearray()
         elif self._request_size == 0:
-            self.partial_request = None
-        elif self.partial_request is not None:
-            self.partial_request += data
+            self._head = None
+        elif self._head is not None and not was_in_body:
+            self._head += data[: len(data) - len(self._body)]
 
     def _check_size(self) -> None:
         """Limits input that the parser does not report: incomplete headers and chunk extensions."""
