--- a/heronlug/faults/abuse/clients.py
+++ b/heronlug/faults/abuse/clients.py
@@ -36,6 +36,8 @@
 """Largest piece of a trickled request, in bytes."""
 SMALL_RECEIVE_BUFFER = 4096
 """Size of the receive buffer of a client that does not read, in bytes."""
+LAST_CONNECTION_S = 6.0
+"""Time for which a connection may stay open after the end of the abuse, in seconds."""
 LEAVE_AFTER_S = (0.005, 0.3)
 """Minimum and maximum time after which a client leaves with its requests unread, in seconds."""
 
@@ -156,7 +158,7 @@
             connection = Connection(sock, self._statuses)
             reading = asyncio.create_task(connection.read()) if kind is not AbuseKind.UNREAD_ANSWERS else None
             try:
-                async with asyncio.timeout(self._config.abuse.span_s):
+                async with asyncio.timeout(self._ends_at - connection.opened_at + LAST_CONNECTION_S):
                     await ACTIONS[kind](self, connection)
             except TimeoutError:
                 self._counts["timeouts"] += 1
