Read a client no faster than its requests are served, and a bounded part of it in a turn

Cause: whatever had arrived was read and parsed at once, up to 2 MB of one connection in a turn of the loop, and more than 16 requests at once ended the connection. Each read of a few bytes cost as much as a whole request.

Fix, at the root: a connection is not read on while enough waits (8 requests or 64 KB of bodies) or while what was read is not parsed; parsing goes in pieces, by a queue with 5 ms in each turn for all connections; all connections read into one buffer of 64 KB, once in a turn; very small reads are collected for 50 ms. A client that leaves unread input behind is found by a check every 50 ms. The time of a request that waited unread counts from when reading stopped.

Plans of pressure now have servers with 64 slots, so that they are not what is short. Open: 400 clients that each have 17 sound requests of 60 KB at a time use all of the core (850 requests a second), and the others wait seconds.

--- a/heronlug/faults/abuse/clients.py
+++ b/heronlug/faults/abuse/clients.py
@@ -36,6 +36,8 @@
 """Largest piece of a trickled request, in bytes."""
 SMALL_RECEIVE_BUFFER = 4096
 """Size of the receive buffer of a client that does not read, in bytes."""
+ANSWER_CHECK_S = 0.05
+"""Interval between two checks whether all answers have come, in seconds."""
 LAST_CONNECTION_S = 6.0
 """Time for which a connection may stay open after the end of the abuse, in seconds."""
 LEAVE_AFTER_S = (0.005, 0.3)
@@ -67,9 +69,14 @@
 
 
 class Answers:
-    """Counts the statuses of responses by code."""
+    """Counts the statuses of responses by code.
+
+    Attributes:
+        count: Number of responses.
+    """
 
     def __init__(self, statuses: Counter[int]) -> None:
+        self.count = 0
         self._statuses = statuses
         self._parser: Any = httptools.HttpResponseParser(self)
 
@@ -80,6 +87,7 @@
 
     def on_message_complete(self) -> None:
         """Counts a complete response."""
+        self.count += 1
         self._statuses[self._parser.get_status_code()] += 1
 
 
@@ -90,7 +98,7 @@
         self.sock = sock
         self.opened_at = asyncio.get_running_loop().time()
         self.ended = asyncio.Event()
-        self._answers = Answers(statuses)
+        self.answers = Answers(statuses)
 
     async def send(self, data: bytes) -> bool:
         """Sends bytes; returns False once the dispatcher has closed the connection."""
@@ -105,7 +113,7 @@
         loop = asyncio.get_running_loop()
         with suppress(OSError):
             while data := await loop.sock_recv(self.sock, READ_BYTES):
-                self._answers.feed(data)
+                self.answers.feed(data)
         self.ended.set()
 
     async def hold(self, seconds: float) -> None:
@@ -152,13 +160,14 @@
             sock.setblocking(False)
             if kind is AbuseKind.UNREAD_ANSWERS:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
-            await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self._config.port))
+            async with asyncio.timeout_at(self._ends_at + LAST_CONNECTION_S):
+                await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self._config.port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._counts["connections"] += 1
             connection = Connection(sock, self._statuses)
             reading = asyncio.create_task(connection.read()) if kind is not AbuseKind.UNREAD_ANSWERS else None
             try:
-                async with asyncio.timeout(self._ends_at - connection.opened_at + LAST_CONNECTION_S):
+                async with asyncio.timeout_at(self._ends_at + LAST_CONNECTION_S):
                     await ACTIONS[kind](self, connection)
             except TimeoutError:
                 self._counts["timeouts"] += 1
@@ -235,10 +244,16 @@
             await asyncio.sleep(0)
 
     async def sound_flood(self, connection: Connection) -> None:
-        """Sends sound requests at full speed."""
+        """Sends sound requests at full speed, and waits for all answers."""
         name = self._class_name()
+        sent = 0
         while not self._over and await connection.send(b"".join(payloads.request(name) for _ in range(100))):
+            sent += 100
             await asyncio.sleep(0)
+        while not connection.ended.is_set() and connection.answers.count < sent:
+            await connection.hold(ANSWER_CHECK_S)
+        self._counts["sent"] += sent
+        self._counts["unanswered"] += max(0, sent - connection.answers.count)
 
     async def unsound_flood(self, connection: Connection) -> None:
         """Sends unsound requests at full speed."""
--- a/heronlug/faults/pressure/plan.py
+++ b/heronlug/faults/pressure/plan.py
@@ -35,6 +35,7 @@
         clients={ClientKind.STEADY: WELL_BEHAVED_CLIENTS},
         pause_s=(0.02, 0.1),
         servers=12,
+        slots=64,
         run_s=(0.02, 0.05),
         deadlines_s={"safe": 4.0, "once": 5.0, "keyed": 6.0},
         abuses=abuses,
@@ -49,7 +50,7 @@
     abuses = tuple(_draw_abuse(rng, kind, sockets) for kind in rng.sample(list(AbuseKind), rng.choice([1, 1, 2])))
     plan = make_plan(seed, memory_mb, sockets, abuses)
     if rng.random() < UPGRADED_SHARE:
-        return replace(plan, upgrades=series(2, CALM_S + 1.0, 3.0, rng), log_level="debug")
+        return replace(plan, upgrades=series(2, CALM_S + 1.0, 3.0, rng), log_level="info")
     return plan
 
 
--- a/heronlug/faults/pressure/verdict.py
+++ b/heronlug/faults/pressure/verdict.py
@@ -115,6 +115,8 @@
             report.violations.append(
                 f"{abuse.kind.value}: {figures['owed']} connections got neither an error nor a close in time"
             )
+        if figures.get("unanswered"):
+            report.violations.append(f"{abuse.kind.value}: {figures['unanswered']} sound requests got no answer")
 
 
 def _latencies_ms(records: Iterable[RequestRecord]) -> list[float]:
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -2,22 +2,30 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol, cast
 
 from heronlug.frontends.http import responses
 from heronlug.frontends.http.body_memory import BodyMemory
+from heronlug.frontends.http.client_input import ClientInput
 from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState, next_state
-from heronlug.frontends.http.errors import BadRequestError, IncompleteRequestError
+from heronlug.frontends.http.errors import (
+    BadRequestError,
+    IncompleteRequestError,
+    TooManyPipelinedRequestsError,
+)
 from heronlug.frontends.http.eviction import EvictionRank
 from heronlug.frontends.http.pipeline import RequestPipeline
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.frontends.http.request_policy import RequestPolicy
-from heronlug.frontends.http.request_reader import RequestReader
 from heronlug.frontends.timeout import Timeout
-from heronlug.net.connection_state import has_unread_input, input_age_ms, peer_has_closed
+from heronlug.net.connection_state import has_unread_input, peer_has_closed
 from heronlug.net.http import format_address
+from heronlug.net.paced_protocol import PacedProtocol
+from heronlug.net.read_gate import PauseReason
+from heronlug.net.turn_queue import TurnQueue
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -29,6 +37,9 @@
 IDLE_TIMEOUT_MS = 120_000.0
 """Time after which a connection that is idle between two requests is closed."""
 
+EXCESS_TIMEOUT_MS = 2_500.0
+"""Time for which a client may have more requests sent than may wait, before those that wait are refused."""
+
 LINGER_MS = 500.0
 """Time for a client to read the last response.
 
@@ -46,12 +57,14 @@
         deadlines: Scheduler for time-outs.
         policy: Reads and checks the headers of requests.
         body_memory: Memory limit of all request bodies.
+        turn_queue: Postponed parsing of all connections.
         run_due: Runs the deadlines that are due; called after each I/O event.
     """
 
     deadlines: Deadlines
     policy: RequestPolicy
     body_memory: BodyMemory
+    turn_queue: TurnQueue
     run_due: Callable[[], None]
 
     @property
@@ -80,6 +93,9 @@
     def rank_for_eviction(self, connection: "ClientConnection", rank: EvictionRank) -> None:
         """Sets the eviction rank of a connection."""
 
+    def reading_paused(self, connection: "ClientConnection") -> None:
+        """Watches for the client's end of a connection that is not read."""
+
     def serve(self, connection: "ClientConnection", request: HttpRequest) -> None:
         """Serves a complete request.
 
@@ -88,7 +104,7 @@
         """
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(PacedProtocol):
     """A connection from a client.
 
     Attributes:
@@ -122,8 +138,10 @@
         self._frontend = frontend
         self._on_connected = on_connected
         self._state = ConnectionState.IDLE
-        self._reader = RequestReader(self)
+        self._input = ClientInput(self, frontend.turn_queue, frontend.deadlines)
+        self._reader = self._input.reader
         self._pipeline = RequestPipeline()
+        self._excess_timeout = Timeout(frontend.deadlines)
         self._discarded = 0
         self._close_reason: CloseReason | None = None  # None until this process ends the connection
         self._state_at_close = ConnectionState.IDLE
@@ -134,6 +152,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time-out and registers the connection with the frontend."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
+        self._input.open(self.transport)
         self.client_address = format_address(transport.get_extra_info("peername"))
         self._start_waiting()
         event = "client_opened" if self._adopted_state is None else "client_adopted"
@@ -146,32 +165,33 @@
         if self._adopted_state is not None:
             self._read_adopted_bytes(self._adopted_state)
 
+    def input_exceeds_buffer(self) -> None:
+        """Stops reading until the next iteration of the event loop."""
+        self._input.gate.pause_for_turn()
+
     def data_received(self, data: bytes) -> None:
-        """Parses bytes from the client; requests are served only after all of ``data`` has been parsed."""
+        """Parses bytes from the client; requests are served once what may be parsed in this turn has been parsed."""
         if self.closing:
             self._discarded += len(data)
             if self._discarded > MAX_DISCARDED_BYTES:
                 self.abort(CloseReason.EXCESS_INPUT)
             return
-        try:
-            self._reader.feed(data)
-        except BadRequestError as error:
-            self._reject(error)
-        except Exception as error:  # an unexpected error ends this connection, not the process
-            self._frontend.log("exception", where="north", error=repr(error))
-            self.abort(CloseReason.EXCEPTION)
-        else:
-            self._serve_next()
-        self._frontend.run_due()
+        self._handle_input(partial(self._input.receive, data))
+
+    def parse_more(self) -> None:
+        """Parses further bytes that have been read before."""
+        if not self.closing:
+            self._handle_input(self._input.parse)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the resources of the connection and reports its open request to the core as abandoned."""
         self.log_end(CloseReason.CLIENT_CLOSED)
         self._apply_event(ConnectionEvent.CLOSED)
         self._timeout.cancel()
+        self._excess_timeout.cancel()
         self._frontend.connection_closed(self)
         self._frontend.body_memory.release(self._reader.request)
-        self._reader.close()
+        self._input.close()
         self._pipeline.clear(self._frontend.body_memory)
         if self.open_request is not None:
             request, self.open_request = self.open_request, None
@@ -208,10 +228,10 @@
         """Checks a complete request and adds it to the pipeline.
 
         Raises:
-            BadRequestError: The request violates the protocol or the pipeline is full.
+            BadRequestError: The request violates the protocol.
         """
         request.connection = self
-        request.received_at = self._last_input_at()
+        request.received_at = self._input.arrived_at
         self.has_sent_request = True
         self._timeout.cancel()
         if not responses.is_health_check(request):
@@ -230,15 +250,36 @@
         """Returns whether the connection has stopped serving requests."""
         return self._state in (ConnectionState.LINGERING, ConnectionState.CLOSED)
 
+    @property
+    def is_serving(self) -> bool:
+        """Returns whether a request is being served or waits."""
+        return self.serving or bool(self._pipeline)
+
+    @property
+    def takes_requests(self) -> bool:
+        """Returns whether another request may be parsed now."""
+        open_here = self._state in (ConnectionState.IDLE, ConnectionState.SERVING)
+        return open_here and self._pipeline.has_room and not self._input.gate.paused_for(PauseReason.HANDOVER)
+
+    @property
+    def is_reading_paused(self) -> bool:
+        """Returns whether the connection is not read, so that its end would not be noticed."""
+        return self._input.gate.paused and not self.closing
+
     @property
     def age_ms(self) -> float:
         """Returns the time since the connection was opened, in ms."""
         return self._frontend.deadlines.clock() - self.opened_at
 
+    @property
+    def has_waiting_input(self) -> bool:
+        """Returns whether requests or bytes of requests have been read that are not served yet."""
+        return bool(self._pipeline) or self._input.has_unparsed
+
     @property
     def has_unanswered_input(self) -> bool:
         """Returns whether the client has sent unanswered input, including bytes that are unread in the socket."""
-        if self._pipeline or self._reader.reading or self._has_adopted_bytes:
+        if self.has_waiting_input or self._reader.reading or self._has_adopted_bytes:
             return True
         return self.transport is not None and has_unread_input(self.transport)
 
@@ -290,7 +331,7 @@
         transport = self.transport
         if self._state not in (ConnectionState.IDLE, ConnectionState.SERVING) or transport is None:
             return False
-        has_more_input = bool(self._pipeline or self._reader.reading)
+        has_more_input = self.has_waiting_input or self._reader.reading
         if (has_more_input or not self.has_sent_request) and not unfinished:
             return False
         if self._reader.reading and not self._can_read_elsewhere():
@@ -306,21 +347,27 @@
         if self.transport is None:
             msg = "the client connection has no transport and cannot be handed over"
             raise ConnectionError(msg)
-        self.transport.pause_reading()
+        self._input.gate.pause(PauseReason.HANDOVER)
         self._apply_event(ConnectionEvent.OFFERED)
         self._timeout.cancel()
+        self._excess_timeout.cancel()
         self._frontend.rank_for_eviction(self, EvictionRank.BUSY)
         return int(self.transport.get_extra_info("socket").fileno())
 
     def client_state(self) -> ClientState:
         """Returns the state with which another process continues the connection."""
-        reading_ms = self._frontend.deadlines.clock() - self._reading_since if self._reader.reading else 0.0
+        now = self._frontend.deadlines.clock()
+        reading_ms = 0.0
+        if self._reader.reading:
+            reading_ms = now - self._reading_since
+        elif self._input.has_unparsed:
+            reading_ms = now - self._input.arrived_at
         return ClientState(
             served=self.requests_accepted > 0,
             has_sent_request=self.has_sent_request,
             age_ms=self.age_ms,
             queued=self._pipeline.requests,
-            partial_request=self._reader.partial_request or b"",
+            partial_request=self._input.partial_request or b"",
             reading_ms=reading_ms,
         )
 
@@ -336,11 +383,12 @@
         """Reads again after another process has not taken over the connection."""
         if self.transport is None or self.transport.is_closing():
             return
-        self.transport.resume_reading()
+        self._input.gate.resume(PauseReason.HANDOVER)
         if self._state is ConnectionState.OFFERED:
             self._apply_event(ConnectionEvent.RECLAIMED)
             self._frontend.connection_idle(self)
             self._start_waiting()
+        self._adjust_input()
 
     def detach(self) -> None:
         """Closes this process's descriptor without writing, after another process has taken over the connection."""
@@ -381,14 +429,56 @@
 
     # -- internals
 
-    def _last_input_at(self) -> float:
-        """Returns the time at which the last bytes arrived, which may have waited for this process to read them."""
-        now = self._frontend.deadlines.clock()
-        return now if self.transport is None else now - input_age_ms(self.transport)
+    def _handle_input(self, parse: Callable[[], None]) -> None:
+        """Parses input, and serves or rejects what it contains."""
+        request = self._reader.request
+        try:
+            parse()
+        except BadRequestError as error:
+            self._reject(error)
+        except Exception as error:  # an unexpected error ends this connection, not the process
+            self._frontend.log("exception", where="north", error=repr(error))
+            self.abort(CloseReason.EXCEPTION)
+        else:
+            continues = self._reader.reading and self._reader.request is request
+            if continues and not self._pipeline and not self._input.gate.paused:
+                return
+            self._serve_next()
+        self._frontend.run_due()
+
+    def _adjust_input(self) -> None:
+        """Reads and parses as fast as requests are served, and bounds the time for which a client sends too many."""
+        if self.closing:
+            return
+        self._input.adjust()
+        if self._pipeline.has_room and not self._input.has_unparsed:
+            self._excess_timeout.cancel()
+        elif not self._excess_timeout.pending:
+            self._excess_timeout.start(EXCESS_TIMEOUT_MS, self._refuse_excess)
+        if self._input.gate.paused:
+            self._frontend.reading_paused(self)
+
+    def _refuse_excess(self) -> None:
+        """Fails the request that is being served and refuses those that wait, as the client has sent too many.
+
+        The connection stays open: the rest of the input is read and served next.
+        """
+        if not self.takes_requests and self.has_unanswered_input and self.transport is not None:
+            self._frontend.log(
+                "requests_refused", client=self.client_address, queued=len(self._pipeline), why="excess requests"
+            )
+            refused = responses.refused_response(TooManyPipelinedRequestsError()) * len(self._pipeline)
+            self._pipeline.count_rejected(self._frontend.core)
+            self._pipeline.clear(self._frontend.body_memory)
+            if self.open_request is not None:
+                self._frontend.core.fail(self.open_request)
+            if not self.closing:
+                self.transport.write(refused)
+        self._serve_next()
 
     def _can_read_elsewhere(self) -> bool:
         """Returns whether another process can read the rest of a request that is partly read."""
-        return bool(self._reader.partial_request) and not self._sent_continue
+        return bool(self._input.partial_request) and not self._sent_continue
 
     @property
     def _has_adopted_bytes(self) -> bool:
@@ -408,8 +498,10 @@
         if self.closing:
             return
         if state.partial_request:
+            began_at = self._frontend.deadlines.clock() - state.reading_ms
+            self._input.gate.unread_since = began_at
             self.data_received(state.partial_request)
-            self._reading_since = self._frontend.deadlines.clock() - state.reading_ms
+            self._reading_since = began_at
         if self._reader.reading:
             self._start_waiting()
         self._serve_next()
@@ -433,11 +525,12 @@
         self._state = next_state(self._state, event)
 
     def _await_next_request(self) -> None:
-        """Updates rank and time-out after a response and serves the next pipelined request, if any."""
+        """Updates rank and time-out after a response; the next request, if one waits, is served in its turn."""
         self._frontend.connection_idle(self)
         if not self._reader.reading:
             self._timeout.start(IDLE_TIMEOUT_MS, self._on_timeout)
-        self._serve_next()
+        if self.has_waiting_input:
+            self._frontend.turn_queue.add(self._input, self.parse_more)
 
     def _serve_next(self) -> None:
         while self._pipeline and self._state is ConnectionState.IDLE:
@@ -449,6 +542,7 @@
                 self._frontend.serve(self, self._pipeline.next())
             except BadRequestError as error:
                 self._reject(error)
+        self._adjust_input()
 
     def _reject(self, error: BadRequestError) -> None:
         """Answers an invalid request with its error and ends the connection.
@@ -488,14 +582,19 @@
         """Ends sending but keeps reading for ``LINGER_MS``, so that the last response reaches the client."""
         self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.LAST_RESPONSE_WRITTEN)
+        self._excess_timeout.cancel()
+        self._input.stop_parsing()
         if not transport.is_closing():
             transport.write_eof()
         self._frontend.rank_for_eviction(self, EvictionRank.REJECTED)
         self._timeout.start(LINGER_MS, lambda: self.abort(reason))
 
     def _on_timeout(self) -> None:
-        """Rejects a request that is incomplete when its time is over; closes a connection without input."""
-        if self._reader.reading:
+        """Rejects a request that is incomplete when its time is over; closes a connection without input.
+
+        The time of the client does not run while its input waits because of its earlier requests.
+        """
+        if self._reader.reading and self.takes_requests:
             self._reject(IncompleteRequestError())
         elif self.has_unanswered_input:  # bytes have just arrived and are read in this turn of the loop
             self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -17,11 +17,15 @@
 from heronlug.frontends.http.request import NO_CLASS, AnswerableConnection, HttpRequest
 from heronlug.frontends.http.request_policy import RequestPolicy
 from heronlug.memory.account import MemoryAccount
+from heronlug.net.turn_queue import TurnQueue
 from heronlug.requests.core import Core
 from heronlug.requests.interfaces import EventLog
 from heronlug.requests.model import FinalAnswer, Request
 from heronlug.requests.slots import SlotTable
 
+CLOSE_CHECK_INTERVAL_MS = 50.0
+"""Interval between two checks whether clients have closed connections that are not read, in ms."""
+
 EXHAUSTION_LOG_INTERVAL_MS = 1000.0
 """Minimum interval between two ``too_many_clients`` log lines."""
 
@@ -57,6 +61,7 @@
         arriving: Returns the number of connections that another process is handing over.
         clients_wait: Returns whether a new connection waits for room.
         body_memory: Memory limit of all request bodies.
+        turn_queue: Postponed parsing of all connections.
         connections: Open connections by handle.
         closes: Number of ended connections since the start, by reason.
         last_client_at: Time at which a connection last sent its first request for a server, in ms.
@@ -78,12 +83,14 @@
         self.arriving: Callable[[], int] = lambda: 0
         self.clients_wait: Callable[[], bool] = lambda: False
         self.body_memory = BodyMemory(memory)
+        self.turn_queue = TurnQueue()
         self.connections: SlotTable[ClientConnection] = SlotTable()
         self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
         self._owner = owner
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock)
         self._aborted: set[int] = set()  # handles of connections that are aborted and not closed yet
+        self._paused: dict[int, ClientConnection] = {}  # by handle; some may be read again by now
         self._adoptions: set[asyncio.Task[object]] = set()
         self._exhaustion_logged_at = 0.0
 
@@ -126,6 +133,7 @@
         """Removes an ended connection."""
         self._eviction_order.move(connection, None)
         self._aborted.discard(connection.handle)
+        self._paused.pop(connection.handle, None)
         self.connections.remove(connection.handle)
 
     def count_close(self, reason: CloseReason) -> None:
@@ -136,6 +144,23 @@
         """Sets the eviction rank of a connection."""
         self._eviction_order.move(connection, rank)
 
+    def reading_paused(self, connection: ClientConnection) -> None:
+        """Watches for the client's end of a connection that is not read."""
+        if not self._paused:
+            self.deadlines.call_after(CLOSE_CHECK_INTERVAL_MS, self._check_paused)
+        self._paused[connection.handle] = connection
+
+    def _check_paused(self) -> None:
+        """Ends the connections whose clients have left, and checks the others again later."""
+        for connection in list(self._paused.values()):
+            if not connection.is_reading_paused:
+                del self._paused[connection.handle]
+            elif not connection.client_connected:
+                del self._paused[connection.handle]
+                connection.abort(CloseReason.CLIENT_CLOSED)
+        if self._paused:
+            self.deadlines.call_after(CLOSE_CHECK_INTERVAL_MS, self._check_paused)
+
     def has_room(self, opening: int) -> bool:
         """Returns whether another connection may be accepted besides the known ones and ``opening`` further ones."""
         return len(self.connections) + opening + self.adopting + self.arriving() < self.max_connections
--- a/heronlug/frontends/http/pipeline.py
+++ b/heronlug/frontends/http/pipeline.py
@@ -3,36 +3,38 @@
 from collections import deque
 
 from heronlug.frontends.http.body_memory import BodyMemory
-from heronlug.frontends.http.errors import TooManyPipelinedRequestsError
 from heronlug.frontends.http.request import NO_CLASS, HttpRequest
 from heronlug.requests.core import Core
 from heronlug.requests.model import FinalAnswer
 
-MAX_PIPELINED_REQUESTS = 16
-"""Maximum number of complete requests that may wait on one connection."""
+MAX_WAITING_REQUESTS = 8
+"""Number of waiting requests from which on no further input of a connection is parsed."""
+
+MAX_WAITING_BYTES = 64 * 1024
+"""Size of all bodies of the waiting requests from which on no further input of a connection is parsed, in bytes."""
 
 
 class RequestPipeline:
     """A first-in, first-out queue of complete requests."""
 
-    __slots__ = ("_requests",)
+    __slots__ = ("_body_bytes", "_requests")
 
     def __init__(self) -> None:
         self._requests: deque[HttpRequest] = deque()
+        self._body_bytes = 0
 
     def __len__(self) -> int:
         return len(self._requests)
 
     def add(self, request: HttpRequest) -> None:
-        """Appends a request.
-
-        Raises:
-            TooManyPipelinedRequestsError: More than ``MAX_PIPELINED_REQUESTS`` wait, including ``request``, which
-                stays in the queue.
-        """
+        """Appends a request."""
         self._requests.append(request)
-        if len(self._requests) > MAX_PIPELINED_REQUESTS:
-            raise TooManyPipelinedRequestsError
+        self._body_bytes += len(request.body)
+
+    @property
+    def has_room(self) -> bool:
+        """Returns whether another request may be parsed."""
+        return len(self._requests) < MAX_WAITING_REQUESTS and self._body_bytes < MAX_WAITING_BYTES
 
     @property
     def requests(self) -> tuple[HttpRequest, ...]:
@@ -41,7 +43,9 @@
 
     def next(self) -> HttpRequest:
         """Removes and returns the oldest request."""
-        return self._requests.popleft()
+        request = self._requests.popleft()
+        self._body_bytes -= len(request.body)
+        return request
 
     def count_rejected(self, core: Core) -> None:
         """Counts a rejection for each waiting request that is not a health check."""
@@ -55,3 +59,4 @@
             body_memory.release(request)
             request.connection = None
         self._requests.clear()
+        self._body_bytes = 0
--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -72,11 +72,13 @@
 
     Attributes:
         phase: Part of the current request that is being read.
+        calls: Number of headers, pieces of bodies and requests that have been parsed.
         request: Current request; the last complete request between two requests.
     """
 
     def __init__(self, receiver: RequestReceiver) -> None:
         self.phase = ReadPhase.BETWEEN_REQUESTS
+        self.calls = 0
         self.request = HttpRequest()
         self._head: bytearray | None = bytearray()  # None if unknown: it began together with the end of a request
         self._receiver = receiver
@@ -107,6 +109,13 @@
         """Returns the memory that the current request takes, in bytes: parser and reader both hold its head."""
         return 2 * len(self._head or b"") + len(self._body) if self.reading else 0
 
+    @property
+    def body_bytes_left(self) -> int:
+        """Returns the number of bytes that the body still lacks, as far as its length was announced."""
+        if self.phase is not ReadPhase.BODY:
+            return 0
+        return int(self.request.headers.get(b"content-length", b"0")) - len(self._body)
+
     def feed(self, data: bytes) -> None:
         """Parses bytes from the client.
 
@@ -154,6 +163,7 @@
         Raises:
             DuplicateHeaderError: A header that must be unique occurs a second time.
         """
+        self.calls += 1
         if self.phase is not ReadPhase.HEAD:
             return
         self._add_to_head_size(len(name) + len(value) + HEADER_FRAMING_BYTES)
@@ -177,6 +187,7 @@
         Raises:
             BodyTooLargeError: The body exceeds ``http.MAX_BODY`` bytes.
         """
+        self.calls += 1
         self._body += body
         if len(self._body) > http.MAX_BODY:
             raise BodyTooLargeError
@@ -184,6 +195,7 @@
 
     def on_message_complete(self) -> None:
         """Completes the request and passes it to the receiver."""
+        self.calls += 1
         request = self.request
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
--- a/heronlug/frontends/http/responses.py
+++ b/heronlug/frontends/http/responses.py
@@ -41,6 +41,11 @@
     return http.response(error.status, error.text.encode() + b"\n", close=True)
 
 
+def refused_response(error: BadRequestError) -> bytes:
+    """Returns the response to a valid request that is refused with an error, after which the connection stays open."""
+    return http.response(error.status, error.text.encode() + b"\n")
+
+
 def unserved_response() -> bytes:
     """Returns the response to a complete request that was still waiting in the pipeline when its connection ended."""
     return http.response(FINAL_STATUS[FinalAnswer.REFUSED])
--- a/heronlug/frontends/timeout.py
+++ b/heronlug/frontends/timeout.py
@@ -14,10 +14,19 @@
         self._deadlines = deadlines
         self._key: Key | None = None
 
+    @property
+    def pending(self) -> bool:
+        """Returns whether a callback is pending."""
+        return self._key is not None
+
     def start(self, timeout_ms: float, callback: Callable[[], None]) -> None:
         """Schedules ``callback`` after ``timeout_ms`` and cancels the pending callback, if any."""
         self.cancel()
-        self._key = self._deadlines.call_after(timeout_ms, callback)
+        self._key = self._deadlines.call_after(timeout_ms, self._run, callback)
+
+    def _run(self, callback: Callable[[], None]) -> None:
+        self._key = None
+        callback()
 
     def cancel(self) -> None:
         """Cancels the pending callback, if any."""
--- a/heronlug/net/acceptor.py
+++ b/heronlug/net/acceptor.py
@@ -41,7 +41,7 @@
 LISTENER_ERRORS = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
 """Errors that report that the socket no longer listens."""
 
-ProtocolFactory = Callable[[], asyncio.Protocol]
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 """Creates the protocol of a new connection."""
 
 
--- a/tests/end_to_end/harness.py
+++ b/tests/end_to_end/harness.py
@@ -355,7 +355,7 @@
                 os.environ["TMPDIR"] = folder
         self._serving = asyncio.get_running_loop().create_task(self.application.run(EMPTY, ""))
         kernel_clock = mock.patch(
-            "heronlug.frontends.http.connection.input_age_ms", side_effect=lambda transport: self.input_age_ms
+            "heronlug.frontends.http.client_input.input_age_ms", side_effect=lambda transport: self.input_age_ms
         )
         kernel_clock.start()
         await until(lambda: bool(self.logged("started") or self._serving.done()), "the start")
--- /dev/null
+++ b/tests/end_to_end/test_fast_clients.py
@@ -0,0 +1,175 @@
+"""Tests that a client which sends faster than it is served is slowed down, and gets an answer to each request."""
+
+from end_to_end.harness import (
+    BlockingClient,
+    DispatcherHarness,
+    StandInConnection,
+    done,
+    request_bytes,
+    request_id_of,
+    run_async,
+)
+from end_to_end.test_request_arrival import remaining_ms
+from heronlug.frontends.http.client_input import PARSER_CALLS_PER_TURN
+from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, ClientConnection
+from heronlug.frontends.http.frontend import CLOSE_CHECK_INTERVAL_MS
+from heronlug.frontends.http.pipeline import MAX_WAITING_BYTES, MAX_WAITING_REQUESTS
+
+MAX_OVERSHOOT = 7
+"""Requests that a piece of input may hold beyond the limit of waiting requests."""
+
+
+def many_requests(count: int, class_name: str = "safe", remaining: int = 4000) -> bytes:
+    return b"".join(request_bytes(f"t{number}", class_name, remaining) for number in range(count))
+
+
+def connection_of(harness: DispatcherHarness) -> ClientConnection:
+    (connection,) = harness.application.frontend.connections
+    return connection
+
+
+async def next_request(harness: DispatcherHarness) -> tuple[StandInConnection, bytes]:
+    for _ in range(1000):
+        await harness.turn_once()
+        for server in harness.servers.values():
+            for connection in server.connections:
+                if data := connection.take_request():
+                    return connection, data
+    msg = "no request came to a server"
+    raise AssertionError(msg)
+
+
+async def answer_all(harness: DispatcherHarness, count: int) -> list[str]:
+    """Answers the next requests one after another, and returns their ids."""
+    ids = []
+    for _ in range(count):
+        server, request = await next_request(harness)
+        ids.append(request_id_of(request))
+        server.send(done(ids[-1]))
+    await harness.settle()
+    return ids
+
+
+def statuses(received: bytes) -> list[bytes]:
+    return [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+def test_requests_beyond_those_that_may_wait_are_read_later_and_answered_in_order() -> None:
+    """Guards against a client whose sound requests are refused, or all held, because it sent them at once."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            client.send(many_requests(100))
+            await harness.settle()
+            waiting = len(connection_of(harness)._pipeline)
+            assert MAX_WAITING_REQUESTS <= waiting <= MAX_WAITING_REQUESTS + MAX_OVERSHOOT
+            assert connection_of(harness).is_reading_paused
+            assert await answer_all(harness, 100) == [f"t{number}" for number in range(100)]
+            assert statuses(client.received) == [b"200"] * 100
+            assert not connection_of(harness).is_reading_paused
+
+    run_async(test)
+
+
+def test_waiting_bodies_are_bounded_by_their_size() -> None:
+    """Guards against waiting requests that are few, but hold many large bodies."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            body = b"b" * 60_000
+            for number in range(8):
+                client.send(request_bytes(f"t{number}", "safe", 4000).replace(b": 2\r\n", b": 60000\r\n")[:-2] + body)
+            await harness.settle()
+            assert 0 < len(connection_of(harness)._pipeline) * len(body) < MAX_WAITING_BYTES + len(body)
+            assert len(await answer_all(harness, 8)) == 8
+            assert statuses(client.received) == [b"200"] * 8
+
+    run_async(test)
+
+
+def test_excess_of_requests_gets_an_error_in_time_and_the_rest_its_answers() -> None:
+    """Guards against a client with hundreds of requests that gets no error for 3 s, or no answer to some of them."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            client.send(many_requests(40, "once"))
+            await harness.settle()
+            connection = connection_of(harness)
+            refused = len(connection._pipeline)
+            await harness.pass_time(20)
+            await next_request(harness)
+            await harness.pass_time(EXCESS_TIMEOUT_MS)
+            assert statuses(client.received) == [b"500"] + [b"429"] * refused
+            for _ in range(40 - 1 - refused):
+                await harness.pass_time(20)
+                await answer_all(harness, 1)
+            assert statuses(client.received)[1 + refused :] == [b"200"] * (40 - 1 - refused)
+
+    run_async(test)
+
+
+def test_client_that_leaves_unread_input_behind_is_noticed() -> None:
+    """Guards against requests of a client that has left, whose connection is not read."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = BlockingClient(harness.listen)
+            client.send(many_requests(200))
+            await harness.settle()
+            server, request = await next_request(harness)
+            client.leave("fin")
+            await harness.pass_time(2 * CLOSE_CHECK_INTERVAL_MS)
+            assert not len(harness.application.core.requests)
+            assert not len(harness.application.frontend.connections)
+            server.send(done(request_id_of(request)))
+            await harness.settle()
+            assert not any(standin.requests for standin in harness.servers.values())
+
+    run_async(test)
+
+
+def test_request_that_waited_while_the_connection_was_not_read_is_not_given_more_time() -> None:
+    """Guards against the time of a request that counts from its late reading, or from an earlier pause."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            client.send(many_requests(30, remaining=4000))
+            await harness.settle()
+            server, request = await next_request(harness)
+            harness.stall(1500)
+            server.send(done(request_id_of(request)))
+            for _ in range(29):
+                server, request = await next_request(harness)
+                assert remaining_ms(request) <= 2500
+                server.send(done(request_id_of(request)))
+            await harness.settle()
+            await harness.pass_time(1000)
+            client.send(request_bytes("late", "safe", 4000))
+            _, request = await next_request(harness)
+            assert remaining_ms(request) > 3500
+
+    run_async(test)
+
+
+def test_costly_input_is_parsed_in_parts() -> None:
+    """Guards against a body of tiny chunks that keeps the loop busy while others wait."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            head = b"POST /safe HTTP/1.1\r\nX-Txn: t\r\nTransfer-Encoding: chunked\r\n\r\n"
+            client.send(head + b"1\r\nx\r\n" * 8000 + b"0\r\n\r\n")
+            calls, steps = 0, []
+            for _ in range(200):
+                await harness.turn_once()
+                for connection in harness.application.frontend.connections:
+                    steps.append(connection._reader.calls - calls)
+                    calls = connection._reader.calls
+            assert calls > 8000
+            assert max(steps) <= 4 * (PARSER_CALLS_PER_TURN + 1024 // 6)
+
+    run_async(test)
