Account for all that clients make the process hold, and let the largest halves pay

Cause: only bodies were counted, against half of what the limit leaves; connections, heads, unparsed bytes, requests and their copies were counted nowhere, and each place had a limit of its own. When the limit for bodies was reached, whoever sent next was refused, also a client with a request of 300 bytes.

Fix: one account. Connections (12 KB), input that is no whole request yet and whole requests (4 KB and the body) are reserved in heronlug/memory before they are held, and released once. At the limit the unfinished requests that hold most get 503, clients that are being served last, until what is needed is free or the requester holds most; 25% of the limit is left to requests of up to 8 KB. A limit that can't be kept is said at the start (memory_limit_too_small), and the process starts all the same.

--- a/heronlug/frontends/http/client_input.py
+++ b/heronlug/frontends/http/client_input.py
@@ -3,7 +3,10 @@
 import asyncio
 from typing import Protocol
 
-from heronlug.frontends.http.request_reader import RequestReader, RequestReceiver
+from heronlug.frontends.http.errors import BodyMemoryExhaustedError
+from heronlug.frontends.http.request_reader import ReadPhase, RequestReader, RequestReceiver
+from heronlug.memory.account import MemoryAccount, MemoryShortError, Reservation
+from heronlug.memory.holders import Holder
 from heronlug.net.connection_state import input_age_ms
 from heronlug.net.paced_protocol import RECEIVE_BUFFER_BYTES
 from heronlug.net.read_gate import PauseReason, ReadGate
@@ -20,6 +23,12 @@
 """Number of headers, pieces of bodies and requests that are parsed for a connection in one turn."""
 
 
+SMALL_INPUT_BYTES = 8 * 1024
+"""Size of an unfinished request up to which all memory may be used for it, in bytes."""
+
+LARGE_INPUT_SHARE = 0.75
+"""Share of the memory that may be in use after more of a larger request has been received."""
+
 SMALL_READ_BYTES = 64
 """Number of bytes below which a read counts as small."""
 
@@ -45,6 +54,20 @@
         """Parses the rest of the input in a later turn, by :meth:`ClientInput.parse`."""
 
 
+class InputServices(Protocol):
+    """What the inputs of all connections share.
+
+    Attributes:
+        memory: Account of the memory that clients make the process hold.
+        turn_queue: Postponed parsing of all connections.
+        deadlines: Scheduler for time-outs.
+    """
+
+    memory: MemoryAccount
+    turn_queue: TurnQueue
+    deadlines: Deadlines
+
+
 class ClientInput:
     """The input of one client connection: its reader, and the bytes that it has not parsed yet.
 
@@ -55,13 +78,14 @@
         gate: Pauses reading.
     """
 
-    def __init__(self, owner: InputOwner, turn_queue: TurnQueue, deadlines: Deadlines) -> None:
+    def __init__(self, owner: InputOwner, services: InputServices) -> None:
         """Creates an input without a transport."""
         self.reader = RequestReader(owner)
-        self.gate = ReadGate(deadlines.clock)
+        self.gate = ReadGate(services.deadlines.clock)
         self._owner = owner
-        self._turn_queue = turn_queue
-        self._deadlines = deadlines
+        self._turn_queue = services.turn_queue
+        self._deadlines = services.deadlines
+        self._memory = Reservation(services.memory, Holder.CLIENT_INPUT)
         self._transport: asyncio.Transport | None = None
         self._unparsed = b""
         self._offset = 0  # of the first byte that is not parsed
@@ -79,10 +103,16 @@
         self._unparsed = b""
         self._offset = 0
         self._transport = None
+        self._memory.release()
         self.gate.close()
         self.reader.close()
         del self._owner
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the memory that the input takes, in bytes."""
+        return self._memory.size
+
     @property
     def unparsed(self) -> bytes:
         """Returns the bytes that have been read and not parsed."""
@@ -116,8 +146,10 @@
         """Parses bytes from the client, as far as this turn and the waiting requests allow.
 
         Raises:
-            BadRequestError: The bytes violate the protocol; the input must not be used again.
+            BadRequestError: The bytes violate the protocol, or there is no memory for them; the input must not be used
+                again.
         """
+        self._reserve(len(data))
         self._unparsed = self.unparsed + data if self.has_unparsed else data
         self._offset = 0
         self._arrived_at = None
@@ -142,6 +174,7 @@
         if not self.has_unparsed:
             self._unparsed = b""
             self._offset = 0
+        self._memory.hold(len(self._unparsed) + self.reader.held_bytes)
         self.adjust()
 
     def adjust(self) -> None:
@@ -158,8 +191,23 @@
         self._turn_queue.remove(self)
         self._unparsed = b""
         self._offset = 0
+        self.reader.drop()
+        self._memory.release()
         self.gate.resume(PauseReason.INPUT)
 
+    def _reserve(self, size: int) -> None:
+        """Reserves memory for received bytes, which are held twice as long as they belong to a head.
+
+        Raises:
+            BodyMemoryExhaustedError: Memory is short, and nobody else holds more without a whole request.
+        """
+        needed = size if self.reader.phase is ReadPhase.BODY else 2 * size
+        share = 1.0 if self._memory.size + needed <= SMALL_INPUT_BYTES else LARGE_INPUT_SHARE
+        try:
+            self._memory.grow(needed, self._owner, share)
+        except MemoryShortError:
+            raise BodyMemoryExhaustedError from None
+
     def _count_small_read(self, size: int) -> None:
         """Reads a request that comes in very many parts less often, as each read costs as much as a whole request."""
         self._small_reads = self._small_reads + 1 if self.reader.reading and size < SMALL_READ_BYTES else 0
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -6,13 +6,13 @@
 from typing import Protocol, cast
 
 from heronlug.frontends.http import responses
-from heronlug.frontends.http.body_memory import BodyMemory
 from heronlug.frontends.http.client_input import ClientInput
 from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState, next_state
 from heronlug.frontends.http.errors import (
     BadRequestError,
+    BodyMemoryExhaustedError,
     IncompleteRequestError,
     TooManyPipelinedRequestsError,
 )
@@ -21,6 +21,8 @@
 from heronlug.frontends.http.request import HttpRequest
 from heronlug.frontends.http.request_policy import RequestPolicy
 from heronlug.frontends.timeout import Timeout
+from heronlug.memory.account import MemoryAccount, Reservation
+from heronlug.memory.holders import Holder
 from heronlug.net.connection_state import has_unread_input, peer_has_closed
 from heronlug.net.http import format_address
 from heronlug.net.paced_protocol import PacedProtocol
@@ -37,6 +39,9 @@
 IDLE_TIMEOUT_MS = 120_000.0
 """Time after which a connection that is idle between two requests is closed."""
 
+CONNECTION_BYTES = 12 * 1024
+"""Memory of a connection without what its client has sent, in bytes."""
+
 EXCESS_TIMEOUT_MS = 2_500.0
 """Time for which a client may have more requests sent than may wait, before those that wait are refused."""
 
@@ -56,14 +61,14 @@
     Attributes:
         deadlines: Scheduler for time-outs.
         policy: Reads and checks the headers of requests.
-        body_memory: Memory limit of all request bodies.
+        memory: Account of the memory that clients make the process hold.
         turn_queue: Postponed parsing of all connections.
         run_due: Runs the deadlines that are due; called after each I/O event.
     """
 
     deadlines: Deadlines
     policy: RequestPolicy
-    body_memory: BodyMemory
+    memory: MemoryAccount
     turn_queue: TurnQueue
     run_due: Callable[[], None]
 
@@ -138,10 +143,11 @@
         self._frontend = frontend
         self._on_connected = on_connected
         self._state = ConnectionState.IDLE
-        self._input = ClientInput(self, frontend.turn_queue, frontend.deadlines)
+        self._input = ClientInput(self, frontend)
         self._reader = self._input.reader
         self._pipeline = RequestPipeline()
         self._excess_timeout = Timeout(frontend.deadlines)
+        self._memory = Reservation(frontend.memory, Holder.CLIENT_CONNECTIONS)
         self._discarded = 0
         self._close_reason: CloseReason | None = None  # None until this process ends the connection
         self._state_at_close = ConnectionState.IDLE
@@ -153,6 +159,7 @@
         """Starts the time-out and registers the connection with the frontend."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
         self._input.open(self.transport)
+        self._memory.hold(CONNECTION_BYTES)
         self.client_address = format_address(transport.get_extra_info("peername"))
         self._start_waiting()
         event = "client_opened" if self._adopted_state is None else "client_adopted"
@@ -190,12 +197,12 @@
         self._timeout.cancel()
         self._excess_timeout.cancel()
         self._frontend.connection_closed(self)
-        self._frontend.body_memory.release(self._reader.request)
         self._input.close()
-        self._pipeline.clear(self._frontend.body_memory)
+        self._pipeline.clear()
+        self._memory.release()
         if self.open_request is not None:
             request, self.open_request = self.open_request, None
-            self._frontend.body_memory.release(request.payload)
+            request.payload.release_memory()
             self._frontend.core.client_left(request)
             request.payload.connection = None
         self._adopted_state = None
@@ -216,14 +223,6 @@
             self._sent_continue = True
             self.transport.write(responses.CONTINUE)
 
-    def body_received(self, request: HttpRequest, size: int) -> None:
-        """Reserves memory for ``size`` more bytes of a body.
-
-        Raises:
-            BadRequestError: The memory for bodies is exhausted.
-        """
-        self._frontend.body_memory.reserve(request, size)
-
     def request_complete(self, request: HttpRequest) -> None:
         """Checks a complete request and adds it to the pipeline.
 
@@ -232,6 +231,7 @@
         """
         request.connection = self
         request.received_at = self._input.arrived_at
+        request.hold_memory(self._frontend.memory)
         self.has_sent_request = True
         self._timeout.cancel()
         if not responses.is_health_check(request):
@@ -271,6 +271,11 @@
         """Returns the time since the connection was opened, in ms."""
         return self._frontend.deadlines.clock() - self.opened_at
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Returns the memory of what the client has sent besides whole requests, in bytes."""
+        return self._input.held_bytes if not self.closing else 0
+
     @property
     def has_waiting_input(self) -> bool:
         """Returns whether requests or bytes of requests have been read that are not served yet."""
@@ -304,6 +309,10 @@
         else:
             self._close(self.transport, CloseReason.ANSWERED)
 
+    def reject_for_memory(self) -> None:
+        """Rejects the unfinished request, because memory is short."""
+        self._reject(BodyMemoryExhaustedError())
+
     def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection if it is idle and has no unanswered input."""
         if self._state is ConnectionState.IDLE and not self.has_unanswered_input and self.transport is not None:
@@ -394,7 +403,7 @@
         """Closes this process's descriptor without writing, after another process has taken over the connection."""
         if self.open_request is not None:
             self._released_request_id = self.open_request.request_id
-            self._frontend.body_memory.release(self.open_request.payload)
+            self.open_request.payload.release_memory()
         self.open_request = None
         self.abort(CloseReason.HANDED_OVER)
 
@@ -469,7 +478,7 @@
             )
             refused = responses.refused_response(TooManyPipelinedRequestsError()) * len(self._pipeline)
             self._pipeline.count_rejected(self._frontend.core)
-            self._pipeline.clear(self._frontend.body_memory)
+            self._pipeline.clear()
             if self.open_request is not None:
                 self._frontend.core.fail(self.open_request)
             if not self.closing:
@@ -489,7 +498,7 @@
         """Queues the requests that another process has read."""
         for request in state.queued:
             request.connection = self
-            self._frontend.body_memory.adopt(request)
+            request.hold_memory(self._frontend.memory)
             self._pipeline.add(request)
 
     def _read_adopted_bytes(self, state: ClientState) -> None:
@@ -558,13 +567,12 @@
             text=error.text,
             client=self.client_address,
             reading=self._reader.phase.value,
-            held=self._reader.request.reserved_bytes,
+            held=self._input.held_bytes,
             queued=len(self._pipeline),
         )
         unserved = responses.unserved_response() * len(self._pipeline)
         self._pipeline.count_rejected(self._frontend.core)
-        self._frontend.body_memory.release(self._reader.request)
-        self._pipeline.clear(self._frontend.body_memory)
+        self._pipeline.clear()
         if self.open_request is not None:
             self._frontend.core.fail(self.open_request)  # calls answer(), which may end the connection
             if self.closing:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -8,7 +8,6 @@
 
 from heronlug.balancer.settings import Settings
 from heronlug.frontends.http import responses
-from heronlug.frontends.http.body_memory import BodyMemory
 from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import ClientConnection
@@ -23,6 +22,9 @@
 from heronlug.requests.model import FinalAnswer, Request
 from heronlug.requests.slots import SlotTable
 
+RELIEF_SHARE = 0.05
+"""Share of the memory that is released beyond what is missing, when memory is short."""
+
 CLOSE_CHECK_INTERVAL_MS = 50.0
 """Interval between two checks whether clients have closed connections that are not read, in ms."""
 
@@ -60,7 +62,7 @@
         max_connections: Maximum number of connections; a new connection above the limit waits for room.
         arriving: Returns the number of connections that another process is handing over.
         clients_wait: Returns whether a new connection waits for room.
-        body_memory: Memory limit of all request bodies.
+        memory: Account of the memory that clients make the process hold.
         turn_queue: Postponed parsing of all connections.
         connections: Open connections by handle.
         closes: Number of ended connections since the start, by reason.
@@ -82,7 +84,7 @@
         self.max_connections = max_connections
         self.arriving: Callable[[], int] = lambda: 0
         self.clients_wait: Callable[[], bool] = lambda: False
-        self.body_memory = BodyMemory(memory)
+        self.memory = memory
         self.turn_queue = TurnQueue()
         self.connections: SlotTable[ClientConnection] = SlotTable()
         self.closes: Counter[CloseReason] = Counter()
@@ -161,6 +163,26 @@
         if self._paused:
             self.deadlines.call_after(CLOSE_CHECK_INTERVAL_MS, self._check_paused)
 
+    def relieve_memory(self, missing: int, requester: object, size: int) -> None:
+        """Rejects the unfinished requests that hold more than the requester, the largest first, until memory is free.
+
+        A little more than what is missing is released, so that the connections are not searched for each read. Clients
+        of which a request is being served come last.
+
+        Args:
+            missing: Number of missing bytes.
+            requester: The connection that needs memory, or another holder.
+            size: Number of bytes that it needs.
+        """
+        own_bytes = size + requester.unfinished_bytes if isinstance(requester, ClientConnection) else 0
+        larger = [connection for connection in self.connections if connection.unfinished_bytes > own_bytes]
+        larger.sort(key=lambda each: (each.is_serving, -each.unfinished_bytes, each.opened_at))
+        enough = self.memory.used - missing - int(RELIEF_SHARE * self.memory.limit)
+        for connection in larger:
+            if self.memory.used <= enough:
+                return
+            connection.reject_for_memory()
+
     def has_room(self, opening: int) -> bool:
         """Returns whether another connection may be accepted besides the known ones and ``opening`` further ones."""
         return len(self.connections) + opening + self.adopting + self.arriving() < self.max_connections
@@ -238,7 +260,7 @@
             self._answer_health_check(connection, request)
             return
         if self.core.requests.has_id(request.request_id):
-            self.body_memory.release(request)
+            request.release_memory()
             self.core.count_answer(request.class_index, FinalAnswer.FAILED)
             raise DuplicateRequestIdError
         connection.requests_accepted += 1
@@ -259,7 +281,7 @@
         """Writes the final answer of a request to its connection; ``retry_after`` is in ms, 0 for none."""
         http_request: HttpRequest = request.payload
         connection, http_request.connection = http_request.connection, None
-        self.body_memory.release(http_request)
+        http_request.release_memory()
         if connection is not None:
             keep_alive = self._keeps_alive(http_request, connection)
             connection.answer(responses.final_response(final, body, retry_after, close=not keep_alive), keep_alive)
@@ -271,7 +293,7 @@
 
     def _answer_health_check(self, connection: ClientConnection, request: HttpRequest) -> None:
         keep_alive = self._keeps_alive(request, connection)
-        self.body_memory.release(request)
+        request.release_memory()
         connection.answer(
             responses.health_response(request.path, self._owner.ready(), close=not keep_alive), keep_alive
         )
--- a/heronlug/frontends/http/pipeline.py
+++ b/heronlug/frontends/http/pipeline.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 
-from heronlug.frontends.http.body_memory import BodyMemory
 from heronlug.frontends.http.request import NO_CLASS, HttpRequest
 from heronlug.requests.core import Core
 from heronlug.requests.model import FinalAnswer
@@ -53,10 +52,10 @@
             if request.class_index != NO_CLASS:
                 core.count_answer(request.class_index, FinalAnswer.REFUSED)
 
-    def clear(self, body_memory: BodyMemory) -> None:
-        """Removes all requests and releases their body memory."""
+    def clear(self) -> None:
+        """Removes all requests and releases their memory."""
         for request in self._requests:
-            body_memory.release(request)
+            request.release_memory()
             request.connection = None
         self._requests.clear()
         self._body_bytes = 0
--- a/heronlug/frontends/http/request.py
+++ b/heronlug/frontends/http/request.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from heronlug.memory.account import MemoryAccount, Reservation
+from heronlug.memory.holders import Holder
 from heronlug.requests.model import Workload
 
 FORWARDED_HEADERS = (b"x-txn", b"idempotency-key", b"x-lane", b"x-labels", b"x-resent", b"x-org")
@@ -12,6 +14,10 @@
 """Class index of a request that the dispatcher answers itself, without a server."""
 
 
+REQUEST_BYTES = 4 * 1024
+"""Memory of a request with its headers and its attempts, without its body, in bytes."""
+
+
 class AnswerableConnection(Protocol):
     """Interface of the connection on which a request was received."""
 
@@ -42,7 +48,7 @@
         received_at: Time at which the last byte of the request arrived, in ms.
         workload: Resources and attributes of the work as stated by the client.
         keep_alive: Whether the client allows the connection to be reused.
-        reserved_bytes: Bytes of the body that count against the body memory limit.
+        memory: Memory that the request holds in the account of the process; None before it is complete.
         connection: Connection on which the request was received; None if unknown.
     """
 
@@ -56,9 +62,20 @@
     received_at: float = 0.0
     workload: Workload = field(default_factory=Workload)
     keep_alive: bool = True
-    reserved_bytes: int = 0
+    memory: Reservation | None = None
     connection: AnswerableConnection | None = None
 
+    def hold_memory(self, account: MemoryAccount) -> None:
+        """Counts the complete request, whose bytes have been reserved as input."""
+        self.memory = Reservation(account, Holder.CLIENT_REQUESTS)
+        self.memory.hold(REQUEST_BYTES + len(self.body))
+
+    def release_memory(self) -> None:
+        """Drops the body, which needs no further forwarding, and what the request holds in the account."""
+        self.body = b""
+        if self.memory is not None:
+            self.memory.release()
+
     @property
     def path(self) -> bytes:
         """Returns the target without its query."""
--- a/heronlug/frontends/http/request_reader.py
+++ b/heronlug/frontends/http/request_reader.py
@@ -60,9 +60,6 @@
             expects_continue: Whether the client waits for 100 Continue before it sends the body.
         """
 
-    def body_received(self, request: HttpRequest, size: int) -> None:
-        """Handles ``size`` more bytes of the body."""
-
     def request_complete(self, request: HttpRequest) -> None:
         """Handles a complete request."""
 
@@ -107,7 +104,7 @@
     @property
     def held_bytes(self) -> int:
         """Returns the memory that the current request takes, in bytes: parser and reader both hold its head."""
-        return 2 * len(self._head or b"") + len(self._body) if self.reading else 0
+        return 2 * max(len(self._head or b""), self._head_size) + len(self._body) if self.reading else 0
 
     @property
     def body_bytes_left(self) -> int:
@@ -133,15 +130,19 @@
         self._check_size()
         self._keep_head(data, was_in_body)
 
+    def drop(self) -> None:
+        """Drops what has been read; the reader must not be used again."""
+        self.request = HttpRequest()
+        self._head = None
+        self._body = bytearray()
+        self._parser = None
+
     def close(self) -> None:
         """Drops what has been read and breaks the reference cycles with parser and receiver; the reader is unusable.
 
         The garbage collector would free the cycles only after a long time, with all that ended connections have sent.
         """
-        self.request = HttpRequest()
-        self._head = None
-        self._body = bytearray()
-        self._parser = None
+        self.drop()
         del self._receiver
 
     def on_message_begin(self) -> None:
@@ -191,7 +192,6 @@
         self._body += body
         if len(self._body) > http.MAX_BODY:
             raise BodyTooLargeError
-        self._receiver.body_received(self.request, len(body))
 
     def on_message_complete(self) -> None:
         """Completes the request and passes it to the receiver."""
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -42,21 +42,11 @@
 from heronlug.lifecycle.running_state import RunningState
 from heronlug.lifecycle.transport import HttpTransport
 from heronlug.memory.account import MemoryAccount
+from heronlug.memory.limits import derive as derive_limits
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.listener import Listener
 from heronlug.requests.core import Core
 
-PROGRAM_MB = 24.0
-"""Memory of the program without requests, in MB."""
-MIN_BODIES_MB = 4.0
-"""Minimum memory for request bodies, in MB."""
-REQUESTS_PER_MB = 32
-"""Maximum number of open requests per MB of memory; a request takes a few KB in addition to its body."""
-RESERVED_DESCRIPTORS = 64
-"""File descriptors reserved for the event loop, the log, service discovery, the peers and the listeners."""
-MIN_CONNECTIONS = 16
-"""Minimum limit of client connections, and likewise of server connections."""
-
 LATE_CLIENT_CHECK_INTERVAL_S = 0.02
 """Interval between two checks whether clients that connected during the last tasks are served, in seconds."""
 
@@ -72,6 +62,7 @@
         self.deadline_loop = DeadlineLoop(log)
         self.turn = self.deadline_loop.turn
         self.clock = self.deadline_loop.clock
+        self.limits = derive_limits(config.memory_mb, config.sockets, config.max_open)
         self._make_backend()
         self._make_core()
         self._make_frontend()
@@ -90,7 +81,7 @@
             self.turn,
             conn_idle=config.conn_idle,
             dial_timeout=config.settings.dial_timeout,
-            max_connections=_max_connections(config),
+            max_connections=self.limits.connections,
         )
         self.discovery = DiscoveryService(config, self.backend, deadlines, self.log, self.turn)
         self.peer_messages = PeerMessages(config, deadlines, self.log, self.turn)
@@ -108,7 +99,7 @@
             log=self.log,
             subscribe=self.discovery.subscribe,
             send_peer_message=self.peer_messages.send,
-            max_open=min(config.max_open, int(config.memory_mb * REQUESTS_PER_MB)),
+            max_open=self.limits.open_requests,
             max_retry_after=config.max_come_back,
             has_unread_update=self.discovery.client.has_unread_update,
         )
@@ -123,13 +114,11 @@
     def _make_frontend(self) -> None:
         """Creates the HTTP frontend and the listener for clients."""
         config = self.config
-        bodies_mb = max(
-            MIN_BODIES_MB, (config.memory_mb - PROGRAM_MB) / 2
-        )  # half of the memory that remains besides the program
-        self.memory = MemoryAccount(int(bodies_mb * 1024 * 1024))
+        self.memory = MemoryAccount(self.limits.account_bytes)
         self.memory_monitor = MemoryMonitor(self.memory, config.memory_mb, self.deadline_loop.deadlines, self.log)
         self.readiness = Readiness(self.core, self.discovery.client, self.log)
-        self.frontend = HttpFrontend(self.readiness, config.settings, _max_connections(config), self.memory, self.turn)
+        self.frontend = HttpFrontend(self.readiness, config.settings, self.limits.connections, self.memory, self.turn)
+        self.memory.relieve = self.frontend.relieve_memory
         self.transport.frontend = self.frontend
         self.listener = Listener(Acceptor("clients", self.frontend.protocol, self.log))
         acceptor = self.listener.acceptor
@@ -232,6 +221,8 @@
             self.admin_listener.accept()
         gc.collect()
         gc.freeze()
+        if self.limits.missing_mb:
+            self.log("memory_limit_too_small", limit_mb=self.config.memory_mb, missing_mb=self.limits.missing_mb)
         self.memory_monitor.start()
         self.log("started", name=self.config.name, listen=":".join(map(str, self.config.listen)), pid=os.getpid())
         # A reload needs a running configuration, so earlier signals were only recorded.
@@ -325,11 +316,6 @@
         self.log("exception", where="loop", error=repr(error or context.get("message")), trace=trace)
 
 
-def _max_connections(config: Config) -> int:
-    """Returns the limit of client connections, and likewise of server connections, that the descriptors allow."""
-    return max(MIN_CONNECTIONS, (config.sockets - RESERVED_DESCRIPTORS) // 2)
-
-
 async def _serve(config: Config, files: Files, log: Log, desired: State, control_path: str) -> None:
     await Application(config, files, log).run(desired, control_path)
     ignore_signals(asyncio.get_running_loop())
--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -92,7 +92,7 @@
     ) -> None:
         """Adopts a request in progress; ``servers`` are the connections of its attempts in flight."""
         self._receive_room(room_of_request(len(servers), len(handover.request.body) + state.body_bytes))
-        self._frontend.body_memory.adopt(handover.request)
+        handover.request.hold_memory(self._frontend.memory)
         self._frontend.adopt(client, state, lambda connection: self._resume_request(connection, handover, servers))
 
     def _resume_request(
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -97,7 +97,7 @@
             Resource.CLIENTS: frontend.max_connections,
             Resource.SERVERS: backend.max_connections,
             Resource.REQUESTS: core.max_open,
-            Resource.BODY_BYTES: frontend.body_memory.limit,
+            Resource.BODY_BYTES: frontend.memory.limit,
         }
         self._shares = {resource: _Share(total) for resource, total in self._totals.items()}
         self._has_predecessor = False
@@ -176,7 +176,7 @@
             Resource.CLIENTS: clients + withheld,
             Resource.SERVERS: self._backend.open_count + SPARE_SERVER_CONNECTIONS + withheld,
             Resource.REQUESTS: self._core.requests.open_count + clients,
-            Resource.BODY_BYTES: self._frontend.body_memory.used + SPARE_BODIES * MAX_BODY,
+            Resource.BODY_BYTES: self._frontend.memory.used + SPARE_BODIES * MAX_BODY,
         }
 
     def _set_received(self, room: Room) -> None:
@@ -188,6 +188,6 @@
         self._frontend.max_connections = self._shares[Resource.CLIENTS].own
         self._backend.max_connections = self._shares[Resource.SERVERS].own
         self._core.max_open = self._shares[Resource.REQUESTS].own
-        self._frontend.body_memory.limit = self._shares[Resource.BODY_BYTES].own
+        self._frontend.memory.limit = self._shares[Resource.BODY_BYTES].own
         self._acceptor.look_again()
         self._backend.look_again()
--- a/heronlug/memory/account.py
+++ b/heronlug/memory/account.py
@@ -54,7 +54,7 @@
         refusals: Number of failed reservations by holder.
         used: Reserved bytes in total; exceeds the limit after :meth:`hold` or a lower limit.
         pressure: How much of the limit is in use.
-        relieve: Called with the missing bytes and with who needs them, to release memory that others hold.
+        relieve: Called with the missing bytes, with who needs memory and how much, to release what others hold.
         on_pressure: Called with the pressure before, after it has changed.
     """
 
@@ -76,7 +76,7 @@
         self.refusals: Counter[Holder] = Counter()
         self.used = 0
         self.pressure = Pressure.CALM
-        self.relieve: Callable[[int, object], None] = lambda size, requester: None
+        self.relieve: Callable[[int, object, int], None] = lambda missing, requester, size: None
         self.on_pressure: Callable[[Pressure], None] = lambda before: None
         self._limit = limit
         self._set_thresholds()
@@ -107,7 +107,7 @@
         """
         missing = self.used + size - int(self._limit * share)
         if missing > 0:
-            self.relieve(missing, requester)
+            self.relieve(missing, requester, size)
             if self.used + size > self._limit * share:
                 self.refusals[holder] += 1
                 raise MemoryShortError(holder, size)
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -6,5 +6,11 @@
 class Holder(StrEnum):
     """A kind of memory that others can cause; the values appear in metrics and logs."""
 
+    CLIENT_CONNECTIONS = "client_connections"
+    """Connections of clients, without what they have sent."""
+
+    CLIENT_INPUT = "client_input"
+    """Input of clients that is not a whole request yet: unparsed bytes, heads and bodies."""
+
     CLIENT_REQUESTS = "client_requests"
     """Whole requests of clients, waiting or being served."""
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -280,7 +280,7 @@
         config = self.application.config
         config.name, config.listen, config.zones, config.kinds = "d1", ("127.0.0.1", 80), ZONES, MACHINE_TYPES
         self.application.frontend.max_connections = self.application.backend.max_connections = 100
-        self.application.frontend.body_memory.limit, self.application.frontend.body_memory.used = 1_000_000, 0
+        self.application.frontend.memory.limit, self.application.frontend.memory.used = 1_000_000, 0
         self.application.frontend.adopting = 0
         self.application.listener.acceptor.opening = self.application.backend.open_count = 0
         self.application.listener.fileno.return_value, self.application.peers.fileno.return_value = self.descriptors()
--- a/tests/frontends/test_request_reader.py
+++ b/tests/frontends/test_request_reader.py
@@ -20,9 +20,6 @@
     def head_complete(self, expects_continue: bool) -> None:
         pass
 
-    def body_received(self, request: HttpRequest, size: int) -> None:
-        pass
-
     def request_complete(self, request: HttpRequest) -> None:
         pass
 
--- a/tests/lifecycle/test_memory_monitor.py
+++ b/tests/lifecycle/test_memory_monitor.py
@@ -51,7 +51,7 @@
     account = MemoryAccount(100)
     large, small = Reservation(account, HOLDER), Reservation(account, HOLDER)
     large.grow(95)
-    account.relieve = lambda size, requester: large.release()
+    account.relieve = lambda missing, requester, size: large.release()
     small.grow(10, requester=small)
     assert (large.size, small.size, account.used) == (0, 10, 10)
 
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -24,7 +24,7 @@
     """Returns the limits of one process, and the mock of its parts."""
     parts = MagicMock()
     parts.max_connections = parts.max_open = TOTAL
-    parts.body_memory.limit, parts.body_memory.used, parts.opening = 64 * TOTAL * 1024, 0, 0
+    parts.memory.limit, parts.memory.used, parts.opening = 64 * TOTAL * 1024, 0, 0
     parts.adopting = 0
     parts.requests.open_count, parts.connections, parts.requests.__len__.return_value = 0, [], 0
     return SharedLimits(parts, MagicMock(max_connections=TOTAL, open_count=0), parts, parts), parts
@@ -83,7 +83,7 @@
     limits, parts = make_limits()
     limits.give(room_of_request(3, 5000))
     assert parts.max_connections == TOTAL - 1
-    assert cast(int, parts.body_memory.limit) == 64 * TOTAL * 1024 - 5000
+    assert cast(int, parts.memory.limit) == 64 * TOTAL * 1024 - 5000
     assert limits.unneeded()[Resource.REQUESTS] == TOTAL - 1
 
 
