Give freed memory back to the system

Callers saw: after a crowd the process kept what it had needed for it, 11 to 88 MB in 8 s of half bodies, queued bodies and small chunks, so that the next crowd met a process that was already near its limit.

Cause: the C library keeps freed memory in the heap unless it lies at its end, and raises the size from which an allocation gets pages of its own to the largest that was freed. A second arena for the log's thread keeps its own.

Fix: allocations from 32 KB on get pages of their own, which go back when they are freed; one arena; and when 2 MB more are resident than the program and the account explain, all free pages are given back, at most every 2 s (mallopt and malloc_trim of glibc, nothing with another C library).

--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -41,6 +41,7 @@
 from heronlug.lifecycle.readiness import Readiness
 from heronlug.lifecycle.running_state import RunningState
 from heronlug.lifecycle.transport import HttpTransport
+from heronlug.memory import allocator
 from heronlug.memory.account import MemoryAccount
 from heronlug.memory.limits import derive as derive_limits
 from heronlug.net.acceptor import Acceptor
@@ -327,6 +328,7 @@
     Returns:
         The exit status: 2 if an address cannot be bound or the desired state cannot be reached, else 0.
     """
+    allocator.configure()
     log = Log(level=cast(str, desired["log_level"]))
     try:
         uvloop.run(_serve(config, files, log, desired, control_path))
