Close connections without a whole request before those that rest between two

Callers saw: at the limit of connections well-behaved clients had kept connections closed for new ones, or waited seconds, while others that had never sent a whole request kept theirs; 181 clients with half a request got neither an error nor a close for 3 s, because they waited in the queue of the listener.

Cause: a connection with any unanswered input was never evicted, so half a request protected it for 2.5 s, and the idle connection of a client that had just been answered went in its place.

Fix: a client that has never sent a whole request is evicted first, the oldest first, after 0.1 s; if a part has come, it gets 408 before the close. Then connections that have stalled in a later request for 0.5 s, then those with health checks only, and at last those that have rested for 0.5 s or more since their answer; until then the new client waits in the queue.

Open: beside such a crowd a new client that writes slowly is closed too, since nothing tells it from the crowd.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -45,6 +45,9 @@
 EXCESS_TIMEOUT_MS = 2_500.0
 """Time for which a client may have more requests sent than may wait, before those that wait are refused."""
 
+MAX_TRANSIT_MS = 500.0
+"""Time after which the rest of a request no longer counts as being in transit if room is needed, in ms."""
+
 LINGER_MS = 500.0
 """Time for a client to read the last response.
 
@@ -122,6 +125,7 @@
         has_sent_request: Whether the client has sent a complete request, including health checks.
         opened_at: Time at which the connection was opened, in ms.
         rank: Rank in the eviction order; None if the connection is not in the order.
+        ranked_at: Time at which the connection got its rank, in ms.
     """
 
     def __init__(
@@ -140,6 +144,7 @@
         self._sent_continue = False
         self.opened_at = frontend.deadlines.clock()
         self.rank: EvictionRank | None = None
+        self.ranked_at = 0.0
         self._frontend = frontend
         self._on_connected = on_connected
         self._state = ConnectionState.IDLE
@@ -271,6 +276,11 @@
         """Returns the time since the connection was opened, in ms."""
         return self._frontend.deadlines.clock() - self.opened_at
 
+    @property
+    def is_reading_request(self) -> bool:
+        """Returns whether a part of a request has been read."""
+        return self._reader.reading
+
     @property
     def unfinished_bytes(self) -> int:
         """Returns the memory of what the client has sent besides whole requests, in bytes."""
@@ -288,6 +298,23 @@
             return True
         return self.transport is not None and has_unread_input(self.transport)
 
+    @property
+    def is_evictable(self) -> bool:
+        """Returns whether nothing is owed to the client, and no request may be in transit.
+
+        A request of which a part has come is not owed an answer; it gets an error.
+        """
+        match self.rank:
+            case EvictionRank.REJECTED:
+                return True
+            case EvictionRank.UNFINISHED:
+                expected = self.age_ms < MAX_TRANSIT_MS and not self._input.gate.paused
+                return not (expected and self.transport is not None and has_unread_input(self.transport))
+            case EvictionRank.STALLED:
+                return self._frontend.deadlines.clock() - self._reading_since >= MAX_TRANSIT_MS
+            case _:
+                return not self.has_unanswered_input
+
     @property
     def client_connected(self) -> bool:
         """Returns whether the client has not closed its side of the connection."""
@@ -313,6 +340,17 @@
         """Rejects the unfinished request, because memory is short."""
         self._reject(BodyMemoryExhaustedError())
 
+    def evict(self, reason: CloseReason) -> None:
+        """Ends the connection because its room is needed; a client that has sent a part of a request gets an error."""
+        if self.closing or not self._reader.reading or self.transport is None:
+            self.abort(reason)
+            return
+        self._set_close_reason(reason)
+        self._reject(IncompleteRequestError())
+        if not has_unread_input(self.transport):
+            self._frontend.connection_aborted(self)
+            self._close(self.transport, reason)
+
     def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection if it is idle and has no unanswered input."""
         if self._state is ConnectionState.IDLE and not self.has_unanswered_input and self.transport is not None:
@@ -450,6 +488,8 @@
             self.abort(CloseReason.EXCEPTION)
         else:
             continues = self._reader.reading and self._reader.request is request
+            if self._reader.reading and self._state is ConnectionState.IDLE:
+                self._frontend.connection_idle(self)
             if continues and not self._pipeline and not self._input.gate.paused:
                 return
             self._serve_next()
--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -1,6 +1,7 @@
 """Selects the client connection to close when the process runs short of file descriptors.
 
-The order protects ordinary clients from hundreds of connections that send nothing or only a single health check.
+The order protects ordinary clients from hundreds of connections that send nothing, a part of a request or only a single
+health check.
 """
 
 from collections.abc import Callable
@@ -11,6 +12,9 @@
 NEW_CONNECTION_GRACE_MS = 100.0
 """Time after the connect during which the first request of a connection may still be in transit."""
 
+MIN_IDLE_MS = 500.0
+"""Time since its last answer for which a served connection is not evicted, because its next request may come soon."""
+
 CANDIDATES_PER_RANK = 8
 """Number of connections per rank that are examined for an evictable connection."""
 
@@ -21,16 +25,19 @@
     REJECTED = 0
     """The last response, usually an error for an invalid request, is written and the connection lingers."""
 
-    SILENT = 1
-    """The client has never sent a complete request."""
+    UNFINISHED = 1
+    """The client has never sent a complete request; it may have sent a part of one."""
+
+    STALLED = 2
+    """A request has been served, and a part of another one has been read."""
 
-    HEALTH_CHECKED = 2
+    HEALTH_CHECKED = 3
     """The connection is idle and has carried only health checks."""
 
-    SERVED = 3
+    SERVED = 4
     """The connection is idle and has carried a request for a server."""
 
-    BUSY = 4
+    BUSY = 5
     """A request is being served; the connection is never evicted."""
 
 
@@ -41,19 +48,21 @@
         handle: Handle of the connection in the frontend's connection table.
         opened_at: Time at which the connection was opened, in ms.
         rank: Current rank; None if the connection is not in the order.
+        ranked_at: Time at which the connection got its rank, in ms.
     """
 
     handle: int
     opened_at: float
     rank: EvictionRank | None
+    ranked_at: float
 
     @property
     def closing(self) -> bool:
         """Returns whether the connection has stopped serving requests."""
 
     @property
-    def has_unanswered_input(self) -> bool:
-        """Returns whether the client has sent unanswered input."""
+    def is_evictable(self) -> bool:
+        """Returns whether nothing is owed to the client, and no request may be in transit."""
 
 
 Connection = TypeVar("Connection", bound=Evictable)
@@ -76,35 +85,38 @@
         if connection.closing and rank is not EvictionRank.REJECTED:
             rank = None
         connection.rank = rank
+        connection.ranked_at = self._clock()
         if rank is not None:
             self._by_rank[rank][connection.handle] = connection
 
     def first(self) -> Connection | None:
         """Returns the connection to evict, or None.
 
-        A silent connection is not evicted within ``NEW_CONNECTION_GRACE_MS`` of its connect, because its first request
-        may still be in transit. Served connections are kept until its grace is over.
+        An unfinished connection is not evicted within ``NEW_CONNECTION_GRACE_MS`` of its connect, because its first
+        request may still be in transit. Served connections are kept until its grace is over, and for ``MIN_IDLE_MS``.
         """
-        silent = self._first_of(EvictionRank.SILENT)
-        in_grace = silent is not None and self._clock() - silent.opened_at < NEW_CONNECTION_GRACE_MS
+        unfinished = self._first_of(EvictionRank.UNFINISHED)
+        in_grace = unfinished is not None and self._clock() - unfinished.opened_at < NEW_CONNECTION_GRACE_MS
         return (
             self._first_of(EvictionRank.REJECTED)
-            or (None if in_grace else silent)
+            or (None if in_grace else unfinished)
+            or self._first_of(EvictionRank.STALLED)
             or self._first_of(EvictionRank.HEALTH_CHECKED)
-            or (None if in_grace else self._first_of(EvictionRank.SERVED))
+            or (None if in_grace else self._first_idle())
         )
 
     @property
     def all_served(self) -> bool:
         """Returns whether every connection carries a request or has carried one."""
-        unserved = (EvictionRank.REJECTED, EvictionRank.SILENT, EvictionRank.HEALTH_CHECKED)
+        unserved = (EvictionRank.REJECTED, EvictionRank.UNFINISHED, EvictionRank.HEALTH_CHECKED)
         return not any(self._by_rank[rank] for rank in unserved)
 
+    def _first_idle(self) -> Connection | None:
+        connection = self._first_of(EvictionRank.SERVED)
+        if connection is None or self._clock() - connection.ranked_at < MIN_IDLE_MS:
+            return None
+        return connection
+
     def _first_of(self, rank: EvictionRank) -> Connection | None:
         candidates = islice(self._by_rank[rank].values(), CANDIDATES_PER_RANK)
-        evictable = (
-            connection
-            for connection in candidates
-            if rank is EvictionRank.REJECTED or not connection.has_unanswered_input
-        )
-        return next(evictable, None)
+        return next((connection for connection in candidates if connection.is_evictable), None)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -123,8 +123,10 @@
         self.connection_idle(connection)
 
     def connection_idle(self, connection: ClientConnection) -> None:
-        """Sets the eviction rank of a connection on which no request is being served."""
-        self.rank_for_eviction(connection, _idle_rank(connection))
+        """Sets the eviction rank of a connection on which no request is being served; its age in the rank stays."""
+        rank = _idle_rank(connection)
+        if rank is not connection.rank or rank is EvictionRank.SERVED:
+            self.rank_for_eviction(connection, rank)
 
     def connection_aborted(self, connection: ClientConnection) -> None:
         """Records that a connection is about to be closed; its descriptor is free once it is closed."""
@@ -188,7 +190,7 @@
         return len(self.connections) + opening + self.adopting + self.arriving() < self.max_connections
 
     def make_room(self, opening: int) -> bool:
-        """Aborts a connection that owes nothing; returns False if there is none.
+        """Ends a connection that owes nothing; returns False if there is none.
 
         While connections are being closed or opened, no further one is aborted: the former make room, and the latter
         are the first to go.
@@ -204,7 +206,7 @@
     def _evict(self, reason: CloseReason) -> bool:
         connection = self._eviction_order.first()
         if connection is not None:
-            connection.abort(reason)
+            connection.evict(reason)
         return connection is not None
 
     def close_idle(self) -> None:
@@ -312,5 +314,7 @@
 def _idle_rank(connection: ClientConnection) -> EvictionRank:
     """Returns the eviction rank of a connection on which no request is being served."""
     if not connection.has_sent_request:
-        return EvictionRank.SILENT
+        return EvictionRank.UNFINISHED
+    if connection.is_reading_request:
+        return EvictionRank.STALLED
     return EvictionRank.SERVED if connection.requests_accepted else EvictionRank.HEALTH_CHECKED
--- a/tests/frontends/test_eviction.py
+++ b/tests/frontends/test_eviction.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from heronlug.frontends.http.eviction import NEW_CONNECTION_GRACE_MS, EvictionOrder, EvictionRank
+from heronlug.frontends.http.eviction import MIN_IDLE_MS, NEW_CONNECTION_GRACE_MS, EvictionOrder, EvictionRank
 
 
 @dataclass(eq=False)
@@ -12,15 +12,18 @@
     handle: int
     opened_at: float = 0.0
     rank: EvictionRank | None = None
+    ranked_at: float = 0.0
     closing: bool = False
-    has_unanswered_input: bool = False
+    is_evictable: bool = True
 
 
 def eviction_order(now: float, *connections: tuple[Connection, EvictionRank]) -> EvictionOrder[Connection]:
-    """Returns an eviction order at time ``now``, in ms, with each connection in its rank."""
-    order: EvictionOrder[Connection] = EvictionOrder(lambda: now)
+    """Returns an eviction order at time ``now``, in ms, with each connection in its rank for ``MIN_IDLE_MS``."""
+    time_ms = now - MIN_IDLE_MS
+    order: EvictionOrder[Connection] = EvictionOrder(lambda: time_ms)
     for connection, rank in connections:
         order.move(connection, rank)
+    time_ms = now
     return order
 
 
@@ -30,7 +33,7 @@
     ranked = [
         (served, EvictionRank.SERVED),
         (checked, EvictionRank.HEALTH_CHECKED),
-        (silent, EvictionRank.SILENT),
+        (silent, EvictionRank.UNFINISHED),
     ]
     order = eviction_order(NEW_CONNECTION_GRACE_MS, *ranked)
     for expected in (silent, checked, served):
@@ -43,7 +46,7 @@
     """Guards against closing a new connection whose first request is still in transit, or a served one in its place."""
     silent, checked, served = Connection(1), Connection(2), Connection(3)
     ranked = [
-        (silent, EvictionRank.SILENT),
+        (silent, EvictionRank.UNFINISHED),
         (checked, EvictionRank.HEALTH_CHECKED),
         (served, EvictionRank.SERVED),
     ]
@@ -59,7 +62,7 @@
 
 def test_connection_with_unanswered_input_is_not_evicted() -> None:
     """Guards against closing a connection whose request has arrived but is unread or being served."""
-    waiting, idle = Connection(1, has_unanswered_input=True), Connection(2)
+    waiting, idle = Connection(1, is_evictable=False), Connection(2)
     assert eviction_order(0.0, (waiting, EvictionRank.SERVED), (idle, EvictionRank.SERVED)).first() is idle
     assert eviction_order(0.0, (Connection(1), EvictionRank.BUSY)).first() is None
 
@@ -72,3 +75,27 @@
     assert order.first() is None
     order.move(connection, EvictionRank.REJECTED)
     assert order.first() is connection
+
+
+def test_connection_that_was_just_served_is_not_evicted() -> None:
+    """Guards against closing the connection of a client that sends one request after another, for a new one."""
+    recent, resting = Connection(1), Connection(2)
+    order = eviction_order(0.0, (recent, EvictionRank.SERVED), (resting, EvictionRank.SERVED))
+    order.move(recent, EvictionRank.SERVED)
+    assert order.first() is resting
+    order.move(resting, None)
+    assert order.first() is None
+
+
+def test_part_of_a_request_is_evicted_before_a_whole_one_was_served_and_rests() -> None:
+    """Guards against closing an idle client while others hold connections with halves of requests."""
+    served, stalled, unfinished = Connection(1), Connection(2), Connection(3)
+    ranked = [
+        (served, EvictionRank.SERVED),
+        (stalled, EvictionRank.STALLED),
+        (unfinished, EvictionRank.UNFINISHED),
+    ]
+    order = eviction_order(NEW_CONNECTION_GRACE_MS, *ranked)
+    for expected in (unfinished, stalled, served):
+        assert order.first() is expected
+        order.move(expected, None)
