Remember the ids of requests that may have run, in both processes of an upgrade

Cause: an id was known only while its request was open. Once its client had left, or it was answered or handed over, nothing kept a second request with it from being sent.

Fix: PastRequests (heronlug/requests/past_requests.py) keeps a typed record of each id that may have run: effect, time and server of the first transmission, for the longest of the class's deadline and window plus 1 s. once: 'failed' (500), unless no attempt can have run; an attempt that was cancelled before its last byte was written counts as that. By key: it runs again inside the window, which counts from the first transmission, as one more attempt after that one, else 'failed'. Records pass to a new process with its state, and each later one to all connected processes; the ids that a killed process had open are remembered as possibly run. Room for its record (500 bytes, at most a quarter of the account) is reserved when a request is accepted; without room a once or keyed request is refused (no_record), and no record is forgotten early. Older processes ignore the new key of the update.

Open: a process that was killed without another beside it takes its records along, and another dispatcher never had them.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -256,6 +256,11 @@
         """Returns whether nothing of the request has been written, because the dial is in progress."""
         return self.state is ConnectionState.CONNECTING
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Returns whether a byte of the request has not been given to the system, so that it cannot have run."""
+        return self.is_unsent or bool(self._withheld_byte) or self._has_unwritten_bytes
+
     def can_hand_over(self) -> bool:
         """Returns whether another process can continue to read the response.
 
--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -105,6 +105,7 @@
         connection = attempt.exchange
         attempt.exchange = None
         if connection is not None:
+            attempt.incomplete = connection.is_incomplete
             connection.cancel()
 
     def adopt(self, attempt: Attempt, sock: socket.socket, answered: bool, last: bool) -> None:
--- a/heronlug/backends/waiting_attempts.py
+++ b/heronlug/backends/waiting_attempts.py
@@ -30,6 +30,11 @@
         """Returns True: nothing of the request has been written."""
         return True
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Returns True: the request cannot have run."""
+        return True
+
     def detach(self) -> None:
         """Removes the attempt from the queue, because another process sends the request."""
         self._queue.remove(self)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -265,6 +265,10 @@
             request.release_memory()
             self.core.count_answer(request.class_index, FinalAnswer.FAILED)
             raise DuplicateRequestIdError
+        past = self.core.requests.past.find(request.request_id)
+        if past is not None and not self.core.may_repeat(past, request.class_index):
+            self._fail_repeat(connection, request)
+            return
         connection.requests_accepted += 1
         if connection.requests_accepted == 1:
             self.last_client_at = self.deadlines.clock()
@@ -275,6 +279,7 @@
             request_id=request.request_id,
             size=len(request.body),
             workload=request.workload,
+            past=past,
         )
         if not accepted.closed:
             connection.open_request = accepted
@@ -293,6 +298,14 @@
         connection: AnswerableConnection | None = request.payload.connection
         return connection is None or connection.client_connected
 
+    def _fail_repeat(self, connection: ClientConnection, request: HttpRequest) -> None:
+        """Answers a request whose id belongs to one that may have run, and that must not run again."""
+        self.log("repeat_failed", id=request.request_id, client=connection.client_address)
+        self.core.count_answer(request.class_index, FinalAnswer.FAILED)
+        keep_alive = self._keeps_alive(request, connection)
+        request.release_memory()
+        connection.answer(responses.final_response(FinalAnswer.FAILED, b"", 0.0, close=not keep_alive), keep_alive)
+
     def _answer_health_check(self, connection: ClientConnection, request: HttpRequest) -> None:
         keep_alive = self._keeps_alive(request, connection)
         request.release_memory()
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -64,6 +64,8 @@
         self.turn = self.deadline_loop.turn
         self.clock = self.deadline_loop.clock
         self.limits = derive_limits(config.memory_mb, config.sockets, config.max_open)
+        self.memory = MemoryAccount(self.limits.account_bytes)
+        self.memory_monitor = MemoryMonitor(self.memory, config.memory_mb, self.deadline_loop.deadlines, log)
         self._make_backend()
         self._make_core()
         self._make_frontend()
@@ -103,6 +105,7 @@
             max_open=self.limits.open_requests,
             max_retry_after=config.max_come_back,
             has_unread_update=self.discovery.client.has_unread_update,
+            memory=self.memory,
         )
         self.backend.core = self.core
         self.discovery.core = self.core
@@ -115,8 +118,6 @@
     def _make_frontend(self) -> None:
         """Creates the HTTP frontend and the listener for clients."""
         config = self.config
-        self.memory = MemoryAccount(self.limits.account_bytes)
-        self.memory_monitor = MemoryMonitor(self.memory, config.memory_mb, self.deadline_loop.deadlines, self.log)
         self.readiness = Readiness(self.core, self.discovery.client, self.log)
         self.frontend = HttpFrontend(self.readiness, config.settings, self.limits.connections, self.memory, self.turn)
         self.memory.relieve = self.frontend.relieve_memory
@@ -144,6 +145,7 @@
         self.state_transfer = StateTransfer(self, deadlines, os.environ.get("TMPDIR"))
         self.core.answer_by = self._answer_by
         self.core.requests.on_id_changed = self.state_transfer.request_id_changed
+        self.core.requests.past.on_recorded = self.state_transfer.request_recorded
         self.hot_restart = self.state_transfer.session
         self.peer_messages.hot_restart = self.hot_restart
         self.readiness.shutdown = self.shutdown
--- a/heronlug/lifecycle/hot_restart/messages.py
+++ b/heronlug/lifecycle/hot_restart/messages.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from heronlug.balancer.events import AttemptSnapshot
-from heronlug.balancer.settings import RequestClass
+from heronlug.balancer.settings import Effect, RequestClass
 from heronlug.config.limits import model
 from heronlug.discovery.endpoint_list import write_list
 from heronlug.frontends.http.client_state import ClientState
@@ -21,6 +21,7 @@
 from heronlug.lifecycle.hot_restart.errors import IncompatiblePeerError, MalformedMessageError
 from heronlug.lifecycle.hot_restart.shared_limits import Resource, Room
 from heronlug.requests.model import ListedServer
+from heronlug.requests.past_requests import PastRequest
 
 VERSION = 1
 """Version of the messages; processes with different versions restart without a handover."""
@@ -200,6 +201,15 @@
     return {"kind": MessageKind.REQUEST_UPDATE, "ended": [request_id]}
 
 
+def past_requests(records: Iterable[PastRequest]) -> Message:
+    """Returns the update with requests that may have run and are not open any more."""
+    rows = [
+        [each.request_id, each.effect and each.effect.value, each.first_sent_at, each.server, each.forget_at]
+        for each in records
+    ]
+    return {"kind": MessageKind.REQUEST_UPDATE, "past": rows}
+
+
 def slot_counts(content: bytes) -> Message:
     """Returns the update with ``content``, a peer message of the slots in flight."""
     return {"kind": MessageKind.REQUEST_UPDATE, "counts": content.hex()}
@@ -215,6 +225,7 @@
         counts: A peer message with the slots in flight of the other process; None if the update has no counts.
         features: Names of the features of the other process; empty if the update names none.
         clock_offset_ns: Difference of the clock of the other process to the monotonic clock, in ns; None if unknown.
+        past: Requests of the other process that may have run.
     """
 
     opened: tuple[str, ...]
@@ -222,6 +233,7 @@
     counts: bytes | None
     features: frozenset[str] = frozenset()
     clock_offset_ns: int | None = None
+    past: tuple[PastRequest, ...] = ()
 
     @classmethod
     def decode(cls, message: Message) -> "RequestUpdate":
@@ -230,7 +242,9 @@
         features = frozenset(_strings(message.get("features")))
         clock = message.get("clock_ns")
         clock_offset_ns = int(clock) if clock is not None else None
-        return cls(_strings(message.get("opened")), _strings(message.get("ended")), counts, features, clock_offset_ns)
+        past = tuple(_read_past_request(*row) for row in message.get("past", ()))
+        opened, ended = _strings(message.get("opened")), _strings(message.get("ended"))
+        return cls(opened, ended, counts, features, clock_offset_ns, past)
 
 
 @dataclass(frozen=True)
@@ -365,6 +379,19 @@
         }
 
 
+def _read_past_request(
+    request_id: object, effect: object, first_sent_at: float | None, server: object, forget_at: float
+) -> PastRequest:
+    """Returns a record; raises ``TypeError`` or ``ValueError`` if a value is invalid."""
+    return PastRequest(
+        str(request_id),
+        Effect(effect) if effect is not None else None,
+        float(first_sent_at) if first_sent_at is not None else None,
+        str(server),
+        float(forget_at),
+    )
+
+
 def _read_exchange(table: dict[str, Any]) -> ExchangeState:
     return ExchangeState(answered=table.get("answered") is True, last=table.get("last") is True)
 
--- a/heronlug/lifecycle/hot_restart/session.py
+++ b/heronlug/lifecycle/hot_restart/session.py
@@ -35,6 +35,9 @@
     def state(self) -> tuple[Message, list[int]]:
         """Returns the state message for a new process and the descriptors of the sockets that accompany the message."""
 
+    def past_requests(self) -> list[Message]:
+        """Returns the updates with the requests that may have run, for a new process."""
+
     def successor_serves(self) -> None:
         """Pauses the listener and closes the peer socket, since the successor now uses both sockets."""
 
@@ -179,6 +182,11 @@
 
     # -- new and old process
 
+    @property
+    def has_connected_process(self) -> bool:
+        """Returns whether another process of this dispatcher is connected."""
+        return bool(self._connected_processes())
+
     def send_request_update(self, message: Message) -> None:
         """Sends an update on the requests of this process to every connected process."""
         for process in self._connected_processes():
@@ -265,6 +273,8 @@
             messages.check_hello(message, self._name)
             state, sockets = self._handler.state()
             process.send(state, sockets)
+            for update in self._handler.past_requests():
+                process.send(update)
         elif kind == MessageKind.SERVING and self.successor is None:
             self._joining.discard(process)
             self.successor = process
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -26,11 +26,14 @@
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Clock, Deadlines
 from heronlug.requests.model import ListedServer
+from heronlug.requests.past_requests import PastRequest
 
 JOIN_RETRY_MS = 4000.0
 """Time for which a new process tries to reach the process that listens on its address, in ms: until its kill."""
 JOIN_RETRY_INTERVAL_S = 0.05
 """Delay before another attempt to reach that process, in seconds."""
+RECORDS_PER_MESSAGE = 500
+"""Maximum number of past requests in one message."""
 ROOM_TIMEOUT_MS = 1000.0
 """Time after which a new process no longer waits for room of the predecessor's limits, in ms."""
 
@@ -213,6 +216,14 @@
         )
         return state.encode(), list(open_sockets.values())
 
+    def past_requests(self) -> list[Message]:
+        """Returns the updates with the requests that may have run, for a new process."""
+        records = list(self._parts.core.requests.past)
+        return [
+            messages.past_requests(records[begin : begin + RECORDS_PER_MESSAGE])
+            for begin in range(0, len(records), RECORDS_PER_MESSAGE)
+        ]
+
     def successor_serves(self) -> None:
         """Hands idle clients over to the successor; requests in progress end in this process unless a stop begins."""
         self._parts.listener.pause()
@@ -283,6 +294,8 @@
         """Applies a request update."""
         core = self._parts.core
         core.requests.peer_process_ids.update(update.opened)
+        for record in update.past:
+            core.requests.past.add(record)
         core.requests.peer_process_ids.difference_update(update.ended)
         if update.counts is not None:
             core.peer_message(core.settings.position, update.counts)
@@ -309,6 +322,11 @@
         make_update = messages.request_opened if opened else messages.request_ended
         self.session.send_request_update(make_update(request_id))
 
+    def request_recorded(self, record: PastRequest) -> None:
+        """Notifies the other processes that a request may have run and is not open any more."""
+        if self.session.has_connected_process:
+            self.session.send_request_update(messages.past_requests([record]))
+
     def _uses_peer_socket(self) -> bool:
         return not self.session.handed_over
 
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -14,3 +14,6 @@
 
     CLIENT_REQUESTS = "client_requests"
     """Whole requests of clients, waiting or being served."""
+
+    PAST_REQUESTS = "past_requests"
+    """Ids of requests that may have run, and room for those of open requests."""
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -36,11 +36,13 @@
     TimerFired,
 )
 from heronlug.balancer.settings import Effect, RequestClass, Settings
+from heronlug.memory.account import MemoryAccount
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.event_queue import EventQueue
 from heronlug.requests.handover import RequestHandover, arrival_event
 from heronlug.requests.interfaces import EventLog, Plugins, Transport, log_nothing
 from heronlug.requests.model import Attempt, FinalAnswer, ListedServer, RejectReason, Request, Workload
+from heronlug.requests.past_requests import PastRequest, may_run_again
 from heronlug.requests.request_table import RequestTable
 from heronlug.requests.server_directory import ServerDirectory
 from heronlug.requests.slots import SlotTable
@@ -48,6 +50,9 @@
 POSTPONED_MS = 5.0
 """Delay before a postponed attempt checks again whether the update of the endpoint list has been read, in ms."""
 
+UNLIMITED = 1 << 62
+"""Limit of an account of memory that is never reached, in bytes."""
+
 MAX_OPEN = 20_000
 """Default limit of open requests, for callers that pass no other limit."""
 
@@ -90,6 +95,7 @@
         max_retry_after: float = 0.0,
         plugins: Plugins | None = None,
         has_unread_update: Callable[[], bool] = lambda: False,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Creates a core without any servers.
 
@@ -105,11 +111,12 @@
             max_retry_after: Limit of the Retry-After of rejections, in ms; rejections carry half of the limit.
             plugins: Plug-ins that may reject requests and that observe final answers.
             has_unread_update: Returns whether an update of the endpoint list has arrived that has not been read yet.
+            memory: Account of the memory of past requests; None for one without a limit.
         """
         self.settings, self.transport, self.deadlines = settings, transport, deadlines
         self.plugins = plugins
         self.directory = ServerDirectory()
-        self.requests = RequestTable(deadlines)
+        self.requests = RequestTable(deadlines, memory or MemoryAccount(UNLIMITED))
         self.attempts: SlotTable[Attempt] = SlotTable()
         self.has_unread_update = has_unread_update
         self.max_open = max_open
@@ -140,6 +147,7 @@
         size: int = 0,
         policy: RequestClass | None = None,
         workload: Workload | None = None,
+        past: PastRequest | None = None,
     ) -> Request:
         """Accepts a request, which gets exactly one final answer from now on, possibly within this call.
 
@@ -151,6 +159,7 @@
             size: Size of the body in bytes.
             policy: Request class with the limits of an earlier acceptance; None for the limits that apply now.
             workload: Work of the request as stated by the client; None if the client states nothing.
+            past: Earlier request with the same id that may have run; its transmission counts as an attempt of this one.
         """
         now = self.deadlines.clock()
         policy = policy or self.settings.classes[class_index]
@@ -166,10 +175,21 @@
         reason = self._reason_to_reject(request, now, remaining, size)
         if reason is not None:
             self._close(request, FinalAnswer.REFUSED, b"", self._retry_after, reason.value)
+        elif past is not None and past.first_sent_at is not None:
+            self.handover.repeat(request, past.server, past.first_sent_at, workload)
         else:
             self.events.handle(arrival_event(request, workload))
         return request
 
+    def may_repeat(self, past: PastRequest, class_index: int) -> bool:
+        """Returns whether a request of a class may run although an earlier one with the same id may have run.
+
+        A repeat by key needs the server of the earlier transmission, which determines where repeats are dropped.
+        """
+        policy = self.settings.classes[class_index]
+        known_server = policy.effect is Effect.IDEMPOTENT or self.directory.knows(past.server)
+        return known_server and may_run_again(past, policy, self.deadlines.clock())
+
     def _reason_to_reject(self, request: Request, now: float, remaining: float, size: int) -> RejectReason | None:
         """Returns the reason to reject a request without asking the balancer; None if the balancer decides."""
         if request.give_up_at <= now:
@@ -178,6 +198,9 @@
             return RejectReason.TOO_MANY_OPEN
         if self.plugins is not None and not self.plugins.admit(request.class_index, remaining, size):
             return RejectReason.NOT_ADMITTED
+        if request.request_id and not self.requests.past.reserve(request.policy):
+            return RejectReason.NO_RECORD
+        request.holds_record = bool(request.request_id) and request.policy.effect is not Effect.IDEMPOTENT
         return None
 
     def use_classes(self, classes: tuple[RequestClass, ...]) -> None:
@@ -262,7 +285,8 @@
         if not attempt.in_flight:
             return
         attempt.request.keep()
-        attempt.in_flight, attempt.may_have_run = False, outcome not in NEVER_RAN
+        attempt.in_flight = False
+        attempt.may_have_run = outcome not in NEVER_RAN and not attempt.incomplete
         self.attempts.remove(attempt.handle)
         request, now = attempt.request, self.deadlines.clock()
         elapsed = round(now - attempt.sent_at, 1)
@@ -303,7 +327,11 @@
         self.events.handle(PeerMessage(peer, content))
 
     def peer_process_ended(self) -> None:
-        """Discards the state of the other process of this dispatcher, which has ended."""
+        """Discards the state of the other process of this dispatcher, which has ended.
+
+        The requests that it still had may have run.
+        """
+        self.requests.past.add_unknown(self.requests.peer_process_ids, self.settings.classes)
         self.requests.peer_process_ids.clear()
         # The load of the other process is recorded under this dispatcher's own position, which no peer has.
         self.events.handle(PeerGone(self.settings.position))
--- a/heronlug/requests/handover.py
+++ b/heronlug/requests/handover.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from heronlug.balancer.events import AttemptSnapshot, ListKind, RequestAdopted, RequestArrived, RequestHandedOver
+from heronlug.balancer.settings import Effect
 from heronlug.requests.interfaces import EventLog
 from heronlug.requests.model import Attempt, ListedServer, Request, Workload
 
@@ -45,6 +46,8 @@
             not_before: Time at which the backoff of the request ends; 0 if there is none.
         """
         self._core.requests.add(request, self._core.time_out)
+        self._core.requests.past.hold(request.policy)
+        request.holds_record = request.policy.effect is not Effect.IDEMPOTENT
         snapshots = [self._restore_attempt(request, entry, snapshot) for entry, snapshot in handed_over]
         self._log(
             "request_adopted",
@@ -57,6 +60,22 @@
         arrival = arrival_event(request, workload)
         self._core.events.handle(RequestAdopted(arrival, request.accepted_at, tuple(snapshots), not_before))
 
+    def repeat(self, request: Request, server: str, sent_at: float, workload: Workload | None) -> None:
+        """Continues an accepted request with the transmission of an earlier one with the same id, which may have run.
+
+        Args:
+            request: Request that is in the table already.
+            server: Name of the server of the earlier transmission, which is known.
+            sent_at: Time of that transmission, in ms.
+            workload: Work of the request as stated by the client.
+        """
+        entry = self._core.directory.by_number[self._core.directory.number_of(server)].entry
+        earlier = AttemptSnapshot(0, sent_at, False, False, True, sent_at)
+        snapshot = self._restore_attempt(request, entry, earlier)
+        self._log("request_repeated", message=request.handle, id=request.request_id, host=server)
+        arrival = arrival_event(request, workload)
+        self._core.events.handle(RequestAdopted(arrival, request.accepted_at, (snapshot,)))
+
     def _restore_attempt(self, request: Request, entry: ListedServer, snapshot: AttemptSnapshot) -> AttemptSnapshot:
         """Adds an attempt of another process to a request; returns its snapshot with the number of the server."""
         core = self._core
@@ -88,6 +107,7 @@
         self._log("request_handed_over", message=request.handle, id=request.request_id, hosts=request.hosts_in_flight)
         self.handed_over += 1
         request.client_gone = True
+        request.continued_elsewhere = True
         self._core.requests.count_closed()
         for attempt in request.attempts:
             if attempt.in_flight:
--- a/heronlug/requests/model.py
+++ b/heronlug/requests/model.py
@@ -33,6 +33,9 @@
     NOT_ADMITTED = "not_admitted"
     """A plug-in rejects the request."""
 
+    NO_RECORD = "no_record"
+    """There is no memory to remember the id of a request that must not run twice."""
+
 
 class ListedServer(NamedTuple):
     """A server as one entry of the endpoint list describes the server.
@@ -107,6 +110,8 @@
         attempts: Attempts in the order of their numbers.
         deadline_key: Key of the deadline at ``give_up_at``.
         withdraw_offer: Takes the request back while it is offered to another process; None while it is not.
+        holds_record: Whether room for its record among the past requests is reserved.
+        continued_elsewhere: Whether another process continues the request, which may run there.
     """
 
     payload: Any
@@ -121,6 +126,8 @@
     attempts: list["Attempt"] = field(default_factory=list)
     deadline_key: Key | None = None
     withdraw_offer: Callable[[], None] | None = None
+    holds_record: bool = False
+    continued_elsewhere: bool = False
 
     @property
     def closed(self) -> bool:
@@ -152,6 +159,7 @@
         may_have_run: Whether the attempt may have run or may still run; False only if its outcome proves that the
             server never ran the attempt.
         exchange: Data of the backend, such as the connection of the attempt.
+        incomplete: Whether the attempt was cancelled before its last byte was written, so that it cannot have run.
     """
 
     request: Request
@@ -162,6 +170,7 @@
     in_flight: bool = True
     may_have_run: bool = True
     exchange: Any = None
+    incomplete: bool = False
 
     def repeat_window_open(self, now: float) -> bool:
         """Returns whether servers still recognize this attempt as a repeat of the earlier ones.
--- a/heronlug/requests/request_table.py
+++ b/heronlug/requests/request_table.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable, Iterator
 
+from heronlug.memory.account import MemoryAccount
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.model import Request
+from heronlug.requests.past_requests import PastRequests
 from heronlug.requests.slots import SlotTable
 
 
@@ -14,14 +16,16 @@
         open_count: Number of requests that need a final answer.
         ids: Client-given ids of the requests in the table.
         peer_process_ids: Client-given ids of the requests of another process of this dispatcher.
+        past: Ids of the requests that may have run and are not in the table any more.
         on_id_changed: Called with an id and True when its request is accepted, and with the id and False when the
             request is removed; None if there is no other process.
     """
 
-    __slots__ = ("_deadlines", "_slots", "ids", "on_id_changed", "open_count", "peer_process_ids")
+    __slots__ = ("_deadlines", "_slots", "ids", "on_id_changed", "open_count", "past", "peer_process_ids")
 
-    def __init__(self, deadlines: Deadlines) -> None:
+    def __init__(self, deadlines: Deadlines, memory: MemoryAccount) -> None:
         self._deadlines = deadlines
+        self.past = PastRequests(memory, deadlines.clock)
         self._slots: SlotTable[Request] = SlotTable()
         self.open_count = 0
         self.ids: set[str] = set()
@@ -70,6 +74,7 @@
         if not request.closed or any(attempt.in_flight for attempt in request.attempts):
             return
         self._deadlines.cancel(request.deadline_key)
+        self.past.request_ended(request)
         request.attempts = []
         if self._slots.remove(request.handle) is None or not request.request_id:
             return
--- a/heronlug/requests/server_directory.py
+++ b/heronlug/requests/server_directory.py
@@ -36,6 +36,10 @@
         """Returns the servers that have not been removed."""
         return [server for server in self.by_number.values() if server.listed]
 
+    def knows(self, name: str) -> bool:
+        """Returns whether the server with this name is listed, or was removed only lately."""
+        return bool(name) and self._numbers.number_of(name) in self.by_number
+
     def number_of(self, name: str) -> int:
         """Returns the number of the server with this name."""
         return self._numbers.number_of(name)
