Adopt the connections of attempts that end with the adoption of their request

Callers saw: nothing yet; a line `exception` in a successor beside 40 busy processes, and the connections of the request left open.

A handed-over request that the balancer ends at once, as its time is over, is removed before its server connections are adopted, and the adoption looked for the attempts in the request.

Fix: the adoption returns the attempts that it restored; those that have ended by then get their connections closed.

--- a/heronlug/lifecycle/hot_restart/adopted_requests.py
+++ b/heronlug/lifecycle/hot_restart/adopted_requests.py
@@ -16,7 +16,7 @@
 from heronlug.lifecycle.hot_restart.messages import MessageKind, ReadList, RequestHandover
 from heronlug.lifecycle.hot_restart.shared_limits import Room, room_of_client, room_of_request
 from heronlug.requests.core import Core
-from heronlug.requests.model import Request
+from heronlug.requests.model import Attempt, Request
 
 
 class RequestAdopter:
@@ -109,15 +109,20 @@
             handover.accepted_at,
             http_request.request_id,
         )
-        self._core.handover.adopt(request, handover.attempts, http_request.workload, handover.not_before)
-        self._adopt_exchanges(request, handover, servers)
+        workload = http_request.workload
+        attempts = self._core.handover.adopt(request, handover.attempts, workload, handover.not_before)
+        self._adopt_exchanges(attempts, handover, servers)
         if not request.closed:
             connection.resume_request(request)
 
-    def _adopt_exchanges(self, request: Request, handover: RequestHandover, servers: list[socket.socket]) -> None:
-        """Adopts the server connections of the attempts in flight, to read the rest of the answers."""
-        # By now the balancer may have ended some attempts, or started another attempt, which has its own connection.
-        adopted = zip(request.attempts, handover.attempts, strict=False)
+    def _adopt_exchanges(
+        self, attempts: list[Attempt], handover: RequestHandover, servers: list[socket.socket]
+    ) -> None:
+        """Adopts the server connections of the attempts in flight, to read the rest of the answers.
+
+        The balancer may have ended some attempts by now, and with the last one the request.
+        """
+        adopted = zip(attempts, handover.attempts, strict=True)
         in_flight = [attempt for attempt, (_, snapshot) in adopted if snapshot.in_flight]
         for attempt, sock, exchange in zip(in_flight, servers, handover.exchanges, strict=True):
             if attempt.in_flight:
--- a/heronlug/requests/handover.py
+++ b/heronlug/requests/handover.py
@@ -34,10 +34,11 @@
         handed_over: Sequence[tuple[ListedServer, AttemptSnapshot]],
         workload: Workload | None = None,
         not_before: float = 0.0,
-    ) -> None:
+    ) -> list[Attempt]:
         """Continues a request that another process accepted.
 
-        The caller assigns connections to the attempts in flight.
+        Returns the attempts of the other process, some of which the balancer may have ended already. The caller
+        assigns connections to those in flight.
 
         Args:
             request: Request that is not in any table yet.
@@ -49,6 +50,7 @@
         self._core.requests.past.hold(request.policy)
         request.holds_record = request.policy.effect is not Effect.IDEMPOTENT
         snapshots = [self._restore_attempt(request, entry, snapshot) for entry, snapshot in handed_over]
+        attempts = list(request.attempts)
         self._log(
             "request_adopted",
             message=request.handle,
@@ -59,6 +61,7 @@
         self.adopted += 1
         arrival = arrival_event(request, workload)
         self._core.events.handle(RequestAdopted(arrival, request.accepted_at, tuple(snapshots), not_before))
+        return attempts
 
     def repeat(self, request: Request, server: str, sent_at: float, workload: Workload | None) -> None:
         """Continues an accepted request with the transmission of an earlier one with the same id, which may have run.
--- a/tests/end_to_end/test_client_leaves.py
+++ b/tests/end_to_end/test_client_leaves.py
@@ -12,6 +12,7 @@
 from end_to_end.harness import (
     REJECTED_RESPONSE,
     RESPONSE_HEAD,
+    TIMEOUT_S,
     BlockingClient,
     DispatcherHarness,
     StandInConnection,
@@ -305,6 +306,40 @@
     run_async(test)
 
 
+def test_adopted_request_that_ends_at_once_closes_its_server_connection() -> None:
+    """Guards against an exception, and a descriptor that stays open, when the last attempt ends with the adoption."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            (accepted, client), (connected, server) = socket.socketpair(), socket.socketpair()
+            request = HttpRequest()
+            request.method, request.target, request.body, request.request_id = b"POST", b"/safe", b"hi", "t1"
+            request.headers = {b"x-txn": b"t1", b"x-lane": b"safe"}
+            request.class_index = 0
+            request.workload = Workload()
+            now = harness.clock.time_ms
+            entry = harness.application.core.directory.listed()[0].entry
+            message = {
+                "kind": MessageKind.REQUEST,
+                "request": write_request(request),
+                "give_up_at": now - 10,
+                "taken_at": now - 4_000,
+                "hosts": write_list(0, [entry], ["a", "b"], ["m1"], True),
+                "attempts": [[0, now - 100, True, True, True, now - 100]],
+                "wires": [{"answered": False, "last": False}],
+            }
+            server.settimeout(TIMEOUT_S)
+            descriptors = [accepted.detach(), connected.detach()]
+            harness.application.state_transfer.receive_handover(ReceivedMessage(message, descriptors))
+            await harness.pass_time(100)
+            assert not len(harness.application.core.requests)
+            assert server.recv(1) == b""
+            client.close()
+            server.close()
+
+    run_async(test)
+
+
 async def other_client_is_served(harness: DispatcherHarness) -> bool:
     """Returns whether a request of another client is answered."""
     client = await harness.post("later")
