--- a/heronlug/experiments/experiment.py
+++ b/heronlug/experiments/experiment.py
@@ -33,7 +33,7 @@
 Params = dict[str, Any]
 MAX_RUNS = 100_000
 """Maximum number of runs of an experiment."""
-CODE_PACKAGES = ("balancer", "config", "conformance", "discovery", "emulator", "requests")
+CODE_PACKAGES = ("balancer", "config", "conformance", "discovery", "emulator", "memory", "requests")
 """Packages of heronlug that a run imports."""
 
 
