Evict an unfinished request only after a second, unless most connections are such

Cause: put every connection with a part of a request before those that rest between two, with no time to send the other part. A client that is slow was treated like one that never ends.

Change: silent connections and those with health checks only go first; one with a part of a request goes after it has held it for 1 s, or 100 ms if over half of all connections are such, as they then are the shortage itself.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -45,9 +45,6 @@
 EXCESS_TIMEOUT_MS = 2_500.0
 """Time for which a client may have more requests sent than may wait, before those that wait are refused."""
 
-MAX_TRANSIT_MS = 500.0
-"""Time after which the rest of a request no longer counts as being in transit if room is needed, in ms."""
-
 LINGER_MS = 500.0
 """Time for a client to read the last response.
 
@@ -308,10 +305,7 @@
             case EvictionRank.REJECTED:
                 return True
             case EvictionRank.UNFINISHED:
-                expected = self.age_ms < MAX_TRANSIT_MS and not self._input.gate.paused
-                return not (expected and self.transport is not None and has_unread_input(self.transport))
-            case EvictionRank.STALLED:
-                return self._frontend.deadlines.clock() - self._reading_since >= MAX_TRANSIT_MS
+                return True
             case _:
                 return not self.has_unanswered_input
 
--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -15,6 +15,12 @@
 MIN_IDLE_MS = 500.0
 """Time since its last answer for which a served connection is not evicted, because its next request may come soon."""
 
+MIN_UNFINISHED_MS = 1_000.0
+"""Time for which a connection with a part of a request is not evicted, because its client may be slow."""
+
+MIN_UNFINISHED_IN_CROWD_MS = 100.0
+"""The same if over half of all connections are such, so that they are the cause of the shortage."""
+
 CANDIDATES_PER_RANK = 8
 """Number of connections per rank that are examined for an evictable connection."""
 
@@ -25,15 +31,15 @@
     REJECTED = 0
     """The last response, usually an error for an invalid request, is written and the connection lingers."""
 
-    UNFINISHED = 1
-    """The client has never sent a complete request; it may have sent a part of one."""
+    SILENT = 1
+    """The client has never sent a complete request, nor a part of one."""
 
-    STALLED = 2
-    """A request has been served, and a part of another one has been read."""
-
-    HEALTH_CHECKED = 3
+    HEALTH_CHECKED = 2
     """The connection is idle and has carried only health checks."""
 
+    UNFINISHED = 3
+    """A part of a request has been read, and none is being served."""
+
     SERVED = 4
     """The connection is idle and has carried a request for a server."""
 
@@ -71,8 +77,15 @@
 class EvictionOrder(Generic[Connection]):
     """Keeps client connections by eviction rank."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], max_connections: int) -> None:
+        """Creates an empty order.
+
+        Args:
+            clock: Returns the time in ms.
+            max_connections: Maximum number of connections of the dispatcher, over all of its processes.
+        """
         self._clock = clock
+        self._crowd_size = max_connections // 2
         self._by_rank: dict[EvictionRank, dict[int, Connection]] = {rank: {} for rank in EvictionRank}
 
     def move(self, connection: Connection, rank: EvictionRank | None) -> None:
@@ -92,28 +105,36 @@
     def first(self) -> Connection | None:
         """Returns the connection to evict, or None.
 
-        An unfinished connection is not evicted within ``NEW_CONNECTION_GRACE_MS`` of its connect, because its first
-        request may still be in transit. Served connections are kept until its grace is over, and for ``MIN_IDLE_MS``.
+        A silent connection is not evicted within ``NEW_CONNECTION_GRACE_MS`` of its connect, because its first request
+        may still be in transit. Served connections are kept until its grace is over, and for ``MIN_IDLE_MS``.
         """
-        unfinished = self._first_of(EvictionRank.UNFINISHED)
-        in_grace = unfinished is not None and self._clock() - unfinished.opened_at < NEW_CONNECTION_GRACE_MS
+        silent = self._first_of(EvictionRank.SILENT)
+        in_grace = silent is not None and self._clock() - silent.opened_at < NEW_CONNECTION_GRACE_MS
+        in_crowd = len(self._by_rank[EvictionRank.UNFINISHED]) > self._crowd_size
+        min_unfinished_ms = MIN_UNFINISHED_IN_CROWD_MS if in_crowd else MIN_UNFINISHED_MS
         return (
             self._first_of(EvictionRank.REJECTED)
-            or (None if in_grace else unfinished)
-            or self._first_of(EvictionRank.STALLED)
+            or (None if in_grace else silent)
             or self._first_of(EvictionRank.HEALTH_CHECKED)
-            or (None if in_grace else self._first_idle())
+            or self._first_in_rank_for(EvictionRank.UNFINISHED, min_unfinished_ms)
+            or (None if in_grace else self._first_in_rank_for(EvictionRank.SERVED, MIN_IDLE_MS))
         )
 
     @property
     def all_served(self) -> bool:
         """Returns whether every connection carries a request or has carried one."""
-        unserved = (EvictionRank.REJECTED, EvictionRank.UNFINISHED, EvictionRank.HEALTH_CHECKED)
+        unserved = (
+            EvictionRank.REJECTED,
+            EvictionRank.SILENT,
+            EvictionRank.HEALTH_CHECKED,
+            EvictionRank.UNFINISHED,
+        )
         return not any(self._by_rank[rank] for rank in unserved)
 
-    def _first_idle(self) -> Connection | None:
-        connection = self._first_of(EvictionRank.SERVED)
-        if connection is None or self._clock() - connection.ranked_at < MIN_IDLE_MS:
+    def _first_in_rank_for(self, rank: EvictionRank, time_ms: float) -> Connection | None:
+        """Returns the first connection of a rank if it has been there for this time, else None."""
+        connection = self._first_of(rank)
+        if connection is None or self._clock() - connection.ranked_at < time_ms:
             return None
         return connection
 
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -90,7 +90,7 @@
         self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
         self._owner = owner
-        self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock)
+        self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock, max_connections)
         self._aborted: set[int] = set()  # handles of connections that are aborted and not closed yet
         self._paused: dict[int, ClientConnection] = {}  # by handle; some may be read again by now
         self._adoptions: set[asyncio.Task[object]] = set()
@@ -326,8 +326,8 @@
 
 def _idle_rank(connection: ClientConnection) -> EvictionRank:
     """Returns the eviction rank of a connection on which no request is being served."""
-    if not connection.has_sent_request:
-        return EvictionRank.UNFINISHED
     if connection.is_reading_request:
-        return EvictionRank.STALLED
+        return EvictionRank.UNFINISHED
+    if not connection.has_sent_request:
+        return EvictionRank.SILENT
     return EvictionRank.SERVED if connection.requests_accepted else EvictionRank.HEALTH_CHECKED
--- a/tests/frontends/test_eviction.py
+++ b/tests/frontends/test_eviction.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass
 
-from heronlug.frontends.http.eviction import MIN_IDLE_MS, NEW_CONNECTION_GRACE_MS, EvictionOrder, EvictionRank
+from heronlug.frontends.http.eviction import (
+    MIN_IDLE_MS,
+    NEW_CONNECTION_GRACE_MS,
+    EvictionOrder,
+    EvictionRank,
+)
+
+MAX_CONNECTIONS = 3
 
 
 @dataclass(eq=False)
@@ -20,7 +27,7 @@
 def eviction_order(now: float, *connections: tuple[Connection, EvictionRank]) -> EvictionOrder[Connection]:
     """Returns an eviction order at time ``now``, in ms, with each connection in its rank for ``MIN_IDLE_MS``."""
     time_ms = now - MIN_IDLE_MS
-    order: EvictionOrder[Connection] = EvictionOrder(lambda: time_ms)
+    order: EvictionOrder[Connection] = EvictionOrder(lambda: time_ms, MAX_CONNECTIONS)
     for connection, rank in connections:
         order.move(connection, rank)
     time_ms = now
@@ -33,7 +40,7 @@
     ranked = [
         (served, EvictionRank.SERVED),
         (checked, EvictionRank.HEALTH_CHECKED),
-        (silent, EvictionRank.UNFINISHED),
+        (silent, EvictionRank.SILENT),
     ]
     order = eviction_order(NEW_CONNECTION_GRACE_MS, *ranked)
     for expected in (silent, checked, served):
@@ -46,7 +53,7 @@
     """Guards against closing a new connection whose first request is still in transit, or a served one in its place."""
     silent, checked, served = Connection(1), Connection(2), Connection(3)
     ranked = [
-        (silent, EvictionRank.UNFINISHED),
+        (silent, EvictionRank.SILENT),
         (checked, EvictionRank.HEALTH_CHECKED),
         (served, EvictionRank.SERVED),
     ]
@@ -87,15 +94,27 @@
     assert order.first() is None
 
 
-def test_part_of_a_request_is_evicted_before_a_whole_one_was_served_and_rests() -> None:
+def test_crowd_of_parts_is_evicted_after_silent_ones_and_before_a_client_that_rests() -> None:
     """Guards against closing an idle client while others hold connections with halves of requests."""
-    served, stalled, unfinished = Connection(1), Connection(2), Connection(3)
+    served, unfinished, others, silent = Connection(1), Connection(2), Connection(3), Connection(4)
     ranked = [
         (served, EvictionRank.SERVED),
-        (stalled, EvictionRank.STALLED),
         (unfinished, EvictionRank.UNFINISHED),
+        (others, EvictionRank.UNFINISHED),
+        (silent, EvictionRank.SILENT),
     ]
     order = eviction_order(NEW_CONNECTION_GRACE_MS, *ranked)
-    for expected in (unfinished, stalled, served):
+    order.move(silent, None)
+    assert order.first() is unfinished
+    order.move(silent, EvictionRank.SILENT)
+    assert order.first() is silent
+
+
+def test_slow_client_keeps_its_connection_while_one_that_rests_can_make_room() -> None:
+    """Guards against an error for a client that writes slowly, beside clients with whole requests."""
+    served, resting, slow = Connection(1), Connection(2), Connection(3)
+    ranked = [(served, EvictionRank.SERVED), (resting, EvictionRank.SERVED), (slow, EvictionRank.UNFINISHED)]
+    order = eviction_order(0.0, *ranked)
+    for expected in (served, resting):
         assert order.first() is expected
         order.move(expected, None)
