Bound the records of requests that may have run by bytes of the whole limit

What callers saw: beside a crowd at 32 MB, and in an old process during an upgrade, once requests were refused (no_record) while few ids were known.

Cause: a record was counted with 500 bytes and with the window of classes that have none, and its share was taken of a limit that shrinks while two processes share the memory.

Change: a record costs 256 bytes and its id, as measured (about 240 bytes); the share (0.4) is that of the limit of the process alone; only classes with a key are kept for their window.

--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -198,9 +198,8 @@
             return RejectReason.TOO_MANY_OPEN
         if self.plugins is not None and not self.plugins.admit(request.class_index, remaining, size):
             return RejectReason.NOT_ADMITTED
-        if request.request_id and not self.requests.past.reserve(request.policy):
+        if not self.requests.past.reserve(request):
             return RejectReason.NO_RECORD
-        request.holds_record = bool(request.request_id) and request.policy.effect is not Effect.IDEMPOTENT
         return None
 
     def use_classes(self, classes: tuple[RequestClass, ...]) -> None:
--- a/heronlug/requests/handover.py
+++ b/heronlug/requests/handover.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from heronlug.balancer.events import AttemptSnapshot, ListKind, RequestAdopted, RequestArrived, RequestHandedOver
-from heronlug.balancer.settings import Effect
 from heronlug.requests.interfaces import EventLog
 from heronlug.requests.model import Attempt, ListedServer, Request, Workload
 
@@ -47,8 +46,7 @@
             not_before: Time at which the backoff of the request ends; 0 if there is none.
         """
         self._core.requests.add(request, self._core.time_out)
-        self._core.requests.past.hold(request.policy)
-        request.holds_record = request.policy.effect is not Effect.IDEMPOTENT
+        self._core.requests.past.hold(request)
         snapshots = [self._restore_attempt(request, entry, snapshot) for entry, snapshot in handed_over]
         attempts = list(request.attempts)
         self._log(
--- a/heronlug/requests/past_requests.py
+++ b/heronlug/requests/past_requests.py
@@ -9,14 +9,14 @@
 from typing import NamedTuple
 
 from heronlug.balancer.settings import Effect, RequestClass
-from heronlug.memory.account import MemoryAccount, MemoryShortError
+from heronlug.memory.account import MemoryAccount
 from heronlug.memory.holders import Holder
 from heronlug.requests.model import Request
 
-RECORD_BYTES = 500
-"""Memory of a record, in bytes."""
+RECORD_BYTES = 256
+"""Memory of a record without its id, in bytes."""
 
-MAX_SHARE = 0.25
+MAX_SHARE = 0.4
 """Share of the memory account that records may take."""
 
 KEEP_MARGIN_MS = 1_000.0
@@ -49,16 +49,24 @@
 
     Attributes:
         on_recorded: Called with each new record, for the other processes of this dispatcher.
+        max_bytes: Memory of all records from which on requests that need one are refused, in bytes.
     """
 
     def __init__(self, memory: MemoryAccount, clock: Callable[[], float]) -> None:
-        """Creates an empty table; ``clock`` returns the time in ms."""
+        """Creates an empty table.
+
+        Args:
+            memory: Account of the process, whose limit now determines that of the records: the limit shrinks while
+                another process shares the memory, and the records must not.
+            clock: Returns the time in ms.
+        """
         self.on_recorded: Callable[[PastRequest], None] = lambda record: None
         self._memory = memory
+        self.max_bytes = int(MAX_SHARE * memory.limit)
         self._clock = clock
         self._records: dict[str, PastRequest] = {}
         self._buckets: dict[int, list[str]] = {}  # ids by the span of time in which they are forgotten
-        self._reserved = 0  # records of open requests
+        self._held_bytes = 0  # of the records, and of those that open requests may become
 
     def __len__(self) -> int:
         return len(self._records)
@@ -71,36 +79,31 @@
         record = self._records.get(request_id)
         return record if record is not None and record.forget_at > self._clock() else None
 
-    def reserve(self, policy: RequestClass) -> bool:
-        """Reserves room for the record of a request of this class; returns False if there is none."""
+    def reserve(self, request: Request) -> bool:
+        """Reserves room for the record of a request; returns False if there is none."""
         self._forget_due()
-        if policy.effect is Effect.IDEMPOTENT:
+        if not _needs_record(request):
             return True
-        if (len(self) + self._reserved + 1) * RECORD_BYTES > MAX_SHARE * self._memory.limit:
+        if self._held_bytes + _cost(request.request_id) > self.max_bytes:
             self._memory.refusals[Holder.PAST_REQUESTS] += 1
             return False
-        try:
-            self._memory.reserve(Holder.PAST_REQUESTS, RECORD_BYTES)
-        except MemoryShortError:
-            return False
-        self._reserved += 1
+        self.hold(request)
         return True
 
-    def hold(self, policy: RequestClass) -> None:
+    def hold(self, request: Request) -> None:
         """Reserves room for the record of a request that is accepted already, whether or not there is room."""
-        if policy.effect is not Effect.IDEMPOTENT:
-            self._memory.hold(Holder.PAST_REQUESTS, RECORD_BYTES)
-            self._reserved += 1
+        if _needs_record(request):
+            request.holds_record = True
+            self._hold_bytes(_cost(request.request_id))
 
     def request_ended(self, request: Request) -> None:
         """Turns the room that was reserved for a request into its record if it may have run, else releases the room."""
         if not request.holds_record:
             return
         request.holds_record = False
-        self._reserved -= 1
-        self._memory.release(Holder.PAST_REQUESTS, RECORD_BYTES)
+        self._hold_bytes(-_cost(request.request_id))
         attempt = next((attempt for attempt in request.attempts if attempt.may_have_run), None)
-        if request.request_id and (attempt is not None or request.continued_elsewhere):
+        if attempt is not None or request.continued_elsewhere:
             sent_at = attempt.sent_at if attempt is not None else None
             server = attempt.server.entry.name if attempt is not None else ""
             effect = request.policy.effect
@@ -117,7 +120,7 @@
         """Adds a record, and returns whether it says more than was known; the earliest transmission counts."""
         known = self._records.get(record.request_id)
         if known is None:
-            self._memory.hold(Holder.PAST_REQUESTS, RECORD_BYTES)
+            self._hold_bytes(_cost(record.request_id))
         else:
             record = _merge(known, record)
             if record == known:
@@ -133,7 +136,12 @@
             self.add(PastRequest(request_id, None, None, "", forget_at))
 
     def _forget_at(self, policy: RequestClass) -> float:
-        return self._clock() + max(policy.deadline, policy.repeat_window) + KEEP_MARGIN_MS
+        window = policy.repeat_window if policy.effect is Effect.IDEMPOTENT_BY_KEY else 0.0
+        return self._clock() + max(policy.deadline, window) + KEEP_MARGIN_MS
+
+    def _hold_bytes(self, size: int) -> None:
+        self._held_bytes += size
+        self._memory.hold(Holder.PAST_REQUESTS, size)
 
     def _forget_due(self) -> None:
         """Forgets the records whose time is over; a record that was renewed is in a later bucket too."""
@@ -143,7 +151,16 @@
                 record = self._records.get(request_id)
                 if record is not None and record.forget_at <= now:
                     del self._records[request_id]
-                    self._memory.release(Holder.PAST_REQUESTS, RECORD_BYTES)
+                    self._hold_bytes(-_cost(request_id))
+
+
+def _needs_record(request: Request) -> bool:
+    return bool(request.request_id) and request.policy.effect is not Effect.IDEMPOTENT
+
+
+def _cost(request_id: str) -> int:
+    """Returns the memory of a record, in bytes."""
+    return RECORD_BYTES + len(request_id)
 
 
 def may_run_again(past: PastRequest, policy: RequestClass, now: float) -> bool:
