Let half of the successor's free room for clients widen the window of a transfer

What callers saw: requests lost at the kill of an old process that had not handed over all connections; each window is a round trip through two busy event loops (0.1 to 0.3 s beside load) and held 24 descriptors.

Change: the window also covers half of the successor's free client room, at most 104, which new connections may not take meanwhile. Room for one request on each connection stays with the old process.

--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -9,17 +9,23 @@
 from enum import StrEnum
 
 from heronlug.backends.pool import ConnectionPool
+from heronlug.frontends.http.client_input import SMALL_INPUT_BYTES
 from heronlug.frontends.http.frontend import HttpFrontend
+from heronlug.frontends.http.request import REQUEST_BYTES
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.http import MAX_BODY
 from heronlug.requests.core import Core
 
 SPARE_SERVER_CONNECTIONS = 4
 """Server connections that an old process keeps for retries and hedged requests."""
+MAX_KEPT_FREE = 104
+"""Maximum room for clients that is kept free for offered connections."""
 TRANSIT_DESCRIPTORS = 24
 """Descriptors beside all limits for copies of offered connections, while there are two processes."""
 THIRD_PROCESS_DESCRIPTORS = 24
 """Descriptors that a third process of a dispatcher needs for itself; the limits leave room for those of two."""
+CLIENT_BYTES = REQUEST_BYTES + SMALL_INPUT_BYTES
+"""Memory that an old process keeps for a request on each of its connections, in bytes."""
 SPARE_BODIES = 4
 """Request bodies of the largest size for which an old process keeps memory."""
 
@@ -78,7 +84,11 @@
 
 
 class SharedLimits:
-    """The limits of one process, as parts of the limits of the dispatcher."""
+    """The limits of one process, as parts of the limits of the dispatcher.
+
+    Attributes:
+        kept_free: Number of client connections for which room is kept, because the predecessor may offer descriptors.
+    """
 
     def __init__(self, frontend: HttpFrontend, backend: ConnectionPool, core: Core, acceptor: Acceptor) -> None:
         """Creates the limits of a process that runs alone, with the limits that the parts have now.
@@ -101,6 +111,7 @@
         }
         self._shares = {resource: _Share(total) for resource, total in self._totals.items()}
         self._has_predecessor = False
+        self.kept_free = 0
 
     @property
     def has_room(self) -> bool:
@@ -128,17 +139,24 @@
     def predecessor_ended(self) -> None:
         """Takes all room that the predecessor had."""
         self._has_predecessor = False
+        self.kept_free = 0
         self._set_received(self._totals)
 
     def transfer_window(self, has_successor: bool) -> int:
         """Returns the number of offered descriptors that this process can hold before the predecessor closes its own.
 
-        Free room of this process does not count, because new connections may take it meanwhile.
+        Half of the free room for clients counts too. It is kept free of new connections meanwhile.
 
         Args:
             has_successor: Whether a third process holds descriptors too.
         """
-        return 0 if has_successor else TRANSIT_DESCRIPTORS
+        if has_successor:
+            self.kept_free = 0
+            return 0
+        clients = len(self._frontend.connections) + self._frontend.adopting + self._acceptor.opening
+        free = self._shares[Resource.CLIENTS].own - clients
+        self.kept_free = max(0, min(MAX_KEPT_FREE, free // 2))
+        return TRANSIT_DESCRIPTORS + self.kept_free
 
     # -- towards the successor
 
@@ -176,7 +194,7 @@
             Resource.CLIENTS: clients + withheld,
             Resource.SERVERS: self._backend.open_count + SPARE_SERVER_CONNECTIONS + withheld,
             Resource.REQUESTS: self._core.requests.open_count + clients,
-            Resource.BODY_BYTES: self._frontend.memory.used + SPARE_BODIES * MAX_BODY,
+            Resource.BODY_BYTES: self._frontend.memory.used + clients * CLIENT_BYTES + SPARE_BODIES * MAX_BODY,
         }
 
     def _set_received(self, room: Room) -> None:
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -93,7 +93,7 @@
         self._incoming = IncomingTransfers(
             adopter.prepare, self.session.send_to_predecessor, parts.log, self._transfer_window
         )
-        parts.frontend.arriving = lambda: len(self._incoming)
+        parts.frontend.arriving = lambda: max(len(self._incoming), self._limits.kept_free)
         self._outgoing = OutgoingTransfers(
             self.session, deadlines, parts.log, self._give_moved_room, self._hand_over_more, _call_when_closed
         )
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -87,8 +87,16 @@
     assert limits.unneeded()[Resource.REQUESTS] == TOTAL - 1
 
 
-def test_window_leaves_out_free_room_that_new_connections_may_take() -> None:
+def test_window_takes_free_room_only_as_far_as_new_connections_cannot_take_it() -> None:
     """Guards against copies of offered connections that exceed the descriptors once the room is in use."""
     limits, parts = make_limits()
     assert parts.max_connections == TOTAL
+    window = limits.transfer_window(has_successor=False)
+    assert window == TRANSIT_DESCRIPTORS + limits.kept_free
+    assert 0 < limits.kept_free <= TOTAL // 2
+    parts.connections = [0] * TOTAL
     assert limits.transfer_window(has_successor=False) == TRANSIT_DESCRIPTORS
+    assert limits.kept_free == 0
+    parts.connections = []
+    assert limits.transfer_window(has_successor=True) == 0
+    assert limits.kept_free == 0
