End a transfer before the last answer, and read no idle connection during it

Cause: the pace waits for the window (a round trip of both event loops), and nothing bounded the whole transfer: only single offers had a time.

Change: from SIGTERM on, connections without a request are not read until the successor continues them, unless requests that have been read wait; 800 ms before the last answer the transfer ends and what is left is answered here.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -63,6 +63,8 @@
         policy: Reads and checks the headers of requests.
         memory: Account of the memory that clients make the process hold.
         turn_queue: Postponed parsing of all connections.
+        transferring: Whether connections without a request that is being served are not read, because another process
+            is to continue them.
         run_due: Runs the deadlines that are due; called after each I/O event.
     """
 
@@ -70,6 +72,7 @@
     policy: RequestPolicy
     memory: MemoryAccount
     turn_queue: TurnQueue
+    transferring: bool
     run_due: Callable[[], None]
 
     @property
@@ -420,15 +423,29 @@
         self.opened_at = now if state.has_sent_request else now - state.age_ms
         self._adopted_state = state
 
+    def hold_for_transfer(self) -> None:
+        """Stops reading until another process continues the connection, unless requests have to be served first."""
+        if self._state is ConnectionState.IDLE and not self.has_waiting_input and self.can_hand_over(unfinished=True):
+            self._input.gate.pause(PauseReason.HANDOVER)
+            self._frontend.reading_paused(self)
+
+    def end_hold(self) -> None:
+        """Reads again, and serves what has come meanwhile, because no other process continues the connection."""
+        if self._state is ConnectionState.IDLE and self._input.gate.paused_for(PauseReason.HANDOVER):
+            self._input.gate.resume(PauseReason.HANDOVER)
+            self._frontend.turn_queue.add(self._input, self.parse_more)
+
     def reclaim(self) -> None:
         """Reads again after another process has not taken over the connection."""
         if self.transport is None or self.transport.is_closing():
             return
-        self._input.gate.resume(PauseReason.HANDOVER)
-        if self._state is ConnectionState.OFFERED:
+        was_offered = self._state is ConnectionState.OFFERED
+        if was_offered:
             self._apply_event(ConnectionEvent.RECLAIMED)
             self._frontend.connection_idle(self)
             self._start_waiting()
+        if not (was_offered and self._frontend.transferring):
+            self._input.gate.resume(PauseReason.HANDOVER)
         self._adjust_input()
 
     def detach(self) -> None:
@@ -572,11 +589,14 @@
         self._frontend.connection_idle(self)
         if not self._reader.reading:
             self._timeout.start(IDLE_TIMEOUT_MS, self._on_timeout)
+        if self._frontend.transferring:
+            self.hold_for_transfer()
         if self.has_waiting_input:
             self._frontend.turn_queue.add(self._input, self.parse_more)
 
     def _serve_next(self) -> None:
-        while self._pipeline and self._state is ConnectionState.IDLE:
+        held = self._input.gate.paused_for(PauseReason.HANDOVER)
+        while self._pipeline and self._state is ConnectionState.IDLE and not held:
             self._apply_event(ConnectionEvent.REQUEST_STARTED)
             self._frontend.rank_for_eviction(self, EvictionRank.BUSY)
             if not self._reader.reading:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -63,6 +63,8 @@
         arriving: Returns the number of connections that another process is handing over.
         clients_wait: Returns whether a new connection waits for room.
         memory: Account of the memory that clients make the process hold.
+        transferring: Whether connections without a request that is being served are not read, because another process
+            is to continue them.
         turn_queue: Postponed parsing of all connections.
         connections: Open connections by handle.
         closes: Number of ended connections since the start, by reason.
@@ -86,6 +88,7 @@
         self.clients_wait: Callable[[], bool] = lambda: False
         self.memory = memory
         self.turn_queue = TurnQueue()
+        self.transferring = False
         self.connections: SlotTable[ClientConnection] = SlotTable()
         self.closes: Counter[CloseReason] = Counter()
         self.last_client_at = self.deadlines.clock()
@@ -250,6 +253,20 @@
         self._adoptions.add(task)
         task.add_done_callback(self._adoptions.discard)
 
+    def begin_transfer(self) -> None:
+        """Stops reading connections without a request that is being served, until another process continues them."""
+        if not self.transferring:
+            self.transferring = True
+            for connection in self.connections:
+                connection.hold_for_transfer()
+
+    def end_transfer(self) -> None:
+        """Reads all connections again."""
+        if self.transferring:
+            self.transferring = False
+            for connection in self.connections:
+                connection.end_hold()
+
     # -- requests
 
     def serve(self, connection: ClientConnection, request: HttpRequest) -> None:
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -140,6 +140,7 @@
             give_up_requests=self._give_up_requests,
             close_idle=self.frontend.close_idle,
             stopped=self.stopped.set,
+            end_transfer=self.frontend.end_transfer,
         )
         self.shutdown = GracefulShutdown(deadlines, max_deadline, hooks)
         self.state_transfer = StateTransfer(self, deadlines, os.environ.get("TMPDIR"))
@@ -276,11 +277,12 @@
     def _answer_by(self) -> float:
         """Returns the latest time for the final answer of a new request.
 
-        Before the time to answer of a stop is over, requests that take longer are handed over to a successor.
+        While clients are handed over to a successor, it gives the answers that take longer. Later, clients of new
+        requests are to ask the successor.
         """
-        answer_by = self.shutdown.answer_by
-        hands_over = self.hot_restart.handed_over and self.clock.now() < answer_by
-        return float("inf") if hands_over else answer_by
+        if not self.hot_restart.handed_over:
+            return self.shutdown.answer_by
+        return self.clock.now() if self.shutdown.transfer_over else float("inf")
 
     def _give_up_requests(self) -> None:
         """Ends all open requests of both frontends."""
--- a/heronlug/lifecycle/graceful_shutdown.py
+++ b/heronlug/lifecycle/graceful_shutdown.py
@@ -32,6 +32,12 @@
 A request that arrives this late is unlikely to be served in time.
 """
 
+TRANSFER_MARGIN_MS = 800.0
+"""Time before the last answer from which nothing more is handed over to a successor, in ms.
+
+What is left is answered here, and new requests are refused: an answer may take long beside a busy machine.
+"""
+
 CHECK_INTERVAL_MS = 50.0
 """Interval between two checks of a drain or stop, in ms."""
 
@@ -52,6 +58,7 @@
         give_up_requests: Answers all open requests, because the time to answer has ended.
         close_idle: Closes the client connections that have no open request.
         stopped: Called once the process may exit.
+        end_transfer: Serves the clients here that a successor has not taken over.
     """
 
     open_work: Callable[[], int]
@@ -62,6 +69,7 @@
     give_up_requests: Callable[[], None]
     close_idle: Callable[[], None]
     stopped: Callable[[], None]
+    end_transfer: Callable[[], None] = lambda: None
 
 
 class GracefulShutdown:
@@ -103,14 +111,19 @@
         """Returns the time by which the last answer must be sent, in ms; infinite until a stop has begun."""
         return float("inf") if self._stopped_at is None else self._stopped_at + self._time_to_answer_ms
 
+    @property
+    def transfer_over(self) -> bool:
+        """Returns whether it is too late to hand clients over to a successor before the last answer."""
+        return self.stopping and self._deadlines.clock() >= self.answer_by - TRANSFER_MARGIN_MS
+
     def sends_clients_away(self) -> bool:
         """Returns whether each client connection is closed after its next answer, so that clients reconnect elsewhere.
 
         True during a drain, and during a stop while another dispatcher accepts clients or shortly before the last
-        answer; always false while clients are handed over to a successor.
+        answer; while clients are handed over to a successor, only once it is too late for that.
         """
         if self._hand_over_clients is not None:
-            return False
+            return self.transfer_over
         if self._drained_at is not None:
             return True
         if self._stopped_at is None:
@@ -152,6 +165,7 @@
         if self.stopping:
             return False
         self._stopped_at = signalled_at
+        self._deadlines.call_at(self.answer_by - TRANSFER_MARGIN_MS, self._hooks.end_transfer)
         self._deadlines.call_at(self.answer_by, self._hooks.give_up_requests)
         self._begin_checks()
         return True
--- a/heronlug/lifecycle/hot_restart/handed_over_requests.py
+++ b/heronlug/lifecycle/hot_restart/handed_over_requests.py
@@ -110,9 +110,14 @@
     def hand_over(self) -> None:
         """Offers connections and requests that are ready; called repeatedly until the process has none left.
 
-        Requests go first, since an answer is owed to their clients.
+        Requests go first, since an answer is owed to their clients. Once the process stops, connections without a
+        request that is being served are not read any more, so that what has to be handed over only becomes less.
         """
+        if self._shutdown.transfer_over:
+            return
         if self._shutdown.stopping:
+            if self._transfers.confirmed:
+                self._frontend.begin_transfer()
             for request in self._core.requests:
                 if self._transfers.full:
                     return
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -260,6 +260,7 @@
         self._parts.core.peer_process_ended()
         self.third_process_serves = third_process_serves
         self._parts.shutdown.hand_over(None)
+        self._parts.frontend.end_transfer()
         if third_process_serves:
             return
         self._limits.successor_ended()
