Serve the pipelined requests of a connection that was offered in vain

Cause: the turn in which the next waiting request is started fell into the time of the offer and did nothing; after the offer was taken back nothing started it again.

Change: taking an offer back queues that turn. The test failed before: 'assert 0 == 1' servers with a request, for an offer outside a transfer.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -446,6 +446,7 @@
             self._start_waiting()
         if not (was_offered and self._frontend.transferring):
             self._input.gate.resume(PauseReason.HANDOVER)
+            self._frontend.turn_queue.add(self._input, self.parse_more)  # requests may have waited meanwhile
         self._adjust_input()
 
     def detach(self) -> None:
--- a/tests/end_to_end/test_closed_connections.py
+++ b/tests/end_to_end/test_closed_connections.py
@@ -5,8 +5,11 @@
 
 import os
 import signal
+from unittest import mock
 
-from end_to_end.harness import BlockingClient, DispatcherHarness, done, request_bytes, request_id_of, run_async
+import pytest
+
+from end_to_end.harness import BlockingClient, DispatcherHarness, done, request_bytes, request_id_of, run_async, until
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -185,3 +188,32 @@
             await expect_served(harness, client, "t1")
 
     run_async(test)
+
+
+@pytest.mark.parametrize("transferring", [False, True])
+def test_pipelined_request_waits_no_longer_than_the_offer_of_its_connection(transferring: bool) -> None:
+    """Guards against a request that nobody serves after another process has not taken over its connection."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            client.send(request_bytes("first", "safe", 4000) + request_bytes("second", "safe", 4000))
+            await harness.settle()
+            frontend = harness.application.frontend
+            connection = next(iter(frontend.connections))
+            if transferring:
+                frontend.begin_transfer()
+            with mock.patch.object(frontend.turn_queue, "add"):
+                for server in harness.servers.values():
+                    for server_connection in server.connections:
+                        if server_connection.take_request():
+                            server_connection.send(done("first"))
+                await until(lambda: client.received.endswith(b"ok"), "the first response")
+            connection.pause_for_handover()
+            await harness.settle()
+            connection.reclaim()
+            frontend.end_transfer()
+            await harness.settle()
+            assert sum(server.requests for server in harness.servers.values()) == 1
+
+    run_async(test)
