Let clients with queued requests make room before those with one at a time

Cause: while a new client waits and all connections are in use, an answer closes its connection unless more input waits on it. So the clients that queue requests kept their connections, and the polite ones paid.

Change: while such clients exist, the others keep their connections until a new client has waited for 1 s without any room.

The test failed before: an answer had 'Connection: close' where none was allowed.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -161,6 +161,11 @@
         """Returns whether a request is being served or waits."""
         return self.serving or bool(self._pipeline)
 
+    @property
+    def has_queued_requests(self) -> bool:
+        """Returns whether whole requests wait behind the one that is being served."""
+        return bool(self._pipeline)
+
     @property
     def takes_requests(self) -> bool:
         """Returns whether another request may be parsed now."""
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -28,6 +28,9 @@
 CLOSE_CHECK_INTERVAL_MS = 50.0
 """Interval between two checks whether clients have closed connections that are not read, in ms."""
 
+MAX_ROOM_WAIT_MS = 1000.0
+"""Time for which a new client waits for the room of clients with queued requests before others make room, in ms."""
+
 EXHAUSTION_LOG_INTERVAL_MS = 1000.0
 """Minimum interval between two ``too_many_clients`` log lines."""
 
@@ -94,6 +97,7 @@
         self.last_client_at = self.deadlines.clock()
         self._owner = owner
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock, max_connections)
+        self._waiting_since: float | None = None  # time since which a new client waits for room
         self._aborted: set[int] = set()  # handles of connections that are aborted and not closed yet
         self._paused: dict[int, ClientConnection] = {}  # by handle; some may be read again by now
         self._adoptions: set[asyncio.Task[object]] = set()
@@ -123,6 +127,7 @@
     def connection_opened(self, connection: ClientConnection) -> None:
         """Registers a new connection."""
         connection.handle = self.connections.add(connection)
+        self._waiting_since = None
         self.connection_idle(connection)
 
     def connection_idle(self, connection: ClientConnection) -> None:
@@ -199,6 +204,8 @@
         are the first to go.
         """
         self._log_exhaustion()
+        if self._waiting_since is None:
+            self._waiting_since = self.deadlines.clock()
         return bool(self._aborted or opening) or self._evict(CloseReason.CONNECTION_LIMIT)
 
     def evict_one(self) -> None:
@@ -336,10 +343,18 @@
         During a drain, or while new clients wait and every connection is in use, a connection stays open only until all
         received input is answered.
         """
-        makes_room = self.clients_wait() and self._eviction_order.all_served
+        makes_room = self.clients_wait() and self._eviction_order.all_served and not self._queued_requests_leave_soon()
         ends_when_idle = self._owner.sends_clients_away() or makes_room
         return request.keep_alive and not (ends_when_idle and not connection.has_unanswered_input)
 
+    def _queued_requests_leave_soon(self) -> bool:
+        """Returns whether clients with requests behind the current one should make the room for new clients.
+
+        They take more than the others, whose connections therefore stay open for a while.
+        """
+        waited_ms = 0.0 if self._waiting_since is None else self.deadlines.clock() - self._waiting_since
+        return waited_ms < MAX_ROOM_WAIT_MS and any(connection.has_queued_requests for connection in self.connections)
+
 
 def _idle_rank(connection: ClientConnection) -> EvictionRank:
     """Returns the eviction rank of a connection on which no request is being served."""
--- a/tests/end_to_end/test_closed_connections.py
+++ b/tests/end_to_end/test_closed_connections.py
@@ -10,6 +10,7 @@
 import pytest
 
 from end_to_end.harness import BlockingClient, DispatcherHarness, done, request_bytes, request_id_of, run_async, until
+from heronlug.frontends.http.frontend import MAX_ROOM_WAIT_MS
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -149,6 +150,30 @@
     run_async(test)
 
 
+@pytest.mark.parametrize(("waited_ms", "closes"), [(0.0, False), (MAX_ROOM_WAIT_MS, True)])
+def test_clients_with_queued_requests_make_room_before_those_with_one(waited_ms: float, closes: bool) -> None:
+    """Guards against the close of polite clients' connections while one that queues requests keeps its own."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1, sockets=96).open() as harness:
+            clients = [harness.blocking_client() for _ in range(16)]
+            for number, client in enumerate(clients):
+                client.send(request_bytes(f"t{number}", "safe", 4000))
+            clients[-1].send(request_bytes("queued1", "safe", 4000) + request_bytes("queued2", "safe", 4000))
+            await harness.settle()
+            harness.blocking_client()
+            await until(lambda: bool(harness.logged("too_many_clients")), "no room")
+            harness.stall(waited_ms)
+            server_connection, request = await harness.servers["h1"].request()
+            server_connection.send(done(request_id_of(request)))
+            await harness.settle()
+            received = clients[int(request_id_of(request)[1:])].received()
+            assert received
+            assert (b"Connection: close" in received) == closes
+
+    run_async(test)
+
+
 def test_request_that_arrives_as_the_idle_timeout_ends_is_served() -> None:
     """Guards against losing a request that has arrived but is unread when the idle time-out expires."""
 
