Bound what a server can make the process hold, and read it in turns

A server that sends one field of a head, of trailers or of a chunk extension without end is kept in the parser without a limit; lines of up to 256 KB on each of hundreds of connections are in no account; a line in parts of one byte took 256 K copies of the whole line; and a server at full speed was read again and again in one iteration of the loop.

Change: 64 KB without a part of the body end the connection with an error; an incomplete line is counted as server_responses, and ends its attempt when the account is full; lines are collected without copies; a server is read 8 KB in an iteration.

--- a/heronlug/backends/close_reason.py
+++ b/heronlug/backends/close_reason.py
@@ -24,6 +24,9 @@
     PROTOCOL_ERROR = "protocol_error"
     """The server sent bytes that violate the protocol, or bytes without a request."""
 
+    MEMORY_SHORT = "memory_short"
+    """There is no memory for the rest of the response."""
+
     WRITE_FORBIDDEN = "write_forbidden"
     """The withheld last byte of a request may no longer be sent."""
 
--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -9,11 +9,15 @@
 import httptools
 
 from heronlug.backends.close_reason import CloseReason
-from heronlug.backends.response import AttemptResult, ResponseReader
+from heronlug.backends.response import AttemptResult, ResponseReader, ResponseTooLargeError
 from heronlug.balancer.events import Outcome, ProgressKind
 from heronlug.frontends.http.request import forwarded_headers
+from heronlug.memory.account import MemoryAccount, MemoryShortError, Reservation
+from heronlug.memory.holders import Holder
 from heronlug.net import http
 from heronlug.net.connection_state import has_unread_input, shutdown_sending
+from heronlug.net.paced_protocol import PacedProtocol
+from heronlug.net.read_gate import PauseReason, ReadGate
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines, Key
 from heronlug.requests.interfaces import EventLog
@@ -29,6 +33,9 @@
 LAST_CHUNK_TIMEOUT_MS = 1000.0
 """Time for the end of the response after its last line."""
 
+MAX_READ_BYTES = 8 * 1024
+"""Maximum number of bytes that are read from a server in one iteration of the event loop."""
+
 REPETITION_WINDOW_MS = 100.0
 """Time within which a server may repeat its last response."""
 
@@ -71,11 +78,13 @@
         deadlines: Scheduler for timers.
         log: Event log.
         flush: Called after each I/O event has been handled.
+        memory: Account of the memory that servers make the process hold.
     """
 
     core: Core
     deadlines: Deadlines
     log: EventLog
+    memory: MemoryAccount
     flush: Callable[[], None]
 
     def on_connected(self, connection: "ServerConnection") -> None:
@@ -94,7 +103,7 @@
         """Suspends reuse after a reused connection broke before the server responded to the request."""
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(PacedProtocol):
     """A connection to a server.
 
     Attributes:
@@ -112,6 +121,8 @@
             next request, in ms; 0 if the last response names its request.
     """
 
+    max_read_bytes = MAX_READ_BYTES
+
     def __init__(self, pool: ConnectionOwner, server: Server, address: str) -> None:
         self.server = server
         self.address = address
@@ -125,6 +136,8 @@
         self.reused = False
         self.ambiguous_until = 0.0
         self._pool = pool
+        self._gate = ReadGate(pool.deadlines.clock)
+        self._memory = Reservation(pool.memory, Holder.SERVER_RESPONSES)
         self._response: ResponseReader | None = None
         self._has_unwritten_bytes = False  # the transport's buffer holds unsent bytes
         self._withheld_byte = b""  # last byte of a non-idempotent request until it is sent
@@ -139,11 +152,12 @@
         """Returns whether the connection is established and has neither unread bytes nor an unread end of stream."""
         return self.transport is not None and not has_unread_input(self.transport)
 
-    # -- asyncio.Protocol
+    # -- asyncio
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notifies the pool, unless the connection was taken over with its request already written."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
+        self._gate.open(self.transport)
         self.transport.set_write_buffer_limits(high=0)  # pause_writing() then reports every unwritten byte
         if self.is_closed:
             self.transport.abort()
@@ -159,6 +173,10 @@
         """Records that the transport's buffer is empty."""
         self._has_unwritten_bytes = False
 
+    def input_exceeds_buffer(self) -> None:
+        """Stops reading until the next iteration of the event loop."""
+        self._gate.pause_for_turn()
+
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the response; bytes without a request close the connection."""
         if self.is_closed:
@@ -168,11 +186,16 @@
             return
         try:
             self._response.feed(data)
+            self._hold_memory(self._response.held_bytes)
             self._end_attempt_if_decided()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ResponseTooLargeError) as error:
             self._end_attempt(Outcome.ERROR)
             self._log_protocol_error(str(error.__context__ or error))
             self.close(CloseReason.PROTOCOL_ERROR)
+        except MemoryShortError as error:
+            self._end_attempt(Outcome.ERROR)
+            self._log_protocol_error(str(error))
+            self.close(CloseReason.MEMORY_SHORT)
         except Exception as error:  # an unexpected error ends this connection, not the process
             self._pool.log("exception", where="south", error=repr(error))
             self._end_attempt(Outcome.ERROR)
@@ -192,6 +215,7 @@
         self._end_attempt(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
         self.close(CloseReason.SERVER_CLOSED)
         self._drop_response()
+        self._gate.close()
         self._pool.descriptor_freed(self)
         self._pool.flush()
 
@@ -282,7 +306,7 @@
             RuntimeError: No request has been written.
         """
         transport = self._connected_transport()
-        transport.pause_reading()
+        self._gate.pause(PauseReason.HANDOVER)
         fd = int(transport.get_extra_info("socket").fileno())
         response = self._response
         if response is None:
@@ -292,8 +316,7 @@
 
     def reclaim(self) -> None:
         """Reads again after another process has not taken over the connection."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+        self._gate.resume(PauseReason.HANDOVER)
 
     def detach(self) -> None:
         """Closes the descriptor after the handover without reporting an outcome."""
@@ -320,9 +343,21 @@
 
     def _drop_response(self) -> None:
         response, self._response = self._response, None
+        self._memory.release()
         if response is not None:
             response.close()
 
+    def _hold_memory(self, size: int) -> None:
+        """Reserves what the response holds; small amounts belong to the connection.
+
+        Raises:
+            MemoryShortError: The limit of the process would be exceeded.
+        """
+        if size > self._memory.size and size > MAX_READ_BYTES:
+            self._memory.grow(size - self._memory.size)
+        elif size < self._memory.size:
+            self._memory.hold(size)
+
     def _withhold(self, last_byte: bytes) -> None:
         self._withheld_byte = last_byte
         if self._response is not None:
--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import sys
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -10,6 +11,7 @@
 from heronlug.backends.connection import ServerConnection
 from heronlug.backends.waiting_attempts import AttemptQueue
 from heronlug.balancer.events import Outcome
+from heronlug.memory.account import MemoryAccount
 from heronlug.net import http
 from heronlug.requests.core import POSTPONED_MS, Core
 from heronlug.requests.deadlines import Deadlines
@@ -59,6 +61,7 @@
         conn_idle: float,
         dial_timeout: float,
         max_connections: int,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Creates an empty pool.
 
@@ -69,11 +72,13 @@
             conn_idle: Idle timeout of the servers, in ms.
             dial_timeout: Timeout of a dial, in ms.
             max_connections: Maximum number of connections.
+            memory: Account of the memory that servers make the process hold; None does not limit it.
         """
         self.deadlines = deadlines
         self.log = log
         self.flush = flush
         self.max_connections = max_connections
+        self.memory = memory or MemoryAccount(sys.maxsize)
         self.connections: SlotTable[ServerConnection] = SlotTable()
         self.dials = 0
         self.closes: Counter[CloseReason] = Counter()
--- a/heronlug/backends/response.py
+++ b/heronlug/backends/response.py
@@ -9,6 +9,9 @@
 from heronlug.balancer.events import Outcome, ProgressKind
 from heronlug.net import http
 
+MAX_UNFRAMED_BYTES = 64 * 1024
+"""Maximum size of a head, of trailers or of an extension of a chunk, in bytes; the parser holds them to their end."""
+
 SERVER_SIDE_STATUSES = (408, 429)
 """4xx statuses that report a condition of the server rather than an invalid request."""
 
@@ -16,6 +19,10 @@
 """Outcome by protocol state, for the states that end a request without a result."""
 
 
+class ResponseTooLargeError(Exception):
+    """Raised if a server sends a head, trailers or an extension of a chunk without end."""
+
+
 class AttemptResult(NamedTuple):
     """Result of an attempt as reported by the server.
 
@@ -74,6 +81,7 @@
         self._previous_request_id = previous_request_id
         self._on_progress = on_progress
         self._on_invalid_line = on_invalid_line
+        self._unframed_bytes = 0  # received since the last part of the body, or since the last head
         self._parser: Any = httptools.HttpResponseParser(self)  # httptools has no types
         self._expect_head()
 
@@ -91,15 +99,25 @@
         between_lines = self._between_chunks and not self._lines.has_partial_line
         return not self.begun or (self._status == 200 and self._chunked and between_lines)
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the size of what has been received and not been handled, in bytes."""
+        return self._lines.held_bytes + self._unframed_bytes
+
     def feed(self, data: bytes) -> None:
         """Parses bytes of the response.
 
         Raises:
             httptools.HttpParserError: The bytes are not a valid HTTP response.
             httptools.HttpParserUpgrade: The server switches to another protocol.
+            ResponseTooLargeError: The server sends a head or trailers without end.
         """
         self.begun = True
+        self._unframed_bytes += len(data)
         self._parser.feed_data(data)
+        if self._unframed_bytes > MAX_UNFRAMED_BYTES:
+            msg = f"a head, the trailers or an extension of a chunk exceed {MAX_UNFRAMED_BYTES} bytes"
+            raise ResponseTooLargeError(msg)
         self._between_chunks = self._between_chunks and data.endswith(b"\r\n")
 
     def close(self) -> None:
@@ -136,6 +154,7 @@
 
     def on_headers_complete(self) -> None:
         """Ends the attempt if the status is final and not 200."""
+        self._unframed_bytes = 0
         self._status = self._parser.get_status_code()
         if self._status in (503, 504) and self._rejected:
             self.attempt_result = AttemptResult(Outcome.FULL)
@@ -154,6 +173,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Reads the complete lines of a chunk; a line may span several chunks."""
+        self._unframed_bytes = 0
         if self._status == 200:
             for line in self._lines.feed(body):
                 self._read_line(line)
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -85,6 +85,7 @@
             conn_idle=config.conn_idle,
             dial_timeout=config.settings.dial_timeout,
             max_connections=self.limits.connections,
+            memory=self.memory,
         )
         self.discovery = DiscoveryService(config, self.backend, deadlines, self.log, self.turn)
         self.peer_messages = PeerMessages(config, deadlines, self.log, self.turn)
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -15,5 +15,11 @@
     CLIENT_REQUESTS = "client_requests"
     """Whole requests of clients, waiting or being served."""
 
+    CLIENT_ANSWERS = "client_answers"
+    """Answers that clients have not read."""
+
+    SERVER_RESPONSES = "server_responses"
+    """Responses of servers that have begun, without the lines that have been handled."""
+
     PAST_REQUESTS = "past_requests"
     """Ids of requests that may have run, and room for those of open requests."""
--- a/heronlug/net/http.py
+++ b/heronlug/net/http.py
@@ -84,7 +84,7 @@
     __slots__ = ("_partial_line",)
 
     def __init__(self) -> None:
-        self._partial_line = b""
+        self._partial_line = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the lines that a chunk completes, without blank lines.
@@ -92,11 +92,22 @@
         Raises:
             ValueError: The line that is still incomplete is longer than ``MAX_LINE``.
         """
-        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
+        first, line_end, rest = data.partition(b"\n")
+        self._partial_line += first
+        lines: list[bytes] = []
+        if line_end:
+            *others, last = rest.split(b"\n")
+            lines = [line for line in (bytes(self._partial_line), *others) if line.strip()]
+            self._partial_line = bytearray(last)
         if len(self._partial_line) > MAX_LINE:
             msg = f"line is longer than {MAX_LINE} bytes"
             raise ValueError(msg)
-        return [line for line in lines if line.strip()]
+        return lines
+
+    @property
+    def held_bytes(self) -> int:
+        """Returns the size of the line that is still incomplete, in bytes."""
+        return len(self._partial_line)
 
     @property
     def has_partial_line(self) -> bool:
@@ -105,5 +116,5 @@
 
     def end(self) -> list[bytes]:
         """Returns the last line, which may lack its newline, after the last chunk; an empty list if there is none."""
-        remainder, self._partial_line = self._partial_line, b""
+        remainder, self._partial_line = bytes(self._partial_line), bytearray()
         return [remainder] if remainder.strip() else []
--- a/heronlug/net/paced_protocol.py
+++ b/heronlug/net/paced_protocol.py
@@ -14,16 +14,21 @@
 
     A transport reads again and again while a sender fills its buffer, and allocates memory for each read. Here a full
     buffer pauses reading until the next iteration, and all connections read into the same buffer.
+
+    Attributes:
+        max_read_bytes: Maximum number of bytes that are read in one iteration.
     """
 
+    max_read_bytes = RECEIVE_BUFFER_BYTES
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
-        return _RECEIVE_BUFFER
+        return _RECEIVE_BUFFER[: self.max_read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes the received bytes on."""
         data = bytes(_RECEIVE_BUFFER[:nbytes])
-        if nbytes == RECEIVE_BUFFER_BYTES:
+        if nbytes == self.max_read_bytes:
             self.input_exceeds_buffer()
         self.data_received(data)
 
