Serve a client no further while it leaves its answers unread

Answers that a client does not read stay in the process: one client that sends health checks for 8 s and reads nothing made it grow from 29 to 39.8 MB, without an entry in any account, and a connection closed with answers left stayed open for ever.

Cause: nothing looked at the write buffer of a connection.

Change: from 16 KB of unread answers on, no further request of the connection is read or served; the answers are counted as client_answers, dropped when memory is short, and the connection is closed after 30 s, or earlier if its room is needed. The client's leave is noticed as on any paused connection.

--- a/heronlug/frontends/http/close_reason.py
+++ b/heronlug/frontends/http/close_reason.py
@@ -18,6 +18,9 @@
     EXCESS_INPUT = "excess_input"
     """The client went on sending after the last answer."""
 
+    UNREAD_ANSWERS = "unread_answers"
+    """The client did not read its answers for too long, or their memory is needed."""
+
     IDLE = "idle"
     """The client sent nothing for too long."""
 
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -11,6 +11,7 @@
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection_owner import ConnectionOwner
 from heronlug.frontends.http.connection_state import ConnectionEvent, ConnectionState
+from heronlug.frontends.http.ending_connection import UNREAD_TIMEOUT_MS
 from heronlug.frontends.http.errors import (
     BadRequestError,
     BodyMemoryExhaustedError,
@@ -38,6 +39,9 @@
 LARGE_READ_BYTES = 4 * 1024
 """Number of bytes read at once above which they are parsed in the turn of the connection, after small requests."""
 
+MAX_UNREAD_BYTES = 16 * 1024
+"""Size of the answers that the client has not read from which on no further request is served, in bytes."""
+
 EXCESS_TIMEOUT_MS = 2_500.0
 """Time for which a client may have more requests sent than may wait, before those that wait are refused."""
 
@@ -63,6 +67,7 @@
         self._input = ClientInput(self, frontend)
         self._reader = self._input.reader
         self._memory = Reservation(frontend.memory, Holder.CLIENT_CONNECTIONS)
+        self._answers = Reservation(frontend.memory, Holder.CLIENT_ANSWERS)
 
     # -- asyncio
 
@@ -70,6 +75,7 @@
         """Starts the time-out and registers the connection with the frontend."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
         self._input.open(self.transport)
+        self.transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
         self._memory.hold(CONNECTION_BYTES)
         self.client_address = format_address(transport.get_extra_info("peername"))
         self._start_waiting()
@@ -83,6 +89,26 @@
         if self._adopted_state is not None:
             self._read_adopted_bytes(self._adopted_state)
 
+    def pause_writing(self) -> None:
+        """Serves no further request until the client has read its answers, which it has to do in time."""
+        self._input.gate.pause(PauseReason.UNREAD_ANSWERS)
+        self._hold_unread()
+        self._unread_timeout.start(UNREAD_TIMEOUT_MS, lambda: self.abort(CloseReason.UNREAD_ANSWERS))
+        if not self.closing:
+            self._watch_for_close()
+            if not self.serving:
+                self._set_idle()
+
+    def resume_writing(self) -> None:
+        """Serves what has waited for the client to read its answers."""
+        self._unread_timeout.cancel()
+        self._answers.release()
+        self._input.gate.resume(PauseReason.UNREAD_ANSWERS)
+        if not self.closing:
+            if not self.serving:
+                self._set_idle()
+            self._frontend.turn_queue.add(self._input, self.parse_more)
+
     def input_exceeds_buffer(self) -> None:
         """Stops reading until the next iteration of the event loop."""
         self._input.gate.pause_for_turn()
@@ -110,6 +136,8 @@
         self._frontend.connection_closed(self)
         self._input.close()
         self._pipeline.clear()
+        self._unread_timeout.cancel()
+        self._answers.release()
         self._memory.release()
         if self.open_request is not None:
             request, self.open_request = self.open_request, None
@@ -170,13 +198,18 @@
     def takes_requests(self) -> bool:
         """Returns whether another request may be parsed now."""
         open_here = self._state in (ConnectionState.IDLE, ConnectionState.SERVING)
-        return open_here and self._pipeline.has_room and not self._input.gate.paused_for(PauseReason.HANDOVER)
+        return open_here and self._pipeline.has_room and not self._serves_later
 
     @property
     def is_reading_paused(self) -> bool:
         """Returns whether the connection is not read, so that its end would not be noticed."""
         return self._input.gate.paused and not self.closing
 
+    @property
+    def has_unread_answers(self) -> bool:
+        """Returns whether the client has left so many answers unread that it is not served."""
+        return self._input.gate.paused_for(PauseReason.UNREAD_ANSWERS)
+
     @property
     def is_reading_request(self) -> bool:
         """Returns whether a part of a request has been read."""
@@ -184,8 +217,8 @@
 
     @property
     def unfinished_bytes(self) -> int:
-        """Returns the memory of what the client has sent besides whole requests, in bytes."""
-        return self._input.held_bytes if not self.closing else 0
+        """Returns the memory of what the client has sent besides whole requests, and has not read, in bytes."""
+        return self._input.held_bytes + self._answers.size if not self.closing else self._answers.size
 
     @property
     def has_unanswered_input(self) -> bool:
@@ -222,6 +255,8 @@
         if self.transport is None or self.closing:
             return
         self.transport.write(data)
+        if self.has_unread_answers:
+            self._hold_unread()
         if keep_alive:
             self._await_next_request()
         elif has_unread_input(self.transport):  # closing now would send a reset, which can discard the response
@@ -230,7 +265,11 @@
             self._close(self.transport, CloseReason.ANSWERED)
 
     def reject_for_memory(self) -> None:
-        """Rejects the unfinished request, because memory is short."""
+        """Rejects the unfinished request, or drops the answers that the client does not read, as memory is short."""
+        if self._answers.size:
+            self._answers.release()
+            self.abort(CloseReason.UNREAD_ANSWERS)
+            return
         self._reject(BodyMemoryExhaustedError())
 
     def evict(self, reason: CloseReason) -> None:
@@ -254,6 +293,17 @@
     def _receive(self, data: bytes) -> None:
         self._handle_input(partial(self._input.receive, data))
 
+    @property
+    def _serves_later(self) -> bool:
+        """Returns whether no request is served now: for another process, or because the client does not read."""
+        gate = self._input.gate
+        return gate.paused_for(PauseReason.HANDOVER) or gate.paused_for(PauseReason.UNREAD_ANSWERS)
+
+    def _hold_unread(self) -> None:
+        """Counts the answers that the system has not taken, as the client does not read them."""
+        if self.transport is not None:
+            self._answers.hold(self.transport.get_write_buffer_size())
+
     def _set_rank(self, rank: EvictionRank) -> None:
         self._frontend.rank_for_eviction(self, rank)
 
@@ -343,8 +393,7 @@
             self._frontend.turn_queue.add(self._input, self.parse_more)
 
     def _serve_next(self) -> None:
-        held = self._input.gate.paused_for(PauseReason.HANDOVER)
-        while self._pipeline and self._state is ConnectionState.IDLE and not held:
+        while self._pipeline and self._state is ConnectionState.IDLE and not self._serves_later:
             self._apply_event(ConnectionEvent.REQUEST_STARTED)
             self._set_rank(EvictionRank.BUSY)
             if not self._reader.reading:
--- a/heronlug/frontends/http/ending_connection.py
+++ b/heronlug/frontends/http/ending_connection.py
@@ -12,6 +12,9 @@
 from heronlug.net.paced_protocol import PacedProtocol
 from heronlug.requests.model import Request
 
+UNREAD_TIMEOUT_MS = 30_000.0
+"""Time for a client to read enough of its answers, after which the connection is closed, in ms."""
+
 LINGER_MS = 500.0
 """Time for a client to read the last response.
 
@@ -43,6 +46,7 @@
         self._pipeline = RequestPipeline()
         self._timeout = Timeout(frontend.deadlines)
         self._excess_timeout = Timeout(frontend.deadlines)
+        self._unread_timeout = Timeout(frontend.deadlines)
         self._released_request_id = ""
         self._discarded = 0
         self._close_reason: CloseReason | None = None  # None until this process ends the connection
@@ -112,6 +116,8 @@
         self._set_close_reason(reason)
         self._apply_event(ConnectionEvent.CLOSED)
         transport.close()
+        if transport.get_write_buffer_size():
+            self._unread_timeout.start(UNREAD_TIMEOUT_MS, transport.abort)
 
     def _linger(self, transport: asyncio.Transport, reason: CloseReason) -> None:
         """Ends sending but keeps reading for ``LINGER_MS``, so that the last response reaches the client."""
--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -38,7 +38,7 @@
     """The connection is idle and has carried only health checks."""
 
     UNFINISHED = 3
-    """A part of a request has been read, and none is being served."""
+    """A part of a request has been read and none is being served, or the client does not read its answers."""
 
     SERVED = 4
     """The connection is idle and has carried a request for a server."""
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -358,7 +358,7 @@
 
 def _idle_rank(connection: ClientConnection) -> EvictionRank:
     """Returns the eviction rank of a connection on which no request is being served."""
-    if connection.is_reading_request:
+    if connection.is_reading_request or connection.has_unread_answers:
         return EvictionRank.UNFINISHED
     if not connection.has_sent_request:
         return EvictionRank.SILENT
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -1,6 +1,12 @@
 """Tests that a client which sends faster than it is served is slowed down, and gets an answer to each request."""
 
+import contextlib
+import socket
+
+import pytest
+
 from end_to_end.harness import (
+    SETTLE_TURNS,
     BlockingClient,
     DispatcherHarness,
     StandInConnection,
@@ -11,9 +17,14 @@
 )
 from end_to_end.test_request_arrival import remaining_ms
 from heronlug.frontends.http.client_input import PARSER_CALLS_PER_TURN
-from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, ClientConnection
+from heronlug.frontends.http.close_reason import CloseReason
+from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, MAX_UNREAD_BYTES, ClientConnection
+from heronlug.frontends.http.ending_connection import UNREAD_TIMEOUT_MS
 from heronlug.frontends.http.frontend import CLOSE_CHECK_INTERVAL_MS
 from heronlug.frontends.http.pipeline import MAX_WAITING_BYTES, MAX_WAITING_REQUESTS
+from heronlug.memory.holders import Holder
+
+HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 
 MAX_OVERSHOOT = 7
 """Requests that a piece of input may hold beyond the limit of waiting requests."""
@@ -173,3 +184,88 @@
             assert max(steps) <= 4 * (PARSER_CALLS_PER_TURN + 1024 // 6)
 
     run_async(test)
+
+
+class UnreadingClient:
+    """A client that sends health checks as fast as the dispatcher reads them."""
+
+    def __init__(self, harness: DispatcherHarness) -> None:
+        self.connection = harness.blocking_client()
+        self.connection.sock.setblocking(False)
+        self._cut = 0  # bytes of the last health check that have been sent
+
+    def send(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            sent = self.connection.sock.send((HEALTH_CHECK * 1000)[self._cut :])
+            self._cut = (self._cut + sent) % len(HEALTH_CHECK)
+
+
+async def send_until_unread(harness: DispatcherHarness, client: UnreadingClient) -> ClientConnection:
+    """Sends health checks until the answers wait in the process, and returns the connection."""
+    await harness.settle()
+    connection = connection_of(harness)
+    assert connection.transport is not None
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+    turns = 0
+    while turns < SETTLE_TURNS:  # the system may take some more of the answers
+        client.send()
+        await harness.turn_once()
+        turns = turns + 1 if connection.has_unread_answers else 0
+    return connection
+
+
+def test_client_that_reads_no_answers_is_not_served_until_it_reads() -> None:
+    """Guards against answers that pile up in the process as long as a client sends and does not read."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = UnreadingClient(harness)
+            connection = await send_until_unread(harness, client)
+            held = harness.application.memory.by_holder[Holder.CLIENT_ANSWERS]
+            assert MAX_UNREAD_BYTES <= held <= 2 * MAX_UNREAD_BYTES
+            for _ in range(20):
+                client.send()
+                await harness.settle()
+            assert harness.application.memory.by_holder[Holder.CLIENT_ANSWERS] <= 2 * MAX_UNREAD_BYTES
+            assert connection.is_reading_paused
+            while connection.has_unread_answers:
+                client.connection.received()
+                await harness.turn_once()
+            assert harness.application.memory.by_holder[Holder.CLIENT_ANSWERS] == 0
+
+    run_async(test)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_client_that_reads_no_answers_is_closed_and_its_leave_noticed(leaves: bool) -> None:
+    """Guards against a connection that stays for ever, or after its client has left, because it is not read."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = UnreadingClient(harness)
+            await send_until_unread(harness, client)
+            if leaves:
+                client.connection.leave("reset")
+            await harness.pass_time(2 * CLOSE_CHECK_INTERVAL_MS if leaves else 2 * UNREAD_TIMEOUT_MS)
+            assert not len(harness.application.frontend.connections)
+            reason = CloseReason.CLIENT_CLOSED if leaves else CloseReason.UNREAD_ANSWERS
+            assert harness.application.frontend.closes[reason] == 1
+            assert harness.application.memory.by_holder[Holder.CLIENT_ANSWERS] == 0
+
+    run_async(test)
+
+
+def test_unread_answers_are_dropped_when_memory_is_short() -> None:
+    """Guards against whole requests that are refused while answers that nobody reads keep their memory."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = UnreadingClient(harness)
+            await send_until_unread(harness, client)
+            memory = harness.application.memory
+            memory.reserve(Holder.CLIENT_INPUT, memory.limit - memory.used + 1)
+            await harness.settle()
+            assert harness.application.frontend.closes[CloseReason.UNREAD_ANSWERS] == 1
+            memory.release(Holder.CLIENT_INPUT, memory.by_holder[Holder.CLIENT_INPUT])
+
+    run_async(test)
