Keep both processes of an upgrade within the memory limit together

Cause: the account of the old process was shared between both, but the private memory of the second program was not taken from it.

Change: while a successor serves, the accounts together are smaller by that memory (18 MB); the largest unfinished requests pay if they exceed it. The check counts pages of files once: smaps_rollup of the running processes shows 11.7 of 31.9 MB as Shared_Clean, Pss 21.6 MB; the kernel charges them once.

--- a/heronlug/faults/upgrades/usage.py
+++ b/heronlug/faults/upgrades/usage.py
@@ -21,16 +21,18 @@
 
     Attributes:
         at: Unix time in seconds.
-        by_pid: Resident memory in MB by process id.
+        private_mb: Resident memory in MB that is not of files, by process id.
+        file_mb: Resident memory of files in MB, by process id; the processes share the pages of the same files.
     """
 
     at: float
-    by_pid: dict[int, float]
+    private_mb: dict[int, float]
+    file_mb: dict[int, float]
 
     @property
     def total_mb(self) -> float:
-        """Returns the resident memory of all processes, in MB."""
-        return sum(self.by_pid.values())
+        """Returns the resident memory of all processes, in MB; pages of files count once."""
+        return sum(self.private_mb.values()) + max(self.file_mb.values(), default=0.0)
 
 
 @dataclass
@@ -67,7 +69,9 @@
             self.peak_descriptors, self.peak_parts = sum(parts), parts
         memory = {pid: memory_mb(pid) for pid in pids}
         self.peak_memory_mb = max(self.peak_memory_mb, sum(sizes["RssAnon"] for sizes in memory.values()))
-        self.resident.append(ResidentMemory(time.time(), {pid: sizes["VmRSS"] for pid, sizes in memory.items()}))
+        private_mb = {pid: sizes["VmRSS"] - sizes["RssFile"] for pid, sizes in memory.items()}
+        file_mb = {pid: sizes["RssFile"] for pid, sizes in memory.items()}
+        self.resident.append(ResidentMemory(time.time(), private_mb, file_mb))
         for pid, sizes in memory.items():
             self.peak_resident_mb[pid] = max(self.peak_resident_mb.get(pid, 0.0), sizes["VmHWM"])
 
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -12,6 +12,7 @@
 from heronlug.frontends.http.client_input import SMALL_INPUT_BYTES
 from heronlug.frontends.http.frontend import HttpFrontend
 from heronlug.frontends.http.request import REQUEST_BYTES
+from heronlug.memory.limits import MB, MIN_ACCOUNT_MB, PRIVATE_PROGRAM_MB, USABLE_SHARE
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.http import MAX_BODY
 from heronlug.requests.core import Core
@@ -28,6 +29,10 @@
 """Memory that an old process keeps for a request on each of its connections, in bytes."""
 SPARE_BODIES = 4
 """Request bodies of the largest size for which an old process keeps memory."""
+SECOND_PROGRAM_BYTES = int(PRIVATE_PROGRAM_MB * MB * USABLE_SHARE)
+"""Memory by which the accounts of two processes together are smaller than that of one, in bytes."""
+MIN_SHARED_BYTES = int(MIN_ACCOUNT_MB * MB)
+"""Memory that the accounts of two processes may use together, even if it exceeds the limit, in bytes."""
 
 
 class Resource(StrEnum):
@@ -111,6 +116,7 @@
         }
         self._shares = {resource: _Share(total) for resource, total in self._totals.items()}
         self._has_predecessor = False
+        self._second_program_bytes = 0
         self.kept_free = 0
 
     @property
@@ -160,6 +166,15 @@
 
     # -- towards the successor
 
+    def successor_serves(self) -> None:
+        """Makes room for the program of the successor, at the expense of the largest unfinished requests."""
+        own = self._shares[Resource.BODY_BYTES].own
+        self._second_program_bytes = max(0, min(SECOND_PROGRAM_BYTES, own - MIN_SHARED_BYTES))
+        self._apply()
+        memory = self._frontend.memory
+        if memory.used > memory.limit:
+            memory.relieve(memory.used - memory.limit, None, 0)
+
     def give(self, room: Room) -> None:
         """Lowers the limits of this process by room that the successor gets."""
         for resource, amount in room.items():
@@ -174,6 +189,7 @@
 
     def successor_ended(self) -> None:
         """Takes back all room that the successor had."""
+        self._second_program_bytes = 0
         for share in self._shares.values():
             share.given = 0
         self._apply()
@@ -181,6 +197,7 @@
     def unneeded(self) -> Room:
         """Returns the room that this process does not need while a successor accepts the clients."""
         needed = self._needed()
+        needed[Resource.BODY_BYTES] += self._second_program_bytes
         spare = {resource: share.own - needed[resource] for resource, share in self._shares.items()}
         return {resource: amount for resource, amount in spare.items() if amount > 0}
 
@@ -206,6 +223,6 @@
         self._frontend.max_connections = self._shares[Resource.CLIENTS].own
         self._backend.max_connections = self._shares[Resource.SERVERS].own
         self._core.max_open = self._shares[Resource.REQUESTS].own
-        self._frontend.memory.limit = self._shares[Resource.BODY_BYTES].own
+        self._frontend.memory.limit = max(0, self._shares[Resource.BODY_BYTES].own - self._second_program_bytes)
         self._acceptor.look_again()
         self._backend.look_again()
--- a/heronlug/lifecycle/hot_restart/state_transfer.py
+++ b/heronlug/lifecycle/hot_restart/state_transfer.py
@@ -229,7 +229,9 @@
         self._parts.listener.pause()
         self._parts.peers.close()
         self._parts.backend.close_idle()
-        if not self.session.successor_has(Feature.ROOM):
+        if self.session.successor_has(Feature.ROOM):
+            self._limits.successor_serves()
+        else:
             self._limits.give_half()
         self._parts.shutdown.hand_over(self._hand_over)
 
--- a/heronlug/memory/limits.py
+++ b/heronlug/memory/limits.py
@@ -5,6 +5,8 @@
 MB = 1024 * 1024
 PROGRAM_MB = 29.0
 """Resident memory of the program without clients, in MB."""
+PRIVATE_PROGRAM_MB = 18.0
+"""The part of that which a second process of the program does not share with the first, in MB."""
 USABLE_SHARE = 0.7
 """Share of the remaining memory that may be accounted for; the allocator needs the rest."""
 MIN_ACCOUNT_MB = 2.0
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -10,12 +10,14 @@
 from compatibility.test_recorded_forms import wait_until
 
 from heronlug.lifecycle.hot_restart.shared_limits import (
+    SECOND_PROGRAM_BYTES,
     TRANSIT_DESCRIPTORS,
     Resource,
     SharedLimits,
     room_of_client,
     room_of_request,
 )
+from heronlug.memory.limits import MB
 
 TOTAL = 100
 
@@ -100,3 +102,20 @@
     parts.connections = []
     assert limits.transfer_window(has_successor=True) == 0
     assert limits.kept_free == 0
+
+
+def test_second_program_of_an_upgrade_has_its_memory_at_the_expense_of_the_account() -> None:
+    """Guards against two processes that together pass a memory limit which each of them keeps."""
+    limits, parts = make_limits()
+    parts.memory.limit = total = int(24.5 * MB)
+    limits = SharedLimits(parts, MagicMock(max_connections=TOTAL, open_count=0), parts, parts)
+    parts.memory.used = 20 * MB
+    limits.successor_serves()
+    assert parts.memory.limit == total - SECOND_PROGRAM_BYTES
+    assert parts.memory.relieve.call_args.args[0] == parts.memory.used - parts.memory.limit
+    parts.memory.used = MB
+    given = limits.unneeded()
+    limits.give(given)
+    assert given[Resource.BODY_BYTES] + parts.memory.limit == total - SECOND_PROGRAM_BYTES
+    limits.successor_ended()
+    assert parts.memory.limit == total
