Pause the reading of an adopted client also if its transport starts to read later

Cause: an adopted connection with enough waiting is paused while its transport tells of the connection; the transport starts to read after that callback, so the gate counted as paused and every read was added to the input (18.7 MB on one connection in the log), copied as a whole each time.

Change: bytes that come in spite of a pause pause the transport again.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -115,6 +115,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the client; requests are served once what may be parsed in this turn has been parsed."""
+        self._input.gate.received()
         if self.closing:
             self._discard(len(data))
         elif len(data) > LARGE_READ_BYTES:
--- a/heronlug/net/read_gate.py
+++ b/heronlug/net/read_gate.py
@@ -84,6 +84,14 @@
         self.pause(PauseReason.TURN)
         asyncio.get_running_loop().call_soon(self.resume, PauseReason.TURN)
 
+    def received(self) -> None:
+        """Stops reading again if bytes have come in spite of a pause.
+
+        A transport starts to read after the callback for the new connection, also if that has paused it.
+        """
+        if self._reasons and self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
     def drained(self) -> None:
         """Records that a read took all bytes that had arrived."""
         self.unread_since = None
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -17,12 +17,14 @@
 )
 from end_to_end.test_request_arrival import remaining_ms
 from heronlug.frontends.http.client_input import PARSER_CALLS_PER_TURN
+from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, MAX_UNREAD_BYTES, ClientConnection
 from heronlug.frontends.http.ending_connection import UNREAD_TIMEOUT_MS
 from heronlug.frontends.http.frontend import CLOSE_CHECK_INTERVAL_MS
 from heronlug.frontends.http.pipeline import MAX_WAITING_BYTES, MAX_WAITING_REQUESTS
 from heronlug.memory.holders import Holder
+from heronlug.net.paced_protocol import RECEIVE_BUFFER_BYTES
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -186,6 +188,29 @@
     run_async(test)
 
 
+def test_adopted_client_with_enough_waiting_is_not_read_on() -> None:
+    """Guards against input without end after an upgrade: a new transport reads although the gate has paused it."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            own, client = socket.socketpair()
+            own.setblocking(False)
+            client.setblocking(False)
+            state = ClientState(served=True, has_sent_request=True, partial_request=many_requests(100))
+            harness.application.frontend.adopt(own, state)
+            for _ in range(100):
+                with contextlib.suppress(BlockingIOError):
+                    client.send(b"POST /safe HTTP/1.1\r\n" * 1000)
+                await harness.turn_once()
+            assert connection_of(harness).is_reading_paused
+            held = harness.application.memory.by_holder[Holder.CLIENT_INPUT]
+            assert held <= 2 * RECEIVE_BUFFER_BYTES + len(many_requests(100))
+            client.close()
+            await harness.settle()
+
+    run_async(test)
+
+
 class UnreadingClient:
     """A client that sends health checks as fast as the dispatcher reads them."""
 
