Share connections while none can be closed, also beside unfinished requests

Cause: an answer makes room for a waiting client only if every connection has carried a request. Since unfinished requests keep their connection for 1 s, one slow half among them was enough that nobody shared. And clients with a single queued request counted as those that queue many.

The property all_served went with its only use, and its two assertions.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -192,8 +192,9 @@
 
     @property
     def has_queued_requests(self) -> bool:
-        """Returns whether whole requests wait behind the one that is being served."""
-        return bool(self._pipeline)
+        """Returns whether several requests, or large parts of requests, wait behind the one that is being served."""
+        waiting_bytes = self._pipeline.body_bytes + self._input.held_bytes
+        return len(self._pipeline) > 1 or waiting_bytes > LARGE_READ_BYTES
 
     @property
     def takes_requests(self) -> bool:
--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -124,17 +124,6 @@
         """Returns whether over half of the connections that the dispatcher may have are unfinished ones."""
         return len(self._by_rank[EvictionRank.UNFINISHED]) > self._crowd_size
 
-    @property
-    def all_served(self) -> bool:
-        """Returns whether every connection carries a request or has carried one."""
-        unserved = (
-            EvictionRank.REJECTED,
-            EvictionRank.SILENT,
-            EvictionRank.HEALTH_CHECKED,
-            EvictionRank.UNFINISHED,
-        )
-        return not any(self._by_rank[rank] for rank in unserved)
-
     def _first_in_rank_for(self, rank: EvictionRank, time_ms: float) -> Connection | None:
         """Returns the first connection of a rank if it has been there for this time, else None."""
         connection = self._first_of(rank)
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -347,15 +347,20 @@
     def _keeps_alive(self, request: HttpRequest, connection: AnswerableConnection) -> bool:
         """Returns whether a connection stays open after this answer.
 
-        During a drain, or while new clients wait and every connection is in use, a connection stays open only until all
-        received input is answered.
+        During a drain, or while new clients wait and no connection can be closed for them, a connection stays open only
+        until all received input is answered.
         """
-        makes_room = self.clients_wait() and self._eviction_order.all_served and not self._queued_requests_leave_soon()
-        ends_when_idle = self._owner.sends_clients_away() or makes_room
+        ends_when_idle = self._owner.sends_clients_away() or self._answer_makes_room()
         return request.keep_alive and not (ends_when_idle and not connection.has_unanswered_input)
 
+    def _answer_makes_room(self) -> bool:
+        """Returns whether a client waits for room, and no connection can be closed for it now."""
+        if not self.clients_wait() or self._eviction_order.first() is not None:
+            return False
+        return not self._queued_requests_leave_soon()
+
     def _queued_requests_leave_soon(self) -> bool:
-        """Returns whether clients with requests behind the current one should make the room for new clients.
+        """Returns whether clients with several requests behind the current one should make the room for new clients.
 
         They take more than the others, whose connections therefore stay open for a while.
         """
--- a/heronlug/frontends/http/pipeline.py
+++ b/heronlug/frontends/http/pipeline.py
@@ -30,6 +30,11 @@
         self._requests.append(request)
         self._body_bytes += len(request.body)
 
+    @property
+    def body_bytes(self) -> int:
+        """Returns the size of all bodies of the waiting requests, in bytes."""
+        return self._body_bytes
+
     @property
     def has_room(self) -> bool:
         """Returns whether another request may be parsed."""
--- a/tests/frontends/test_eviction.py
+++ b/tests/frontends/test_eviction.py
@@ -61,10 +61,8 @@
     assert order.first() is checked
     order.move(checked, None)
     assert order.first() is None
-    assert not order.all_served
     order.move(silent, None)
     assert order.first() is served
-    assert order.all_served
 
 
 def test_connection_with_unanswered_input_is_not_evicted() -> None:
