Let the paced protocol itself pause its connections

The client connection alone paused again what was read in spite of a pause, and both kinds of connection repeated the pause for a full buffer.

--- a/heronlug/backends/connection.py
+++ b/heronlug/backends/connection.py
@@ -16,7 +16,7 @@
 from heronlug.memory.holders import Holder
 from heronlug.net import http
 from heronlug.net.connection_state import has_unread_input, shutdown_sending
-from heronlug.net.paced_protocol import PacedProtocol
+from heronlug.net.paced_protocol import RECEIVE_BUFFER, PacedProtocol
 from heronlug.net.read_gate import PauseReason, ReadGate
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines, Key
@@ -121,7 +121,7 @@
             next request, in ms; 0 if the last response names its request.
     """
 
-    max_read_bytes = MAX_READ_BYTES
+    receive_buffer = RECEIVE_BUFFER[:MAX_READ_BYTES]
 
     def __init__(self, pool: ConnectionOwner, server: Server, address: str) -> None:
         self.server = server
@@ -136,7 +136,7 @@
         self.reused = False
         self.ambiguous_until = 0.0
         self._pool = pool
-        self._gate = ReadGate(pool.deadlines.clock)
+        self.gate = ReadGate(pool.deadlines.clock)
         self._memory = Reservation(pool.memory, Holder.SERVER_RESPONSES)
         self._response: ResponseReader | None = None
         self._has_unwritten_bytes = False  # the transport's buffer holds unsent bytes
@@ -157,7 +157,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notifies the pool, unless the connection was taken over with its request already written."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport has the methods but is not a subclass
-        self._gate.open(self.transport)
+        self.gate.open(self.transport)
         self.transport.set_write_buffer_limits(high=0)  # pause_writing() then reports every unwritten byte
         if self.is_closed:
             self.transport.abort()
@@ -173,10 +173,6 @@
         """Records that the transport's buffer is empty."""
         self._has_unwritten_bytes = False
 
-    def input_exceeds_buffer(self) -> None:
-        """Stops reading until the next iteration of the event loop."""
-        self._gate.pause_for_turn()
-
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the response; bytes without a request close the connection."""
         if self.is_closed:
@@ -215,7 +211,7 @@
         self._end_attempt(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
         self.close(CloseReason.SERVER_CLOSED)
         self._drop_response()
-        self._gate.close()
+        self.gate.close()
         self._pool.descriptor_freed(self)
         self._pool.flush()
 
@@ -306,7 +302,7 @@
             RuntimeError: No request has been written.
         """
         transport = self._connected_transport()
-        self._gate.pause(PauseReason.HANDOVER)
+        self.gate.pause(PauseReason.HANDOVER)
         fd = int(transport.get_extra_info("socket").fileno())
         response = self._response
         if response is None:
@@ -316,7 +312,7 @@
 
     def reclaim(self) -> None:
         """Reads again after another process has not taken over the connection."""
-        self._gate.resume(PauseReason.HANDOVER)
+        self.gate.resume(PauseReason.HANDOVER)
 
     def detach(self) -> None:
         """Closes the descriptor after the handover without reporting an outcome."""
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -66,6 +66,7 @@
         self._on_connected = on_connected
         self._input = ClientInput(self, frontend)
         self._reader = self._input.reader
+        self.gate = self._input.gate
         self._memory = Reservation(frontend.memory, Holder.CLIENT_CONNECTIONS)
         self._answers = Reservation(frontend.memory, Holder.CLIENT_ANSWERS)
 
@@ -91,7 +92,7 @@
 
     def pause_writing(self) -> None:
         """Serves no further request until the client has read its answers, which it has to do in time."""
-        self._input.gate.pause(PauseReason.UNREAD_ANSWERS)
+        self.gate.pause(PauseReason.UNREAD_ANSWERS)
         self._hold_unread()
         self._unread_timeout.start(UNREAD_TIMEOUT_MS, lambda: self.abort(CloseReason.UNREAD_ANSWERS))
         if not self.closing:
@@ -103,19 +104,14 @@
         """Serves what has waited for the client to read its answers."""
         self._unread_timeout.cancel()
         self._answers.release()
-        self._input.gate.resume(PauseReason.UNREAD_ANSWERS)
+        self.gate.resume(PauseReason.UNREAD_ANSWERS)
         if not self.closing:
             if not self.serving:
                 self._set_idle()
             self._frontend.turn_queue.add(self._input, self.parse_more)
 
-    def input_exceeds_buffer(self) -> None:
-        """Stops reading until the next iteration of the event loop."""
-        self._input.gate.pause_for_turn()
-
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the client; requests are served once what may be parsed in this turn has been parsed."""
-        self._input.gate.received()
         if self.closing:
             self._discard(len(data))
         elif len(data) > LARGE_READ_BYTES:
@@ -205,12 +201,12 @@
     @property
     def is_reading_paused(self) -> bool:
         """Returns whether the connection is not read, so that its end would not be noticed."""
-        return self._input.gate.paused and not self.closing
+        return self.gate.paused and not self.closing
 
     @property
     def has_unread_answers(self) -> bool:
         """Returns whether the client has left so many answers unread that it is not served."""
-        return self._input.gate.paused_for(PauseReason.UNREAD_ANSWERS)
+        return self.gate.paused_for(PauseReason.UNREAD_ANSWERS)
 
     @property
     def is_reading_request(self) -> bool:
@@ -298,7 +294,7 @@
     @property
     def _serves_later(self) -> bool:
         """Returns whether no request is served now: for another process, or because the client does not read."""
-        gate = self._input.gate
+        gate = self.gate
         return gate.paused_for(PauseReason.HANDOVER) or gate.paused_for(PauseReason.UNREAD_ANSWERS)
 
     def _hold_unread(self) -> None:
@@ -332,7 +328,7 @@
             continues = self._reader.reading and self._reader.request is request
             if self._reader.reading and self._state is ConnectionState.IDLE:
                 self._set_idle()
-            if continues and not self._pipeline and not self._input.gate.paused:
+            if continues and not self._pipeline and not self.gate.paused:
                 return
             self._serve_next()
         self._frontend.run_due()
@@ -346,7 +342,7 @@
             self._excess_timeout.cancel()
         elif not self._excess_timeout.pending:
             self._excess_timeout.start(EXCESS_TIMEOUT_MS, self._refuse_excess)
-        if self._input.gate.paused:
+        if self.gate.paused:
             self._watch_for_close()
 
     def _refuse_excess(self) -> None:
--- a/heronlug/frontends/http/transferable_connection.py
+++ b/heronlug/frontends/http/transferable_connection.py
@@ -68,7 +68,7 @@
         if self.transport is None:
             msg = "the client connection has no transport and cannot be handed over"
             raise ConnectionError(msg)
-        self._input.gate.pause(PauseReason.HANDOVER)
+        self.gate.pause(PauseReason.HANDOVER)
         self._apply_event(ConnectionEvent.OFFERED)
         self._timeout.cancel()
         self._excess_timeout.cancel()
@@ -103,13 +103,13 @@
     def hold_for_transfer(self) -> None:
         """Stops reading until another process continues the connection, unless requests have to be served first."""
         if self._state is ConnectionState.IDLE and not self.has_waiting_input and self.can_hand_over(unfinished=True):
-            self._input.gate.pause(PauseReason.HANDOVER)
+            self.gate.pause(PauseReason.HANDOVER)
             self._watch_for_close()
 
     def end_hold(self) -> None:
         """Reads again, and serves what has come meanwhile, because no other process continues the connection."""
-        if self._state is ConnectionState.IDLE and self._input.gate.paused_for(PauseReason.HANDOVER):
-            self._input.gate.resume(PauseReason.HANDOVER)
+        if self._state is ConnectionState.IDLE and self.gate.paused_for(PauseReason.HANDOVER):
+            self.gate.resume(PauseReason.HANDOVER)
             self._frontend.turn_queue.add(self._input, self.parse_more)
 
     def reclaim(self) -> None:
@@ -122,7 +122,7 @@
             self._set_idle()
             self._start_waiting()
         if not (was_offered and self._frontend.transferring):
-            self._input.gate.resume(PauseReason.HANDOVER)
+            self.gate.resume(PauseReason.HANDOVER)
             self._frontend.turn_queue.add(self._input, self.parse_more)  # requests may have waited meanwhile
         self._adjust_input()
 
@@ -189,7 +189,7 @@
             return
         if state.partial_request:
             began_at = self._frontend.deadlines.clock() - state.reading_ms
-            self._input.gate.unread_since = began_at
+            self.gate.unread_since = began_at
             self._receive(state.partial_request)
             self._reading_since = began_at
         if self._input.reader.reading:
--- a/heronlug/net/paced_protocol.py
+++ b/heronlug/net/paced_protocol.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from heronlug.net.read_gate import ReadGate
+
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Maximum number of bytes that are read from a connection in one iteration of the event loop."""
 
-_RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 """Buffer of all connections; the received bytes are copied before another connection is read."""
 
 
@@ -16,26 +18,25 @@
     buffer pauses reading until the next iteration, and all connections read into the same buffer.
 
     Attributes:
-        max_read_bytes: Maximum number of bytes that are read in one iteration.
+        receive_buffer: As much of the common buffer as is read in one iteration.
+        gate: Pauses reading.
     """
 
-    max_read_bytes = RECEIVE_BUFFER_BYTES
+    receive_buffer = RECEIVE_BUFFER
+    gate: ReadGate
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
-        return _RECEIVE_BUFFER[: self.max_read_bytes]
+        return self.receive_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes the received bytes on."""
-        data = bytes(_RECEIVE_BUFFER[:nbytes])
-        if nbytes == self.max_read_bytes:
-            self.input_exceeds_buffer()
+        data = bytes(self.receive_buffer[:nbytes])
+        self.gate.received()
+        if nbytes == len(self.receive_buffer):
+            self.gate.pause_for_turn()
         self.data_received(data)
 
     def data_received(self, data: bytes) -> None:
         """Handles received bytes."""
         raise NotImplementedError
-
-    def input_exceeds_buffer(self) -> None:
-        """Handles a full buffer, before its bytes are passed on: pauses reading until the next iteration."""
-        raise NotImplementedError
