--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import sys
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -78,7 +77,7 @@
         self.log = log
         self.flush = flush
         self.max_connections = max_connections
-        self.memory = memory or MemoryAccount(sys.maxsize)
+        self.memory = memory or MemoryAccount()
         self.connections: SlotTable[ServerConnection] = SlotTable()
         self.dials = 0
         self.closes: Counter[CloseReason] = Counter()
--- a/heronlug/cli/helpers.py
+++ b/heronlug/cli/helpers.py
@@ -15,6 +15,18 @@
     metavar="SOCKET",
     help="control socket of the running dispatcher",
 )
+FIRST_SEED_ARGUMENT = click.argument("first", type=click.IntRange(0))
+COUNT_ARGUMENT = click.argument("count", type=click.IntRange(1), default=1)
+KEEP_OPTION = click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="keep configuration and logs in this folder"
+)
+SOURCES_OPTION = click.option(
+    "--source",
+    "sources",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    multiple=True,
+    help="folder of a version of the program; with several, the processes run them in turn",
+)
 JSON_OPTION = click.option("--json", "as_json", is_flag=True, help="print a JSON list")
 
 
--- a/heronlug/cli/pressure.py
+++ b/heronlug/cli/pressure.py
@@ -4,13 +4,13 @@
 
 import click
 
+from heronlug.cli.helpers import COUNT_ARGUMENT, FIRST_SEED_ARGUMENT, KEEP_OPTION, SOURCES_OPTION
+
 
 @click.command()
-@click.argument("first", type=click.IntRange(0))
-@click.argument("count", type=click.IntRange(1), default=1)
-@click.option(
-    "--keep", type=click.Path(file_okay=False, path_type=Path), help="keep configuration and logs in this folder"
-)
+@FIRST_SEED_ARGUMENT
+@COUNT_ARGUMENT
+@KEEP_OPTION
 @click.option("--play", "kind", help="play this kind of abuse alone, instead of what the seed draws")
 @click.option("--clients", type=click.IntRange(1), default=400, show_default=True, help="number of abusive clients")
 @click.option(
@@ -20,13 +20,7 @@
     show_default=True,
     help="limits of memory in MB and of descriptors",
 )
-@click.option(
-    "--source",
-    "sources",
-    type=click.Path(exists=True, file_okay=False, path_type=Path),
-    multiple=True,
-    help="folder of a version of the program; with several, the processes run them in turn",
-)
+@SOURCES_OPTION
 def pressure(
     first: int,
     count: int,
--- a/heronlug/cli/upgrades.py
+++ b/heronlug/cli/upgrades.py
@@ -4,22 +4,14 @@
 
 import click
 
-from heronlug.cli.helpers import print_columns
+from heronlug.cli.helpers import COUNT_ARGUMENT, FIRST_SEED_ARGUMENT, KEEP_OPTION, SOURCES_OPTION, print_columns
 
 
 @click.command()
-@click.argument("first", type=click.IntRange(0))
-@click.argument("count", type=click.IntRange(1), default=1)
-@click.option(
-    "--keep", type=click.Path(file_okay=False, path_type=Path), help="keep configuration and logs in this folder"
-)
-@click.option(
-    "--source",
-    "sources",
-    type=click.Path(exists=True, file_okay=False, path_type=Path),
-    multiple=True,
-    help="folder of a version of the program; with several, the processes run them in turn",
-)
+@FIRST_SEED_ARGUMENT
+@COUNT_ARGUMENT
+@KEEP_OPTION
+@SOURCES_OPTION
 def upgrades(first: int, count: int, keep: Path | None, sources: tuple[Path, ...]) -> int:
     """Run the plans of COUNT seeds from FIRST on. The exit status is 1 if a request is lost or a rule broken."""
     from heronlug.faults.upgrades.coverage import coverage_table, total
--- a/heronlug/frontends/http/client_input.py
+++ b/heronlug/frontends/http/client_input.py
@@ -22,7 +22,6 @@
 PARSER_CALLS_PER_TURN = 64
 """Number of headers, pieces of bodies and requests that are parsed for a connection in one turn."""
 
-
 SMALL_INPUT_BYTES = 8 * 1024
 """Size of an unfinished request up to which all memory may be used for it, in bytes."""
 
@@ -100,8 +99,7 @@
     def close(self) -> None:
         """Drops what has been read and breaks the reference cycles; the input is unusable."""
         self._turn_queue.remove(self)
-        self._unparsed = b""
-        self._offset = 0
+        self._set_unparsed(b"")
         self._transport = None
         self._memory.release()
         self.gate.close()
@@ -180,8 +178,7 @@
             self._offset += len(piece)
             self.reader.feed(piece)
         if not self.has_unparsed:
-            self._unparsed = b""
-            self._offset = 0
+            self._set_unparsed(b"")
         self._hold_memory()
         self.adjust()
 
@@ -197,8 +194,7 @@
     def stop_parsing(self) -> None:
         """Drops the input so far, and reads again in order to discard what the client still sends."""
         self._turn_queue.remove(self)
-        self._unparsed = b""
-        self._offset = 0
+        self._set_unparsed(b"")
         self.reader.drop()
         self._memory.release()
         self.gate.resume(PauseReason.INPUT)
@@ -210,10 +206,13 @@
             BadRequestError: There is no memory for the bytes.
         """
         self._reserve(len(data))
-        self._unparsed = self.unparsed + data if self.has_unparsed else data
-        self._offset = 0
+        self._set_unparsed(self.unparsed + data if self.has_unparsed else data)
         self._arrived_at = None
 
+    def _set_unparsed(self, data: bytes) -> None:
+        self._unparsed = data
+        self._offset = 0
+
     def _hold_memory(self) -> None:
         self._memory.hold(len(self._unparsed) + self.reader.held_bytes)
 
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -187,7 +187,7 @@
         return self.serving or bool(self._pipeline)
 
     @property
-    def has_queued_requests(self) -> bool:
+    def has_backlog(self) -> bool:
         """Returns whether several requests, or large parts of requests, wait behind the one that is being served."""
         waiting_bytes = self._pipeline.body_bytes + self._input.held_bytes
         return len(self._pipeline) > 1 or waiting_bytes > LARGE_READ_BYTES
@@ -231,13 +231,8 @@
 
         A request of which a part has come is not owed an answer; it gets an error.
         """
-        match self.rank:
-            case EvictionRank.REJECTED:
-                return True
-            case EvictionRank.UNFINISHED:
-                return True
-            case _:
-                return not self.has_unanswered_input
+        owes_nothing = self.rank in (EvictionRank.REJECTED, EvictionRank.UNFINISHED)
+        return owes_nothing or not self.has_unanswered_input
 
     @property
     def client_connected(self) -> bool:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -365,7 +365,7 @@
         They take more than the others, whose connections therefore stay open for a while.
         """
         waited_ms = 0.0 if self._waiting_since is None else self.deadlines.clock() - self._waiting_since
-        return waited_ms < MAX_ROOM_WAIT_MS and any(connection.has_queued_requests for connection in self.connections)
+        return waited_ms < MAX_ROOM_WAIT_MS and any(connection.has_backlog for connection in self.connections)
 
 
 def _idle_rank(connection: ClientConnection) -> EvictionRank:
--- a/heronlug/lifecycle/hot_restart/shared_limits.py
+++ b/heronlug/lifecycle/hot_restart/shared_limits.py
@@ -159,8 +159,7 @@
         if has_successor:
             self.kept_free = 0
             return 0
-        clients = len(self._frontend.connections) + self._frontend.adopting + self._acceptor.opening
-        free = self._shares[Resource.CLIENTS].own - clients
+        free = self._shares[Resource.CLIENTS].own - self._client_count()
         self.kept_free = max(0, min(MAX_KEPT_FREE, free // 2))
         return TRANSIT_DESCRIPTORS + self.kept_free
 
@@ -205,7 +204,7 @@
 
     def _needed(self) -> Room:
         """Returns what this process needs for its connections, and for the requests that may still arrive on them."""
-        clients = len(self._frontend.connections) + self._frontend.adopting + self._acceptor.opening
+        clients = self._client_count()
         withheld = THIRD_PROCESS_DESCRIPTORS // 2 if self._has_predecessor else 0
         return {
             Resource.CLIENTS: clients + withheld,
@@ -214,6 +213,10 @@
             Resource.BODY_BYTES: self._frontend.memory.used + clients * CLIENT_BYTES + SPARE_BODIES * MAX_BODY,
         }
 
+    def _client_count(self) -> int:
+        """Returns the number of client connections, with those that are being opened or adopted."""
+        return len(self._frontend.connections) + self._frontend.adopting + self._acceptor.opening
+
     def _set_received(self, room: Room) -> None:
         for resource, share in self._shares.items():
             share.received = room.get(resource, 0)
--- a/heronlug/lifecycle/memory_monitor.py
+++ b/heronlug/lifecycle/memory_monitor.py
@@ -2,6 +2,7 @@
 
 from heronlug.memory.account import MemoryAccount, Pressure
 from heronlug.memory.allocator import trim
+from heronlug.memory.limits import MB
 from heronlug.memory.process_memory import peak_resident_bytes, resident_bytes
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -16,7 +17,6 @@
 """Resident memory beyond the program and what is accounted for, from which free memory is given back, in bytes."""
 TRIM_INTERVAL_MS = 2000.0
 """Minimum interval between two times at which free memory is given back, in ms."""
-MB = 1024 * 1024
 
 
 class MemoryMonitor:
--- a/heronlug/lifecycle/operations.py
+++ b/heronlug/lifecycle/operations.py
@@ -8,6 +8,7 @@
 from heronlug.lifecycle.graceful_shutdown import GracefulShutdown
 from heronlug.memory.account import MemoryAccount
 from heronlug.memory.holders import Holder
+from heronlug.memory.limits import MB
 from heronlug.memory.process_memory import peak_resident_bytes, resident_bytes
 from heronlug.requests.core import Core
 from heronlug.requests.model import FinalAnswer
@@ -107,7 +108,7 @@
     """Returns the metrics of the memory of this process; ``limit_mb`` is its limit in MB."""
     values = {
         MEMORY_ACCOUNT_LIMIT: account.limit,
-        MEMORY_LIMIT: int(limit_mb * 1024 * 1024),
+        MEMORY_LIMIT: int(limit_mb * MB),
         MEMORY_RESIDENT: resident_bytes(),
         MEMORY_PEAK: peak_resident_bytes(),
     }
--- a/heronlug/memory/account.py
+++ b/heronlug/memory/account.py
@@ -16,6 +16,10 @@
 """Share of the limit by which the memory in use must fall below a threshold before the pressure counts as lower."""
 
 
+UNLIMITED = 1 << 62
+"""Limit of an account that is never reached, in bytes."""
+
+
 class Pressure(Enum):
     """How much of the limit is in use; the values appear in logs."""
 
@@ -70,7 +74,7 @@
         "used",
     )
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int = UNLIMITED) -> None:
         """Creates an empty account with a limit in bytes."""
         self.by_holder: dict[Holder, int] = dict.fromkeys(Holder, 0)
         self.refusals: Counter[Holder] = Counter()
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -50,9 +50,6 @@
 POSTPONED_MS = 5.0
 """Delay before a postponed attempt checks again whether the update of the endpoint list has been read, in ms."""
 
-UNLIMITED = 1 << 62
-"""Limit of an account of memory that is never reached, in bytes."""
-
 MAX_OPEN = 20_000
 """Default limit of open requests, for callers that pass no other limit."""
 
@@ -116,7 +113,7 @@
         self.settings, self.transport, self.deadlines = settings, transport, deadlines
         self.plugins = plugins
         self.directory = ServerDirectory()
-        self.requests = RequestTable(deadlines, memory or MemoryAccount(UNLIMITED))
+        self.requests = RequestTable(deadlines, memory or MemoryAccount())
         self.attempts: SlotTable[Attempt] = SlotTable()
         self.has_unread_update = has_unread_update
         self.max_open = max_open
--- a/tests/lifecycle/test_memory_monitor.py
+++ b/tests/lifecycle/test_memory_monitor.py
@@ -6,10 +6,11 @@
 import pytest
 
 from heronlug.lifecycle import memory_monitor
-from heronlug.lifecycle.memory_monitor import MB, MemoryMonitor
+from heronlug.lifecycle.memory_monitor import MemoryMonitor
 from heronlug.lifecycle.operations import memory_metrics
 from heronlug.memory.account import MemoryAccount, MemoryShortError, Pressure, Reservation
 from heronlug.memory.holders import Holder
+from heronlug.memory.limits import MB
 from heronlug.requests.deadlines import Deadlines
 
 HOLDER = Holder.CLIENT_REQUESTS
