--- a/review/support_2.py
+++ b/review/support_2.py
@@ -124,8 +124,9 @@
 class Case:
     """One run of a case: its folder, its record, and the processes that it has started."""
 
-    def __init__(self, script: str) -> None:
+    def __init__(self, script: str, record: str) -> None:
         self.folder = Path(script).resolve().parent
+        self.record = self.folder / record
         self.started_at = time.monotonic()
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.tmp = Path(self._temporary.name)
@@ -153,7 +154,7 @@
         finally:
             self.end_processes()
             self.note("verdict", exit=verdict, means={HELD: "held", BROKEN: "broken"}.get(verdict, "could not run"))
-            (self.folder / "record.txt").write_text("\n".join(self.lines) + "\n")
+            self.record.write_text("\n".join(self.lines) + "\n")
             print("\n".join(self.lines[-12:]))
             with contextlib.suppress(OSError):
                 self._temporary.cleanup()
