Count what the Faktory jobs hold in the account of memory

Change: the holders faktory_jobs and faktory_payloads, counted and not yet refused, from the push or the restart until a job ends and its jid is forgotten. Metrics and memory log lines show them.

--- a/heronlug/frontends/faktory/context.py
+++ b/heronlug/frontends/faktory/context.py
@@ -4,6 +4,7 @@
 
 from heronlug.frontends.faktory.config import FaktoryConfig
 from heronlug.frontends.faktory.frontend_state import FrontendState
+from heronlug.frontends.faktory.job_memory import JobMemory
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -19,6 +20,7 @@
         deadlines: the clock and the pending time-outs.
         log: the event log.
         store: the store of accepted jobs.
+        memory: counts what the known jobs hold.
         core: assigns jobs to workers. The core needs the frontend as its transport, so this attribute is set after
             both have been created.
         state: whether new jobs are accepted and accepted jobs start.
@@ -28,5 +30,6 @@
     deadlines: Deadlines
     log: EventLog
     store: Store
+    memory: JobMemory
     core: Core = field(init=False)
     state: FrontendState = FrontendState.OFF
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -11,12 +11,14 @@
 from heronlug.frontends.faktory.delivery import JobDelivery
 from heronlug.frontends.faktory.frontend_state import FrontendEvent, next_state
 from heronlug.frontends.faktory.info import server_info
+from heronlug.frontends.faktory.job_memory import JobMemory
 from heronlug.frontends.faktory.job_recovery import JobRecovery
 from heronlug.frontends.faktory.jobs import JobTable
 from heronlug.frontends.faktory.reservations import Reservations
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.session import FaktorySession
 from heronlug.frontends.faktory.workers import WorkerTable
+from heronlug.memory.account import MemoryAccount
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -44,9 +46,10 @@
         log: EventLog,
         run_due: Callable[[], None],
         store: Store,
+        memory: MemoryAccount,
     ) -> None:
         """Creates a frontend that is turned off, and reads its store; the caller must set ``core`` before use."""
-        self.context = FaktoryContext(config, deadlines, log, store)
+        self.context = FaktoryContext(config, deadlines, log, store, JobMemory(memory))
         self._stored = list(store.load())
         self._reservations = Reservations(self.context)
         self.jobs = JobTable(self.context)
--- a/heronlug/frontends/faktory/job_recovery.py
+++ b/heronlug/frontends/faktory/job_recovery.py
@@ -68,6 +68,7 @@
             JobState.STORED,
         )
         self._jobs.by_jid[record.jid] = job
+        self._context.memory.hold(job)
         if record.final_state:
             self._recover_end(job, record, action, now)
         return job
@@ -77,6 +78,7 @@
         job.enter(JobState.ENDED)
         job.final_answer = FinalAnswer(record.final_state)
         job.payload = {}
+        self._context.memory.release_payload(job)
         since_end_ms = max(0.0, now - record.ended_at)
         remember_ms = max(0.0, self._context.config.remember_ms - since_end_ms)
         self._jobs.forget_after(remember_ms, job)
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -122,6 +122,7 @@
     def _store(self, job: Job, arguments: PushArguments) -> None:
         """Stores a new job; the job is accepted once the store confirms that the job is durable."""
         self.by_jid[job.jid] = job
+        self._context.memory.hold(job)
         accepted_at = self._context.deadlines.clock()
         class_name = self._class_names()[job.class_index]
         record = StoredRequest(
@@ -151,7 +152,8 @@
         if failure:
             job.enter(JobState.ENDED)
             job.final_answer = FinalAnswer.REFUSED
-            del self.by_jid[job.jid]
+            self._context.memory.release_payload(job)
+            self._remove(job)
             return JobNotStoredError(failure)
         job.enter(JobState.STORED)
         if not self.scheduler.may_start(job):
@@ -159,7 +161,7 @@
         request = self.scheduler.start(job)
         if request is None or request.final_answer is not FinalAnswer.REFUSED or request.attempts:
             return None
-        del self.by_jid[job.jid]  # the job was never accepted, so the producer may push the same jid again
+        self._remove(job)  # the job was never accepted, so the producer may push the same jid again
         self._context.store.forget(job.jid)
         return JobRejectedError()
 
@@ -170,6 +172,7 @@
         job.enter(JobState.ENDED)
         job.final_answer = final_answer
         job.payload = {}
+        self._context.memory.release_payload(job)
         self._context.store.record_final_state(job.jid, final_answer.value, self._context.deadlines.clock())
         self._context.log("job_answered", jid=job.jid, final=final_answer.value)
         self.forget_after(self._context.config.remember_ms, job)
@@ -192,9 +195,13 @@
 
     def _forget(self, job: Job) -> None:
         if self.by_jid.get(job.jid) is job:
-            del self.by_jid[job.jid]
+            self._remove(job)
             self._context.store.forget(job.jid)
 
+    def _remove(self, job: Job) -> None:
+        del self.by_jid[job.jid]
+        self._context.memory.release(job)
+
     def _class_names(self) -> list[str]:
         return [policy.name for policy in self._context.core.settings.classes]
 
--- a/heronlug/lifecycle/application.py
+++ b/heronlug/lifecycle/application.py
@@ -158,7 +158,13 @@
         config = self.config
         deadlines = self.deadline_loop.deadlines
         self.faktory = FaktoryService(
-            config, self.core, deadlines, self.log, self.turn, is_stopping=lambda: self.shutdown.stopping
+            config,
+            self.core,
+            deadlines,
+            self.log,
+            self.turn,
+            is_stopping=lambda: self.shutdown.stopping,
+            memory=self.memory,
         )
         self.cluster = ClusterService(config, self.core, self.discovery, self.log, self.turn)
         changes = ConfigurationChanges(config, self.log, self.core, self.discovery, self.faktory, self.cluster)
--- a/heronlug/lifecycle/faktory_service.py
+++ b/heronlug/lifecycle/faktory_service.py
@@ -6,6 +6,7 @@
 
 from heronlug.config.platform import Config
 from heronlug.lifecycle.log import Log
+from heronlug.memory.account import MemoryAccount
 from heronlug.net.acceptor import Acceptor
 from heronlug.net.http import split_address
 from heronlug.net.listener import Listener
@@ -49,6 +50,7 @@
         log: Log,
         turn: Callable[[], None],
         is_stopping: Callable[[], bool] = lambda: False,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Creates a service without a frontend.
 
@@ -59,6 +61,7 @@
             log: the event log.
             turn: runs the deadlines that are due.
             is_stopping: returns whether a planned stop of the process has begun.
+            memory: the account of the process; None for one without a limit.
         """
         self.frontend: FaktoryFrontend | None = None
         self.listener: Listener | None = None
@@ -69,6 +72,7 @@
         self._log = log
         self._turn = turn
         self._is_stopping = is_stopping
+        self._memory = memory or MemoryAccount()
 
     @property
     def cores(self) -> list[Core]:
@@ -156,7 +160,7 @@
         from heronlug.frontends.faktory.recovery import open_store
 
         store = open_store(faktory_config.store, self._log, self._turn, self._deadlines.clock)
-        frontend = FaktoryFrontend(faktory_config, self._deadlines, self._log, self._turn, store)
+        frontend = FaktoryFrontend(faktory_config, self._deadlines, self._log, self._turn, store, self._memory)
         settings = replace(
             self._http_core.settings,
             instances=1,
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -23,3 +23,9 @@
 
     PAST_REQUESTS = "past_requests"
     """Ids of requests that may have run, and room for those of open requests."""
+
+    FAKTORY_JOBS = "faktory_jobs"
+    """Known jobs of the Faktory frontend, without their payloads."""
+
+    FAKTORY_PAYLOADS = "faktory_payloads"
+    """Payloads of jobs of the Faktory frontend that have not ended."""
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -14,6 +14,7 @@
 from heronlug.frontends.faktory.errors import CommandError
 from heronlug.frontends.faktory.frontend import FaktoryFrontend
 from heronlug.lifecycle.faktory_service import FaktoryService
+from heronlug.memory.account import UNLIMITED, MemoryAccount
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.storage.memory import MemoryStore
@@ -124,13 +125,23 @@
         now: the current time in ms.
         events: the logged events of all processes, each with its fields and its time ``at_ms``.
         disk_stalled: whether changes of the store do not become durable for now; a kill loses them.
+        memory_limit: limit of the account of memory of the processes that are started from now on, in bytes.
+        memory: the account of memory of the current process.
         frontend: the frontend of the current process.
     """
 
-    def __init__(self, *, durable: bool = True, config: dict[str, Any] | None = None, **settings: Any) -> None:
+    def __init__(
+        self,
+        *,
+        durable: bool = True,
+        config: dict[str, Any] | None = None,
+        memory_limit: int = UNLIMITED,
+        **settings: Any,
+    ) -> None:
         self.now = START_TIME
         self.events: list[tuple[str, dict[str, Any]]] = []
         self.disk_stalled = False
+        self.memory_limit = memory_limit
         self.rows: dict[str, StoredRequest] = {}
         self._durable = durable
         self._faktory_config = FaktoryConfig(("127.0.0.1", 0), **(config or {}))
@@ -145,9 +156,17 @@
     def start(self) -> None:
         """Starts a process, which recovers the jobs in the store."""
         self.deadlines = Deadlines(lambda: self.now)
+        self.memory = MemoryAccount(self.memory_limit)
         self.store: Store = DurableStore(self.rows) if self._durable else MemoryStore()
         http_core = Core(self._config.settings, self._config.seed, mock.Mock(), self.deadlines)
-        self.service = FaktoryService(self._config, http_core, self.deadlines, self._log, self.turn)  # type: ignore[arg-type]
+        self.service = FaktoryService(
+            self._config,
+            http_core,
+            self.deadlines,
+            self._log,  # type: ignore[arg-type]
+            self.turn,
+            memory=self.memory,
+        )
         with mock.patch("heronlug.frontends.faktory.recovery.open_store", return_value=self.store):
             self.service.frontend = self.service._make_frontend(self._faktory_config)
         self.frontend: FaktoryFrontend = self.service.frontend
