Reserve Faktory jobs in the account of memory, and start without payloads

Cause: jobs were in no holder of the account. Known jobs were bounded by their number alone, each kept its payload as parsed JSON, and the start put all rows into one list. Evidence: faktory_payloads 200.7 of 217 MB used, with an account of 114 MB and nothing refused.

Change: a job is reserved before it is stored, all jobs in half of the account; beyond that a push gets an error that is worth trying again. The payload is bytes, and with a store only in memory while its job waits for a worker and there is room; else it is read at the delivery. The start reads 32 rows at a time and keeps no payload. An ended job is its jid and its answer. So nothing that is held grows with the payloads, and the rest is bounded.

--- a/heronlug/frontends/faktory/delivery.py
+++ b/heronlug/frontends/faktory/delivery.py
@@ -8,10 +8,10 @@
 
 from heronlug.balancer.events import Outcome, ProgressKind
 from heronlug.frontends.faktory.context import FaktoryContext
-from heronlug.frontends.faktory.job import DEFAULT_QUEUE, Job
+from heronlug.frontends.faktory.job import Job, delivered_form
 from heronlug.frontends.faktory.recovery import must_be_stored_before_delivery
 from heronlug.frontends.faktory.reservations import Reservations
-from heronlug.frontends.faktory.resp import NO_JOB, bulk_json
+from heronlug.frontends.faktory.resp import NO_JOB, bulk_string
 from heronlug.frontends.faktory.worker import ReplyCallback, Reservation, Worker, WorkerConnection
 from heronlug.frontends.faktory.workers import WorkerTable
 from heronlug.requests.model import Attempt
@@ -100,34 +100,70 @@
         reservation = worker.reservations[job.jid] = Reservation(attempt, worker, connection, timeout)
         connection.reserved_jids.add(job.jid)
         reply = connection.defer_reply()
+        if job.payload:
+            self._store_delivery(reservation, reply, job.payload)
+        else:
+            self._context.memory.hold_payload(job)
+            self._context.store.read_job(job.jid, partial(self._on_payload_read, reservation, reply))
+
+    def _on_payload_read(
+        self, reservation: Reservation, reply: ReplyCallback, payload: bytes, store_failure: str
+    ) -> None:
+        """Goes on with a delivery once the payload of the job has been read, or could not be read."""
+        job: Job = reservation.attempt.request.payload
+        if self._is_cancelled(reservation):
+            reply(NO_JOB)
+        elif store_failure:
+            self._context.log("job_not_read", jid=job.jid, why=store_failure)
+            self._context.memory.drop_payload(job)
+            self._return_job(reservation, reply)
+        else:
+            self._store_delivery(reservation, reply, payload)
+
+    def _store_delivery(self, reservation: Reservation, reply: ReplyCallback, payload: bytes) -> None:
+        """Delivers a job, after storing the delivery if the class requires that."""
+        job: Job = reservation.attempt.request.payload
+        deliver = partial(self._deliver, reservation, reply, payload)
         if must_be_stored_before_delivery(job.policy):
-            self._context.store.deliver(job.jid, deadlines.clock(), partial(self._deliver, reservation, reply))
+            self._context.store.deliver(job.jid, self._context.deadlines.clock(), deliver)
         else:
-            self._deliver(reservation, reply, "")
+            deliver("")
 
-    def _deliver(self, reservation: Reservation, reply: ReplyCallback, store_failure: str) -> None:
+    def _deliver(self, reservation: Reservation, reply: ReplyCallback, payload: bytes, store_failure: str) -> None:
         """Writes a reserved job to its worker if the delivery is still valid.
 
         Args:
             reservation: the reservation of the job.
             reply: writes the reply to the FETCH.
+            payload: the pushed job as JSON.
             store_failure: reason why the delivery could not be stored; empty if the delivery was stored.
         """
         attempt = reservation.attempt
         job: Job = attempt.request.payload
         core = self._context.core
-        if reservation.worker.reservations.get(job.jid) is not reservation:
-            reply(NO_JOB)  # the attempt was cancelled before any byte of the job was written
-        elif store_failure or not reservation.connection.peer_connected or not core.may_write(attempt):
-            self._reservations.release(reservation)
-            core.attempt_ended(attempt, Outcome.FULL)
+        if self._is_cancelled(reservation):
             reply(NO_JOB)
+        elif store_failure or not reservation.connection.peer_connected or not core.may_write(attempt):
+            self._return_job(reservation, reply)
         else:
             reservation.written = True
             core.attempt_written()
             self._context.log("job_delivered", jid=job.jid, wid=reservation.worker.wid, relay=attempt.number)
-            reply(bulk_json({"queue": DEFAULT_QUEUE, "retry": 0, **job.payload}))
+            reply(bulk_string(delivered_form(payload)))
             core.attempt_progressed(attempt, ProgressKind.STARTED)
+            if self._context.store.is_durable:
+                self._context.memory.drop_payload(job)
+
+    def _is_cancelled(self, reservation: Reservation) -> bool:
+        """Returns whether the attempt was cancelled before any byte of the job was written."""
+        jid = reservation.attempt.request.payload.jid
+        return reservation.worker.reservations.get(jid) is not reservation
+
+    def _return_job(self, reservation: Reservation, reply: ReplyCallback) -> None:
+        """Ends a delivery before any byte of the job was written; the core assigns the job again."""
+        self._reservations.release(reservation)
+        self._context.core.attempt_ended(reservation.attempt, Outcome.FULL)
+        reply(NO_JOB)
 
 
 def _first_in_queues(worker: Worker, queues: list[str]) -> Attempt | None:
--- a/heronlug/frontends/faktory/errors.py
+++ b/heronlug/frontends/faktory/errors.py
@@ -72,6 +72,13 @@
         super().__init__("too many jobs are known, come back later")
 
 
+class JobMemoryError(CommandError):
+    """Raised if there is no memory for another job."""
+
+    def __init__(self) -> None:
+        super().__init__("no memory for another job, come back later")
+
+
 class StoppingError(CommandError):
     """Raised if the dispatcher is stopping and accepts no new jobs."""
 
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -17,6 +17,7 @@
 from heronlug.frontends.faktory.reservations import Reservations
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.session import FaktorySession
+from heronlug.frontends.faktory.stored_jobs import StoredJobs, read_stored_jobs
 from heronlug.frontends.faktory.workers import WorkerTable
 from heronlug.memory.account import MemoryAccount
 from heronlug.requests.core import Core
@@ -49,8 +50,8 @@
         memory: MemoryAccount,
     ) -> None:
         """Creates a frontend that is turned off, and reads its store; the caller must set ``core`` before use."""
-        self.context = FaktoryContext(config, deadlines, log, store, JobMemory(memory))
-        self._stored = list(store.load())
+        self.context = FaktoryContext(config, deadlines, log, store, JobMemory(memory, log))
+        self._stored = read_stored_jobs(store.load())
         self._reservations = Reservations(self.context)
         self.jobs = JobTable(self.context)
         self.workers = WorkerTable(self.context, self._reservations)
@@ -86,7 +87,7 @@
 
     def recover(self) -> None:
         """Resumes the jobs that were in the store when it was opened."""
-        stored, self._stored = self._stored, []
+        stored, self._stored = self._stored, StoredJobs()
         JobRecovery(self.context, self.jobs).recover(stored)
 
     def turn_on(self) -> None:
@@ -162,7 +163,7 @@
         """Returns the state of the frontend for the reply to INFO."""
         return server_info(
             self.context.deadlines.clock(),
-            self.jobs.by_jid.values(),
+            self.jobs.by_jid.open.values(),
             self.workers.by_wid.values(),
             self.core.counts,
             len(self.sessions),
--- a/heronlug/frontends/faktory/info.py
+++ b/heronlug/frontends/faktory/info.py
@@ -4,7 +4,6 @@
 from datetime import UTC, datetime
 
 from heronlug.frontends.faktory.job import Job
-from heronlug.frontends.faktory.job_state import JobState
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.worker import Worker
 from heronlug.requests.model import FinalAnswer
@@ -12,7 +11,7 @@
 
 def server_info(
     now: float,
-    jobs: Collection[Job],
+    open_jobs: Collection[Job],
     workers: Collection[Worker],
     answer_counts: dict[FinalAnswer, int],
     connection_count: int,
@@ -22,13 +21,12 @@
 
     Args:
         now: Unix time in ms.
-        jobs: all known jobs, including those that have ended.
+        open_jobs: the jobs that have not ended.
         workers: all workers that have ever connected.
         answer_counts: number of jobs by final answer.
         connection_count: number of open connections.
         reset_count: number of reservations that were reset.
     """
-    open_jobs = [job for job in jobs if job.state is not JobState.ENDED]
     counts = {final.value: count for final, count in answer_counts.items()}
     return {
         "server_utc_time": datetime.fromtimestamp(now / 1000, UTC).strftime("%H:%M:%S UTC"),
--- a/heronlug/frontends/faktory/job.py
+++ b/heronlug/frontends/faktory/job.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import orjson
 
@@ -38,7 +38,7 @@
         jid: the job id.
         class_index: the index of the request class in the settings.
         queue: the queue that the job was pushed to.
-        payload: the pushed JSON object; empty once the job has ended.
+        payload: the pushed job as JSON; empty if only the store has it, or once the job has ended.
         size: size of the JSON payload in bytes.
         reserve_ms: time in ms within which a worker must end the job after fetching it.
         policy: the request class with the limits at the time of acceptance; later reloads do not change it.
@@ -49,12 +49,14 @@
         push_callbacks: callbacks to be called once the store has reported success or failure.
         parents: the parents that the job names, until the job starts or waits for them; a parent may be forgotten
             while the job is being stored.
+        held_bytes: memory reserved for the job without its payload, in bytes.
+        held_payload_bytes: memory reserved for the payload, in bytes.
     """
 
     jid: str
     class_index: int
     queue: str
-    payload: JsonObject
+    payload: bytes
     size: int
     reserve_ms: float
     policy: RequestClass
@@ -64,6 +66,8 @@
     final_answer: FinalAnswer | None = None
     push_callbacks: list[PushCallback] = field(default_factory=list)
     parents: list["Parent"] = field(default_factory=list)
+    held_bytes: int = 0
+    held_payload_bytes: int = 0
 
     def enter(self, state: JobState) -> None:
         """Changes the state.
@@ -75,17 +79,24 @@
             raise JobStateError(self.jid, self.state, state)
         self.state = state
 
+
+class ParentJob(Protocol):
+    """A job of which another one waits for the end."""
+
     @property
-    def custom(self) -> JsonObject:
-        """Returns the ``custom`` object of the payload, or an empty object if there is none."""
-        return self.payload.get("custom") or {}
+    def jid(self) -> str:
+        """Returns the job id."""
+
+    @property
+    def final_answer(self) -> FinalAnswer | None:
+        """Returns the final answer; None until the job has ended."""
 
 
 class Parent(NamedTuple):
     """A parent of a job and the edge that leads to it."""
 
     edge: Edge
-    job: Job
+    job: ParentJob
 
 
 class JobTiming(NamedTuple):
@@ -104,8 +115,7 @@
     """The validated argument of PUSH.
 
     Attributes:
-        payload: the pushed JSON object.
-        encoded: the payload encoded as JSON.
+        encoded: the pushed job as JSON.
         class_index: the index of the request class that the jobtype names.
         queue: the queue of the job.
         custom: the ``custom`` object.
@@ -113,7 +123,6 @@
         reserve_s: time in seconds within which a worker must end the job; None for the configured default.
     """
 
-    payload: JsonObject
     encoded: bytes
     class_index: int
     queue: str
@@ -153,11 +162,10 @@
     if not isinstance(queue, str) or not queue or not isinstance(custom, dict):
         msg = "queue is no text, or custom no object"
         raise InvalidArgumentError(msg)
-    encoded = orjson.dumps(payload)
+    encoded = bytes(memoryview(orjson.dumps(payload)))  # a copy, because orjson's buffer is larger than its content
     if len(encoded) > http.MAX_BODY:
         raise JobTooLargeError
     return PushArguments(
-        payload,
         encoded,
         class_names.index(payload["jobtype"]),
         queue,
@@ -183,6 +191,15 @@
         raise InvalidArgumentError(msg) from error
 
 
+def delivered_form(payload: bytes) -> bytes:
+    """Returns the JSON of a job for its worker, which has a queue and a retry count even if the producer gave none.
+
+    Raises:
+        ValueError: if the payload is not a JSON object, because the store is damaged.
+    """
+    return orjson.dumps({"queue": DEFAULT_QUEUE, "retry": 0, **orjson.loads(payload)})
+
+
 def reserve_ms(reserve_s: float | None, config: FaktoryConfig) -> float:
     """Returns the time in ms within which a worker must end a job with this ``reserve_for``."""
     return reserve_s * 1000 if reserve_s else config.reserve_ms
--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -1,5 +1,6 @@
 """Manages the known jobs: accepts, stores and ends them."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -26,11 +27,21 @@
     reserve_ms,
 )
 from heronlug.frontends.faktory.job_state import JobState
+from heronlug.frontends.faktory.known_jobs import EndedJobs, KnownJob, KnownJobs
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.scheduler import JobScheduler
 from heronlug.requests.model import FinalAnswer
 from heronlug.storage.model import StoredRequest
 
+MIN_FORGET_SPAN_MS = 1_000.0
+"""Minimum length of the spans at whose ends jids are forgotten together, in ms."""
+
+FORGET_SPAN_SHARE = 0.001
+"""Length of these spans as a share of the time for which jids stay known."""
+
+MAX_FORGOTTEN_AT_ONCE = 1000
+"""Maximum number of jids that are forgotten in one iteration of the event loop."""
+
 PushAllCallback = Callable[[dict[str, str]], None]
 """Called once each job of a PUSHB is accepted or rejected, with the error texts of rejected jobs by jid."""
 
@@ -39,12 +50,12 @@
     """Holds all known jobs; a jid stays known for ``FaktoryConfig.remember_ms`` after its job has ended.
 
     Attributes:
-        by_jid: the known jobs by jid.
+        by_jid: the known jobs.
         scheduler: holds the accepted jobs that have not started.
     """
 
     def __init__(self, context: FaktoryContext) -> None:
-        self.by_jid: dict[str, Job] = {}
+        self.by_jid = KnownJobs()
         self.scheduler = JobScheduler(context, self.by_jid, self.finish)
         self._context = context
 
@@ -53,10 +64,10 @@
 
         The jobs that the core has are counted there. Each open job must be in one of the other counts.
         """
-        counts = Counter(job.state for job in self.by_jid.values())
+        counts = Counter(job.state for job in self.by_jid.open.values())
         waiting = (JobState.BEING_STORED, JobState.DELAYED, JobState.DEPENDENT, JobState.KEPT)
         return {
-            "open": len(self.by_jid) - counts[JobState.ENDED],
+            "open": len(self.by_jid.open),
             **{state.value: counts[state] for state in waiting},
             JobState.STARTED.value: self._context.core.requests.open_count,
         }
@@ -104,6 +115,7 @@
         job = self._new_job(jid, arguments, due_at)
         job.push_callbacks.append(callback)
         job.parents = self.scheduler.parents_of_push(arguments.custom)
+        self._context.memory.reserve(job)
         self._store(job, arguments)
 
     def _new_job(self, jid: str, arguments: PushArguments, due_at: float) -> Job:
@@ -112,7 +124,7 @@
             jid,
             arguments.class_index,
             arguments.queue,
-            arguments.payload,
+            arguments.encoded,
             len(arguments.encoded),
             reserve_ms(arguments.reserve_s, self._context.config),
             policy,
@@ -121,8 +133,7 @@
 
     def _store(self, job: Job, arguments: PushArguments) -> None:
         """Stores a new job; the job is accepted once the store confirms that the job is durable."""
-        self.by_jid[job.jid] = job
-        self._context.memory.hold(job)
+        self.by_jid.add(job)
         accepted_at = self._context.deadlines.clock()
         class_name = self._class_names()[job.class_index]
         record = StoredRequest(
@@ -152,18 +163,28 @@
         if failure:
             job.enter(JobState.ENDED)
             job.final_answer = FinalAnswer.REFUSED
-            self._context.memory.release_payload(job)
-            self._remove(job)
+            self.by_jid.remove(job.jid)
+            self._context.memory.release(job)
             return JobNotStoredError(failure)
         job.enter(JobState.STORED)
-        if not self.scheduler.may_start(job):
-            return None
-        request = self.scheduler.start(job)
-        if request is None or request.final_answer is not FinalAnswer.REFUSED or request.attempts:
-            return None
-        self._remove(job)  # the job was never accepted, so the producer may push the same jid again
+        request = self.scheduler.start(job) if self.scheduler.may_start(job) else None
+        if request is not None and request.final_answer is FinalAnswer.REFUSED and not request.attempts:
+            self._take_back(job)
+            return JobRejectedError()
+        self._leave_payload_to_store(job)
+        return None
+
+    def _take_back(self, job: Job) -> None:
+        """Forgets a job that was refused as it started, so was not accepted; its jid may be pushed again."""
+        self.by_jid.remove(job.jid)
+        self._context.memory.release_ended(job.jid)
         self._context.store.forget(job.jid)
-        return JobRejectedError()
+
+    def _leave_payload_to_store(self, job: Job) -> None:
+        """Drops the payload of a job that cannot be delivered soon, if the store has it."""
+        waits_for_worker = job.state is JobState.STARTED and self._context.memory.keeps_waiting_payloads
+        if self._context.store.is_durable and not waits_for_worker:
+            self._context.memory.drop_payload(job)
 
     # -- the end
 
@@ -171,11 +192,10 @@
         """Ends a job; its jid stays known for the configured time."""
         job.enter(JobState.ENDED)
         job.final_answer = final_answer
-        job.payload = {}
-        self._context.memory.release_payload(job)
+        self._context.memory.release(job)
         self._context.store.record_final_state(job.jid, final_answer.value, self._context.deadlines.clock())
         self._context.log("job_answered", jid=job.jid, final=final_answer.value)
-        self.forget_after(self._context.config.remember_ms, job)
+        self.remember(job.jid, final_answer, self._context.config.remember_ms)
         self.scheduler.job_ended(job.jid, final_answer is FinalAnswer.SERVED)
 
     def answer(self, job: Job, final_answer: FinalAnswer, may_have_run: bool) -> None:
@@ -189,18 +209,29 @@
         else:
             self.finish(job, final_answer)
 
-    def forget_after(self, remember_ms: float, job: Job) -> None:
-        """Keeps the jid of an ended job known for this time in ms."""
-        self._context.deadlines.call_after(remember_ms, self._forget, job)
-
-    def _forget(self, job: Job) -> None:
-        if self.by_jid.get(job.jid) is job:
-            self._remove(job)
-            self._context.store.forget(job.jid)
+    def remember(self, jid: str, final_answer: FinalAnswer, remember_ms: float) -> None:
+        """Keeps the jid of an ended job known, together with the final answer.
 
-    def _remove(self, job: Job) -> None:
-        del self.by_jid[job.jid]
-        self._context.memory.release(job)
+        Args:
+            jid: the job id.
+            final_answer: the final answer.
+            remember_ms: time in ms for which the jid stays known at least.
+        """
+        deadlines = self._context.deadlines
+        span_ms = max(MIN_FORGET_SPAN_MS, self._context.config.remember_ms * FORGET_SPAN_SHARE)
+        forget_at = math.ceil((deadlines.clock() + remember_ms) / span_ms) * span_ms
+        group = self.by_jid.end(jid, final_answer, forget_at)
+        self._context.memory.hold_ended(jid)
+        if group is not None:
+            deadlines.call_at(forget_at, self._forget, group)
+
+    def _forget(self, group: EndedJobs) -> None:
+        """Forgets jobs that have ended, a bounded number in one iteration of the event loop."""
+        for jid in self.by_jid.forget(group, MAX_FORGOTTEN_AT_ONCE):
+            self._context.memory.release_ended(jid)
+            self._context.store.forget(jid)
+        if group.jids:
+            self._context.deadlines.call_after(0.0, self._forget, group)
 
     def _class_names(self) -> list[str]:
         return [policy.name for policy in self._context.core.settings.classes]
@@ -212,7 +243,7 @@
     return min(allowed_ms, policy.give_up_after or allowed_ms)
 
 
-def _push_known_job(job: Job, callback: PushCallback) -> None:
+def _push_known_job(job: KnownJob, callback: PushCallback) -> None:
     """Handles the push of a jid that is already known.
 
     Raises:
@@ -220,7 +251,7 @@
     """
     if job.final_answer in (FinalAnswer.REFUSED, FinalAnswer.FAILED):
         raise JobEndedError(job.jid, job.final_answer.value)
-    if job.state is JobState.BEING_STORED:
+    if isinstance(job, Job) and job.state is JobState.BEING_STORED:
         job.push_callbacks.append(callback)
     else:
         callback(None)
--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -4,16 +4,31 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import NamedTuple
 
 from heronlug.balancer.settings import Effect, RequestClass
-from heronlug.frontends.faktory.errors import CommandError
-from heronlug.frontends.faktory.resp import optional_number, parse_object
+from heronlug.frontends.faktory.stored_jobs import OpenStoredJob, StoredJobs
 from heronlug.requests.interfaces import EventLog, log_nothing
-from heronlug.scheduling.chains import parse_edges
 from heronlug.storage.memory import MemoryStore
 from heronlug.storage.model import FinalState, RecoveryAction, Store, StoredRequest, recovery_action
 
 
+class RecoveredJob(NamedTuple):
+    """An open stored job and what becomes of it.
+
+    Attributes:
+        job: the job as it was read.
+        request: the stored data as they are now.
+        action: what becomes of the job.
+        policy: the request class with the effect that the job was accepted under; None if the job cannot run.
+    """
+
+    job: OpenStoredJob
+    request: StoredRequest
+    action: RecoveryAction
+    policy: RequestClass | None
+
+
 class DamagedRecordError(ValueError):
     """Raised for a row of the store whose job cannot be read."""
 
@@ -59,18 +74,18 @@
     return policy.effect is not Effect.IDEMPOTENT
 
 
-def recover_records(
-    loaded: list[StoredRequest],
+def recover_jobs(
+    stored: StoredJobs,
     store: Store,
     classes: dict[str, RequestClass],
     now: float,
     remember_ms: float,
     log: EventLog = log_nothing,
-) -> tuple[list[tuple[StoredRequest, RecoveryAction]], dict[str, int]]:
-    """Decides what becomes of each stored job, and stores the final states that follow from the restart.
+) -> list[RecoveredJob]:
+    """Decides what becomes of each open stored job, and stores the final states that follow from the restart.
 
     Args:
-        loaded: the stored jobs.
+        stored: the stored jobs.
         store: the store of accepted jobs.
         classes: the request classes by name.
         now: Unix time in ms.
@@ -78,31 +93,27 @@
         log: the event log.
 
     Returns:
-        The jobs that stay known, each with its recovery action, and the number of stored jobs by action.
+        The jobs that were open, each with its recovery action.
     """
-    records: list[tuple[StoredRequest, RecoveryAction]] = []
-    counts: dict[str, int] = {}
-    stored = {record.jid: record for record in loaded}
-    for record in stored.values():
+    end_times = _end_times_of_parents(stored)
+    recovered: list[RecoveredJob] = []
+    for job in stored.open:
+        policy = None  # a damaged job cannot run, like a job whose class no longer exists
         try:
-            policy = accepted_policy(record, classes, log)
-            parents = _stored_parents(record, stored)
+            if job.damage:
+                raise DamagedRecordError(job.damage)
+            policy = accepted_policy(job.request, classes, log)
         except DamagedRecordError as error:
-            log("job_damaged", jid=record.jid, why=str(error))
-            parents, policy = [], None  # the job cannot run, like a job whose class no longer exists
-        record = _with_release(record, parents)
-        has_open_parents = any(not parent.final_state for parent in parents)
-        action = recovery_action(record, policy, now, remember_ms, has_open_parents=has_open_parents)
-        counts[action.value] = counts.get(action.value, 0) + 1
-        if action is RecoveryAction.FORGET:
-            store.forget(record.jid)
-            continue
+            log("job_damaged", jid=job.request.jid, why=str(error))
+        parents = [end_times[edge.parent] for edge in job.edges if edge.parent in end_times]
+        request = _with_release(job.request, parents)
+        action = recovery_action(request, policy, now, remember_ms, has_open_parents=None in parents)
         if action in (RecoveryAction.FAIL, RecoveryAction.REJECT):
             final_state = FinalState.FAILED if action is RecoveryAction.FAIL else FinalState.REFUSED
-            store.record_final_state(record.jid, final_state.value, now)
-            record = record._replace(final_state=final_state.value, ended_at=now, job=b"")
-        records.append((record, action))
-    return records, counts
+            store.record_final_state(request.jid, final_state.value, now)
+            request = request._replace(final_state=final_state.value, ended_at=now)
+        recovered.append(RecoveredJob(job, request, action, policy))
+    return recovered
 
 
 def accepted_policy(
@@ -137,28 +148,21 @@
     return accepted
 
 
-def _stored_parents(record: StoredRequest, stored: dict[str, StoredRequest]) -> list[StoredRequest]:
-    """Returns the parents of a stored job that are in the store; a parent that is not ended long ago.
+def _end_times_of_parents(stored: StoredJobs) -> dict[str, float | None]:
+    """Returns the times at which the parents of open jobs ended, None for an open parent.
 
-    Raises:
-        DamagedRecordError: if the stored job is not a valid job.
+    A parent that is not in the store ended long ago, and is left out.
     """
-    if record.final_state:
-        return []
-    try:
-        payload = parse_object(record.job)
-        optional_number(payload, "reserve_for")
-        custom = payload.get("custom") or {}
-        edges = parse_edges(custom.get("after"), custom.get("on_failure"))
-    except (ValueError, AttributeError, CommandError) as error:
-        raise DamagedRecordError(str(error)) from error
-    return [stored[edge.parent] for edge in edges if edge.parent in stored]
+    parents = {edge.parent for job in stored.open for edge in job.edges}
+    end_times: dict[str, float | None] = {job.jid: job.ended_at for job in stored.ended if job.jid in parents}
+    end_times.update((job.request.jid, None) for job in stored.open if job.request.jid in parents)
+    return end_times
 
 
-def _with_release(record: StoredRequest, parents: list[StoredRequest]) -> StoredRequest:
+def _with_release(record: StoredRequest, end_times: list[float | None]) -> StoredRequest:
     """Returns a job whose earliest start is not before the end of its last parent.
 
     The store file may lack the release itself, as it is written after the end of the parent.
     """
-    released_at = max((parent.ended_at for parent in parents), default=0.0)
-    return record._replace(not_before=max(record.not_before, released_at))
+    released_at = max((ended_at for ended_at in end_times if ended_at is not None), default=0.0)
+    return record._replace(not_before=released_at) if released_at > record.not_before else record
--- a/heronlug/frontends/faktory/scheduler.py
+++ b/heronlug/frontends/faktory/scheduler.py
@@ -8,9 +8,10 @@
 from heronlug.frontends.faktory.errors import InvalidArgumentError, UnknownParentError
 from heronlug.frontends.faktory.job import Job, Parent
 from heronlug.frontends.faktory.job_state import JobState
+from heronlug.frontends.faktory.known_jobs import KnownJobs
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.requests.model import FinalAnswer, ListedServer, Request
-from heronlug.scheduling.chains import ChainState, RequestChains, parse_edges
+from heronlug.scheduling.chains import ChainState, Edge, RequestChains, parse_edges
 
 EARLIER_WORKER = ListedServer(name="", address="", state=ServerState.REMOVED)
 """The worker of a delivery by an earlier process; a worker that connects never has an empty wid."""
@@ -19,14 +20,12 @@
 class JobScheduler:
     """Decides when accepted jobs start, and what becomes of those that have not started when the process stops."""
 
-    def __init__(
-        self, context: FaktoryContext, jobs: dict[str, Job], finish: Callable[[Job, FinalAnswer], None]
-    ) -> None:
+    def __init__(self, context: FaktoryContext, jobs: KnownJobs, finish: Callable[[Job, FinalAnswer], None]) -> None:
         """Creates a scheduler.
 
         Args:
             context: the configuration and services.
-            jobs: all known jobs by jid; the caller adds and removes jobs.
+            jobs: all known jobs; the caller adds and removes jobs.
             finish: called with each job that ends without having started, and with its final answer.
         """
         self._context = context
@@ -54,6 +53,7 @@
 
     def _start_now(self, job: Job) -> Request:
         job.enter(JobState.STARTED)
+        self._context.memory.hold_started(job)
         remaining_ms = job.timing.remaining_ms
         return self._context.core.accept(job, job.class_index, remaining_ms, size=job.size, policy=job.policy)
 
@@ -70,6 +70,7 @@
             deliveries: number of deliveries.
         """
         job.enter(JobState.STARTED)
+        self._context.memory.hold_started(job)
         now = self._context.deadlines.clock()
         request = Request(job, job.class_index, job.policy, now + remaining_ms, now)
         earlier_delivery = AttemptSnapshot(
@@ -106,15 +107,11 @@
             self._finish(job, FinalAnswer.FAILED)
         return chain_state is ChainState.READY
 
-    def known_parents(self, custom: JsonObject) -> list[Parent]:
+    def known_parents(self, edges: list[Edge]) -> list[Parent]:
         """Returns the parents of a recovered job.
 
         A parent whose jid has been forgotten ended long ago and released the job at that time.
-
-        Raises:
-            ValueError: if ``after`` or ``on_failure`` is malformed.
         """
-        edges = parse_edges(custom.get("after"), custom.get("on_failure"))
         return [Parent(edge, self._jobs[edge.parent]) for edge in edges if edge.parent in self._jobs]
 
     def parents_of_push(self, custom: JsonObject) -> list[Parent]:
@@ -153,10 +150,10 @@
         chain_end = self._chains.request_ended(jid, served)
         for child in chain_end.failed:
             self._context.log("job_chain_failed", jid=child, cause=jid)
-            self._finish(self._jobs[child], FinalAnswer.FAILED)
+            self._finish(self._jobs.open[child], FinalAnswer.FAILED)
         for child in chain_end.released:
             self._context.store.release(child, self._context.deadlines.clock())
-            self.start(self._jobs[child])
+            self.start(self._jobs.open[child])
 
     def stop(self) -> None:
         """Ends the jobs that have not started, because the process stops.
@@ -182,7 +179,7 @@
         self._context.log("job_kept", jid=job.jid)
 
     def _jobs_in(self, state: JobState) -> list[Job]:
-        return [job for job in self._jobs.values() if job.state is state]
+        return [job for job in self._jobs.open.values() if job.state is state]
 
     def _end_without_start(self, job: Job) -> None:
         if self._context.store.is_durable:
--- /dev/null
+++ b/heronlug/frontends/faktory/stored_jobs.py
@@ -0,0 +1,84 @@
+"""Reads the stored jobs at the start, and keeps of each only what decides how it continues, without its payload."""
+
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from heronlug.frontends.faktory.errors import CommandError
+from heronlug.frontends.faktory.resp import optional_number, parse_object
+from heronlug.scheduling.chains import Edge, parse_edges
+from heronlug.storage.model import StoredRequest
+
+
+class OpenStoredJob(NamedTuple):
+    """A stored job that has not ended.
+
+    Attributes:
+        request: the stored data without the job itself.
+        size: size of the job as JSON, in bytes.
+        edges: the parents that the job names.
+        reserve_s: time in seconds within which a worker must end the job; None for the configured default.
+        damage: why the job cannot be read; empty if it can.
+    """
+
+    request: StoredRequest
+    size: int
+    edges: list[Edge]
+    reserve_s: float | None
+    damage: str = ""
+
+
+class EndedStoredJob(NamedTuple):
+    """A stored job that has ended.
+
+    Attributes:
+        jid: the job id.
+        final_state: a value of :class:`heronlug.storage.model.FinalState`.
+        ended_at: Unix time of the end in ms.
+    """
+
+    jid: str
+    final_state: str
+    ended_at: float
+
+
+@dataclass
+class StoredJobs:
+    """The stored jobs without their payloads.
+
+    Attributes:
+        open: the jobs that have not ended.
+        ended: the jobs that have ended and whose jids are still stored.
+    """
+
+    open: list[OpenStoredJob] = field(default_factory=list)
+    ended: list[EndedStoredJob] = field(default_factory=list)
+
+
+def read_stored_jobs(requests: Iterable[StoredRequest]) -> StoredJobs:
+    """Returns the stored jobs without their payloads, of which one at a time is in memory."""
+    jobs = StoredJobs()
+    for request in requests:
+        if request.final_state:
+            jobs.ended.append(EndedStoredJob(request.jid, sys.intern(request.final_state), request.ended_at))
+        else:
+            jobs.open.append(_read_open_job(request))
+    return jobs
+
+
+def _read_open_job(request: StoredRequest) -> OpenStoredJob:
+    without_job = request._replace(
+        job=b"",
+        class_name=sys.intern(request.class_name),
+        queue=sys.intern(request.queue),
+        effect=sys.intern(request.effect),
+    )
+    try:
+        payload = parse_object(request.job)
+        reserve_s = optional_number(payload, "reserve_for")
+        custom = payload.get("custom") or {}
+        edges = parse_edges(custom.get("after"), custom.get("on_failure"))
+    except (ValueError, AttributeError, CommandError) as error:
+        return OpenStoredJob(without_job, len(request.job), [], None, str(error))
+    return OpenStoredJob(without_job, len(request.job), edges, reserve_s)
--- a/heronlug/memory/account.py
+++ b/heronlug/memory/account.py
@@ -97,6 +97,10 @@
         self._set_thresholds()
         self._update_pressure()
 
+    def has_room(self, size: int) -> bool:
+        """Returns whether so many bytes can be held without exceeding the limit."""
+        return self.used + size <= self._limit
+
     def reserve(self, holder: Holder, size: int, requester: object = None, share: float = 1.0) -> None:
         """Reserves memory before it is held.
 
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -28,4 +28,4 @@
     """Known jobs of the Faktory frontend, without their payloads."""
 
     FAKTORY_PAYLOADS = "faktory_payloads"
-    """Payloads of jobs of the Faktory frontend that have not ended."""
+    """Payloads of jobs of the Faktory frontend, unless only the store has them."""
--- a/heronlug/storage/memory.py
+++ b/heronlug/storage/memory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from heronlug.storage.model import DurabilityCallback, StoredRequest
+from heronlug.storage.model import DurabilityCallback, JobCallback, StoredRequest
 
 
 class MemoryStore:
@@ -18,6 +18,10 @@
         """Returns no requests."""
         return ()
 
+    def read_job(self, jid: str, callback: JobCallback) -> None:
+        """Calls back immediately with an error, because no job is stored."""
+        callback(b"", "the job is not stored")
+
     def accept(self, request: StoredRequest, callback: DurabilityCallback) -> None:
         """Calls back immediately with success."""
         callback("")
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -14,6 +14,10 @@
 """Called with an empty string once a change is durable, or with the reason why it could not be stored."""
 
 
+JobCallback = Callable[[bytes, str], None]
+"""Called with the job as JSON and an empty string, or with no bytes and the reason why the job cannot be read."""
+
+
 class FinalState(str, Enum):
     """Final states of a request; the values equal those of :class:`heronlug.requests.model.FinalAnswer`."""
 
@@ -69,7 +73,13 @@
         """Returns whether stored requests survive the end of the process."""
 
     def load(self) -> Iterable[StoredRequest]:
-        """Returns all stored requests; called once at startup."""
+        """Returns all stored requests, the open ones first; called once at startup.
+
+        The caller must not keep all of them, since the jobs may take more memory than the process has.
+        """
+
+    def read_job(self, jid: str, callback: JobCallback) -> None:
+        """Reads the job of an open request, after all earlier changes."""
 
     def accept(self, request: StoredRequest, callback: DurabilityCallback) -> None:
         """Stores a request before it is accepted."""
--- a/heronlug/storage/sqlite.py
+++ b/heronlug/storage/sqlite.py
@@ -11,14 +11,14 @@
 import sqlite3
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from heronlug.requests.interfaces import EventLog
 from heronlug.storage.clock_steps import follow_clock
-from heronlug.storage.model import DurabilityCallback, StoredRequest
+from heronlug.storage.model import DurabilityCallback, JobCallback, StoredRequest
 
 FORMAT_VERSION = 1
 """The ``user_version`` of a store file in the current format."""
@@ -50,6 +50,12 @@
     coalesce(effect, ''), coalesce(repeat_window, 0.0), coalesce(deliveries, 0)
 from jobs left join repeats on repeats.jid = jobs.jid
 """
+OPEN, ENDED = "final = ''", "final != ''"
+"""Conditions for the requests that have not ended, and for those that have."""
+SELECT_PORTION = "where {} and jobs.jid > ? order by jobs.jid limit ?"
+PORTION_ROWS = 32
+"""Number of requests that are read at once, of which each may have a job of the largest size."""
+SELECT_JOB = "select job from jobs where jid = ? and final = ''"
 INSERT_REQUEST = "insert or ignore into jobs values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)"
 INSERT_REPEATS = "insert or replace into repeats values (?, ?, ?, ?)"
 SET_DELIVERED_AT = "update jobs set delivered_at = ? where jid = ? and delivered_at = 0"
@@ -98,6 +104,13 @@
     callback: DurabilityCallback | None = None
 
 
+class _Read(NamedTuple):
+    """A job to read, and the callback for it."""
+
+    jid: str
+    callback: JobCallback
+
+
 class _InjectedFault:
     """Ends the process at a commit, so that tests can check the state of the file after a kill."""
 
@@ -186,6 +199,19 @@
         raise StoreError(str(error)) from error
 
 
+def _read_portion(connection: sqlite3.Connection, state: str, after_jid: str) -> list[StoredRequest]:
+    """Returns the next requests in the order of their jids; ``state`` is a condition.
+
+    Raises:
+        StoreError: if the file cannot be read.
+    """
+    try:
+        rows = connection.execute(SELECT_REQUESTS + SELECT_PORTION.format(state), (after_jid, PORTION_ROWS))
+        return [StoredRequest(*row) for row in rows]
+    except sqlite3.Error as error:
+        raise StoreError(str(error)) from error
+
+
 class SqliteStore:
     """Stores requests in a file; see :class:`heronlug.storage.model.Store`.
 
@@ -221,7 +247,7 @@
         if clock is not None:
             self._follow_clock(path, clock, log)
         self._call_soon, self._log = call_soon, log
-        self._operations: deque[_Operation] = deque()
+        self._operations: deque[_Operation | _Read] = deque()
         self._condition = threading.Condition()
         self._closing = False
         self._commits_failing = False
@@ -242,9 +268,21 @@
         if step_ms:
             log("store_clock_step", ms=round(step_ms))
 
-    def load(self) -> Iterable[StoredRequest]:
-        """Returns all stored requests."""
-        return list(read_requests(self._connection))
+    def load(self) -> Iterator[StoredRequest]:
+        """Yields all stored requests, the open ones first; see :class:`heronlug.storage.model.Store`.
+
+        Raises:
+            StoreError: if the file cannot be read.
+        """
+        for state in (OPEN, ENDED):
+            last_jid = ""
+            while rows := _read_portion(self._connection, state, last_jid):
+                last_jid = rows[-1].jid
+                yield from rows
+
+    def read_job(self, jid: str, callback: JobCallback) -> None:
+        """Reads the job of an open request, after all earlier changes."""
+        self._enqueue(_Read(jid, callback))
 
     def accept(self, request: StoredRequest, callback: DurabilityCallback) -> None:
         """Stores a request before it is accepted."""
@@ -285,7 +323,7 @@
         self._thread.join(CLOSE_TIMEOUT_S)
         self._connection.close()
 
-    def _enqueue(self, operation: _Operation) -> None:
+    def _enqueue(self, operation: _Operation | _Read) -> None:
         with self._condition:
             self._operations.append(operation)
             self._condition.notify()
@@ -294,16 +332,16 @@
 
     def _write_operations(self) -> None:
         while batch := self._next_batch():
-            error = self._commit(batch)
-            self._log_health(error)
-            callbacks = [operation.callback for operation in batch if operation.callback is not None]
-            if callbacks:
-                self._call_soon(partial(_call_all, callbacks, error))
-            uncommitted = [operation for operation in batch if error and operation.callback is None]
+            changes = [operation for operation in batch if isinstance(operation, _Operation)]
+            error = self._commit_changes(changes)
+            calls = [call for operation in batch if (call := self._completion(operation, error)) is not None]
+            if calls:
+                self._call_soon(partial(_call_all, calls))
+            uncommitted = [change for change in changes if error and change.callback is None]
             if uncommitted and not self._retry_later(uncommitted):
                 return
 
-    def _next_batch(self) -> list[_Operation]:
+    def _next_batch(self) -> list[_Operation | _Read]:
         """Waits for operations and returns the next batch; the batch is empty once the store is closing and idle."""
         with self._condition:
             while not self._operations and not self._closing:
@@ -311,6 +349,28 @@
             count = min(MAX_COMMIT_OPERATIONS, len(self._operations))
             return [self._operations.popleft() for _ in range(count)]
 
+    def _commit_changes(self, changes: list[_Operation]) -> str:
+        """Commits the changes of a batch, if any; returns the error text, or an empty string on success."""
+        if not changes:
+            return ""
+        error = self._commit(changes)
+        self._log_health(error)
+        return error
+
+    def _completion(self, operation: _Operation | _Read, error: str) -> Callable[[], None] | None:
+        """Returns the callback of an operation with its result; None if the operation has no callback."""
+        if isinstance(operation, _Read):
+            return partial(operation.callback, *self._read(operation.jid))
+        return partial(operation.callback, error) if operation.callback is not None else None
+
+    def _read(self, jid: str) -> tuple[bytes, str]:
+        """Returns the job of an open request, or no bytes and the reason why it cannot be read."""
+        try:
+            row = self._connection.execute(SELECT_JOB, (jid,)).fetchone()
+        except sqlite3.Error as error:
+            return b"", str(error) or type(error).__name__
+        return (row[0], "") if row is not None else (b"", "the job is not stored")
+
     def _commit(self, batch: list[_Operation]) -> str:
         """Commits a batch; returns the error text, or an empty string on success."""
         try:
@@ -364,9 +424,9 @@
             return True
 
 
-def _call_all(callbacks: list[DurabilityCallback], error: str) -> None:
+def _call_all(callbacks: list[Callable[[], None]]) -> None:
     for callback in callbacks:
-        callback(error)
+        callback()
 
 
 def compact(path: Path) -> FileSizes:
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -18,7 +18,7 @@
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.storage.memory import MemoryStore
-from heronlug.storage.model import DurabilityCallback, Store, StoredRequest
+from heronlug.storage.model import DurabilityCallback, JobCallback, Store, StoredRequest
 
 START_TIME = 1_700_000_000_000.0
 
@@ -33,7 +33,14 @@
         self._changes: list[tuple[Callable[[], None], DurabilityCallback | None]] = []
 
     def load(self) -> Iterable[StoredRequest]:
-        return list(self.rows.values())
+        return sorted(self.rows.values(), key=lambda row: row.final_state != "")
+
+    def read_job(self, jid: str, callback: JobCallback) -> None:
+        def call_back(failure: str) -> None:
+            row = self.rows.get(jid)
+            callback(row.job if row else b"", failure or ("" if row else "the job is not stored"))
+
+        self._changes.append((lambda: None, call_back))
 
     def accept(self, request: StoredRequest, callback: DurabilityCallback) -> None:
         self._changes.append((lambda: self._add(request), callback))
@@ -96,12 +103,13 @@
 
 
 class VirtualConnection:
-    """A connection of a worker; ``received`` holds the jids of the jobs that were written to it."""
+    """A connection of a worker; ``received`` has the jids of the jobs that were written to it, ``jobs`` the jobs."""
 
     def __init__(self) -> None:
         self.queues: list[str] = ["default"]
         self.reserved_jids: set[str] = set()
         self.received: list[str] = []
+        self.jobs: list[dict[str, Any]] = []
         self.fetching = False
         self.peer_connected = True
 
@@ -110,7 +118,8 @@
 
         def reply(data: bytes) -> None:
             if not data.startswith(b"$-1"):
-                self.received.append(json.loads(data.split(b"\r\n")[1])["jid"])
+                self.jobs.append(json.loads(data.split(b"\r\n")[1]))
+                self.received.append(self.jobs[-1]["jid"])
 
         return reply
 
@@ -214,12 +223,16 @@
 
     def push(self, jid: str, jobtype: str = "safe", due_in_ms: float = 0, **custom: Any) -> str:
         """Pushes a job and returns ``OK`` or the error text; an empty text if the reply waits."""
+        return self.push_job(self.job(jid, jobtype, due_in_ms, **custom))
+
+    def push_job(self, job: dict[str, Any]) -> str:
+        """Pushes a job with this payload; see :meth:`push`."""
         replies: list[str] = []
 
         def on_pushed(error: CommandError | None) -> None:
             replies.append("OK" if error is None else str(error))
 
-        self.frontend.jobs.push(self.job(jid, jobtype, due_in_ms, **custom), on_pushed)
+        self.frontend.jobs.push(job, on_pushed)
         self.turn()
         return replies[0] if replies else ""
 
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -2,13 +2,15 @@
 
 import threading
 import time
+import tracemalloc
 from pathlib import Path
 
 import pytest
 
 from heronlug.balancer.settings import Effect, RequestClass
 from heronlug.cli import group
-from heronlug.frontends.faktory.recovery import recover_records
+from heronlug.frontends.faktory.recovery import recover_jobs
+from heronlug.frontends.faktory.stored_jobs import read_stored_jobs
 from heronlug.storage.memory import MemoryStore
 from heronlug.storage.model import RecoveryAction, StoredRequest, recovery_action
 from heronlug.storage.sqlite import SqliteStore, StoreError, connect
@@ -74,13 +76,15 @@
     rows = [REQUEST._replace(job=job), parent]
     logged: list[str] = []
     classes = {"c": IDEMPOTENT_CLASS}
-    records, _ = recover_records(
-        rows, MemoryStore(), classes, 1100.0, 10_000.0, lambda event, /, **fields: logged.append(event)
+    stored = read_stored_jobs(rows)
+    recovered = recover_jobs(
+        stored, MemoryStore(), classes, 1100.0, 10_000.0, lambda event, /, **fields: logged.append(event)
     )
-    assert records[1] == (parent, RecoveryAction.RESTART)  # the other rows are not affected
-    assert records[0][1] is action
+    assert recovered[1].request == parent._replace(job=b"")  # the other rows are not affected
+    assert recovered[1].action is RecoveryAction.RESTART
+    assert recovered[0].action is action
     assert logged == (["job_damaged"] if action is RecoveryAction.REJECT else [])
-    assert bool(records[0][0].final_state) == (action is RecoveryAction.REJECT)
+    assert bool(recovered[0].request.final_state) == (action is RecoveryAction.REJECT)
 
 
 class OpenedStore:
@@ -273,3 +277,29 @@
     assert "waiting  1" in run_command("check", str(path))
     assert '"jid":"jid-00002"' in run_command("dump", str(path))
     assert "bytes before" in run_command("compact", str(path))
+
+
+def test_start_reads_large_jobs_without_holding_them(tmp_path: Path) -> None:
+    """Guards against a start that takes the process over its memory because all stored jobs are read at once."""
+    path, job = tmp_path / "jobs.sqlite", b'{"args":["%s"]}' % (b"r" * 60_000)
+    first = OpenedStore(path)
+    jids = [f"jid-{number:05}" for number in range(500)]
+    first.accept(*jids, request=REQUEST._replace(job=job))
+    first.store.record_final_state("jid-00007", "served", 1500.0)
+    first.wait_until_written()
+    first.store.close()
+    tracemalloc.start()
+    try:
+        second = OpenedStore(path)
+        stored = read_stored_jobs(second.store.load())
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert [each.request.jid for each in stored.open] == [jid for jid in jids if jid != "jid-00007"]
+    assert [each.jid for each in stored.ended] == ["jid-00007"]
+    assert peak_bytes < len(jids) * len(job) / 5
+    results: list[tuple[bytes, str]] = []
+    for jid in ("jid-00000", "jid-00007", "unknown"):
+        second.store.read_job(jid, lambda *result: results.append(result))
+    second.wait_until_written()
+    assert results == [(job, ""), (b"", "the job is not stored"), (b"", "the job is not stored")]
