Never raise from a log call, whatever the logged values are

With log_level debug the push was never answered.

Cause: Log.__call__ handed each value to orjson, which raises for integers beyond 64 bits (here the time left of a job with remaining_ms 1e20), and the caller, a start or a callback, ended with it.

Change: a line that has no JSON is written with a text in place of each value that has none; the other fields are kept. So no caller can end by a value.

--- a/heronlug/lifecycle/log.py
+++ b/heronlug/lifecycle/log.py
@@ -46,6 +46,10 @@
 """Time for which :meth:`Log.close` waits for the reader, in seconds."""
 
 
+MAX_SHOWN_CHARACTERS = 1000
+"""Maximum length of the text that stands for a value that has no JSON."""
+
+
 class Log:
     """Writes log lines to a file descriptor.
 
@@ -66,7 +70,7 @@
         self._thread.start()
 
     def __call__(self, event: str, /, **fields: object) -> None:
-        """Logs an event with its fields."""
+        """Logs an event with its fields; never raises, whatever the values are."""
         if EVENT_LEVELS.get(event, DEFAULT_LEVEL) < LEVELS[self.level]:
             return
         if len(self._lines) >= MAX_BUFFERED_LINES:
@@ -76,7 +80,7 @@
             fields["dropped"] = self.dropped
             self.dropped = 0
         line = {"at": round(time.time(), 4), "event": event, **fields}
-        self._lines.append(orjson.dumps(line, default=repr, option=orjson.OPT_APPEND_NEWLINE))
+        self._lines.append(_encode(line))
         self._wake.set()
 
     def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
@@ -103,3 +107,32 @@
                 data = data[os.write(self._descriptor, data) :]
         except OSError:  # the reader has closed the pipe, so no further line can be read
             self._lines.clear()
+
+
+def _encode(line: dict[str, object]) -> bytes:
+    """Returns a line as JSON; a value that has no JSON is replaced by a text."""
+    try:
+        return _dump(line)
+    except Exception:  # no logged value may end its caller, whatever its type does
+        return _dump({key: _as_json(value) for key, value in line.items()})
+
+
+def _dump(value: object) -> bytes:
+    return orjson.dumps(value, default=repr, option=orjson.OPT_APPEND_NEWLINE)
+
+
+def _as_json(value: object) -> object:
+    """Returns a value that has JSON: the value itself, or a text that shows it."""
+    try:
+        _dump(value)
+    except Exception:  # as above
+        return _shown(value)
+    return value
+
+
+def _shown(value: object) -> str:
+    """Returns a text that shows a value; only the name of its type if that fails as well."""
+    try:
+        return repr(value)[:MAX_SHOWN_CHARACTERS]
+    except Exception:  # as above; a RecursionError is possible too
+        return f"<{type(value).__name__}>"
