Let the time that a client states shorten its class's deadline only

Cause: both frontends took the stated time as it came, the Faktory one without any bound where the class has no give_up_ms.

Change: one function for both, allowed_ms in requests/model.py: the smaller of the stated time and the deadline of the class. MAX_REMAINING_MS goes, since every deadline is smaller than what it was for.

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -30,7 +30,7 @@
 from heronlug.frontends.faktory.known_jobs import EndedJobs, KnownJob, KnownJobs
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.scheduler import JobScheduler
-from heronlug.requests.model import FinalAnswer
+from heronlug.requests.model import FinalAnswer, allowed_ms
 from heronlug.storage.model import StoredRequest
 
 MIN_FORGET_SPAN_MS = 1_000.0
@@ -128,7 +128,7 @@
             len(arguments.encoded),
             reserve_ms(arguments.reserve_s, self._context.config),
             policy,
-            JobTiming(_allowed_ms(policy, arguments), due_at),
+            JobTiming(_job_allowed_ms(policy, arguments), due_at),
         )
 
     def _store(self, job: Job, arguments: PushArguments) -> None:
@@ -237,10 +237,10 @@
         return [policy.name for policy in self._context.core.settings.classes]
 
 
-def _allowed_ms(policy: RequestClass, arguments: PushArguments) -> float:
+def _job_allowed_ms(policy: RequestClass, arguments: PushArguments) -> float:
     """Returns the time that a pushed job may take, at most the limit of its class, which a restart may change."""
-    allowed_ms = policy.deadline if arguments.remaining_ms is None else arguments.remaining_ms
-    return min(allowed_ms, policy.give_up_after or allowed_ms)
+    allowed = allowed_ms(policy, arguments.remaining_ms)
+    return min(allowed, policy.give_up_after or allowed)
 
 
 def _push_known_job(job: KnownJob, callback: PushCallback) -> None:
--- a/heronlug/frontends/http/request_policy.py
+++ b/heronlug/frontends/http/request_policy.py
@@ -5,7 +5,7 @@
 ================ ================================================================================================
 X-Txn            the id of the request
 X-Lane           the request class; must equal the first segment of the path, which is the default
-X-Remaining-Ms   the time left until the client gives up, in ms; the deadline of the class by default
+X-Remaining-Ms   the time left until the client gives up, in ms; at most the deadline of the class, as by default
 X-Labels         the slots and the memory that the request takes on a server, for example ``slots=2,memory=0.5``
 X-Org            the tenant
 X-Resent         ``1`` if the client has sent the request before
@@ -26,14 +26,11 @@
 )
 from heronlug.frontends.http.request import FORWARDED_HEADERS, HttpRequest
 from heronlug.net import http
-from heronlug.requests.model import Workload
+from heronlug.requests.model import Workload, allowed_ms
 
 MAX_REQUEST_ID_BYTES = 256
 """Maximum length of X-Txn, in bytes."""
 
-MAX_REMAINING_MS = 71 * 60_000.0
-"""Maximum remaining time of a request; a larger X-Remaining-Ms is reduced to this value."""
-
 TRANSIT_MARGIN_MS = 15.0
 """Upper bound of the time in transit and in the socket queue, subtracted from the time that the client states.
 
@@ -70,10 +67,10 @@
         if any(byte < 0x20 for name in FORWARDED_HEADERS for byte in request.headers.get(name, b"")):
             raise ControlCharacterError
         class_index = self._class_index(request)
-        remaining_ms = self._remaining_ms(request.headers, class_index)
+        stated_ms = _stated_ms(request.headers)
         request.workload = self._workload(request.headers)
         request.class_index = class_index
-        request.remaining_ms = min(remaining_ms, MAX_REMAINING_MS) - TRANSIT_MARGIN_MS
+        request.remaining_ms = allowed_ms(self.settings.classes[class_index], stated_ms) - TRANSIT_MARGIN_MS
 
     def _class_index(self, request: HttpRequest) -> int:
         segment = http.first_segment(request.target)
@@ -82,12 +79,6 @@
             raise UnknownClassError
         return self._class_indices[name]
 
-    def _remaining_ms(self, headers: dict[bytes, bytes], class_index: int) -> float:
-        value = headers.get(b"x-remaining-ms", b"%d" % self.settings.classes[class_index].deadline)
-        if not value.isdigit():  # float() would also accept values that are not whole milliseconds
-            raise InvalidNumberError
-        return float(value)
-
     def _workload(self, headers: dict[bytes, bytes]) -> Workload:
         labels = _labels(headers.get(b"x-labels", b""))
         return Workload(
@@ -106,6 +97,20 @@
     return value.decode("ascii")
 
 
+def _stated_ms(headers: dict[bytes, bytes]) -> float | None:
+    """Returns the time in ms that the client states; None if it states none.
+
+    Raises:
+        InvalidNumberError: The value is not a whole number.
+    """
+    value = headers.get(b"x-remaining-ms")
+    if value is None:
+        return None
+    if not value.isdigit():  # float() would also accept values that are not whole milliseconds
+        raise InvalidNumberError
+    return float(value)
+
+
 def _labels(value: bytes) -> dict[bytes, float]:
     """Returns the numbers in X-Labels by lower-case name.
 
--- a/heronlug/requests/model.py
+++ b/heronlug/requests/model.py
@@ -204,3 +204,15 @@
     tenant: int = 0
     key: int = 0
     retry: bool = False
+
+
+def allowed_ms(policy: RequestClass, stated_ms: float | None) -> float:
+    """Returns the time in ms that a request may take.
+
+    What the client states may shorten the deadline of the class, and never lengthens it.
+
+    Args:
+        policy: the request class.
+        stated_ms: the time in ms that the client states; None if it states none.
+    """
+    return policy.deadline if stated_ms is None else min(stated_ms, policy.deadline)
--- a/tests/end_to_end/test_request_arrival.py
+++ b/tests/end_to_end/test_request_arrival.py
@@ -33,6 +33,21 @@
     run_async(test)
 
 
+def test_stated_time_of_a_request_never_lengthens_that_of_its_class() -> None:
+    """Guards against a request that waits, and occupies a server, for longer than its class allows."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1).open() as harness:
+            for request_id, stated_ms in (("t1", 5001), ("t2", 10**30)):
+                await harness.post(request_id, remaining=stated_ms)
+                server_connection, request = await harness.servers["h1"].request()
+                assert 4500 < remaining_ms(request) <= 5000
+                server_connection.send(done(request_id))
+                await harness.settle()
+
+    run_async(test)
+
+
 def test_pipelined_request_is_not_given_more_time() -> None:
     """Guards against an answer after the client's deadline to a request that waited behind another one."""
 
--- a/tests/frontends/test_faktory_restart.py
+++ b/tests/frontends/test_faktory_restart.py
@@ -149,3 +149,19 @@
     assert faktory.finals("job-00001") == []
     faktory.pass_time(500)
     assert faktory.finals("job-00001") == ["refused"]
+
+
+@pytest.mark.parametrize("stated_ms", [1e20, 1e308, 2.0**70, TIME_MS + 1, TIME_MS - 10_000])
+@pytest.mark.parametrize("delivered", [False, True])
+def test_stated_time_of_a_job_never_lengthens_that_of_its_class(stated_ms: float, delivered: bool) -> None:
+    """Guards against a producer whose job outlives the deadline of its class, or a huge time that ends a start."""
+    faktory = VirtualFaktory(lanes=[{**each, "repeat_window": 2 * TIME_MS} for each in KEYED_CLASSES])
+    assert faktory.push("keyed-001", "keyed", remaining_ms=stated_ms) == "OK"
+    if delivered:
+        assert faktory.fetch("w1", faktory.worker("w1")) == "keyed-001"
+    faktory.pass_time(500)
+    faktory.kill_and_start()
+    faktory.pass_time(min(stated_ms, TIME_MS) - 1500)
+    assert faktory.finals("keyed-001") == []
+    faktory.pass_time(500)
+    assert len(faktory.finals("keyed-001")) == 1
