Let a callback that raises end itself alone, in the store and in the core

What callers saw: a callback of a commit that raised (with log_level debug the log call for a huge remaining_ms did) dropped the others of the same commit: their pushes and deliveries got no answer, and later commands of those connections waited. The same shape stood where several producers push one jid, and where one decision of the balancer has several actions.

Cause: loops over callbacks without a guard: SqliteStore._call_all, JobTable._on_stored, EventQueue. An exception also left the queued events until another event came.

Change: store and push callbacks are called one by one, and an exception is logged with its trace (call_isolated). The event queue runs all actions and events, then raises the first exception, so its caller still sees it.

--- a/heronlug/frontends/faktory/jobs.py
+++ b/heronlug/frontends/faktory/jobs.py
@@ -30,6 +30,7 @@
 from heronlug.frontends.faktory.known_jobs import EndedJobs, KnownJob, KnownJobs
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.scheduler import JobScheduler
+from heronlug.requests.interfaces import call_isolated
 from heronlug.requests.model import FinalAnswer, allowed_ms
 from heronlug.storage.model import StoredRequest
 
@@ -156,7 +157,7 @@
         if error is not None:
             self.scheduler.job_ended(job.jid, False)
         for callback in callbacks:
-            callback(error)
+            call_isolated(self._context.log, "push", partial(callback, error))
 
     def _start_stored(self, job: Job, failure: str) -> CommandError | None:
         """Starts a job unless storing it failed; returns the error if the job is not accepted, else None."""
--- a/heronlug/requests/event_queue.py
+++ b/heronlug/requests/event_queue.py
@@ -49,22 +49,35 @@
         self._events.append(event)
 
     def handle(self, event: Event) -> None:
-        """Handles an event now, or after the queued events if this is called while another event is handled."""
+        """Handles an event now, or after the queued events if this is called while another event is handled.
+
+        An action that raises does not stop the other actions and events; the first exception is raised after them.
+        """
         self._events.append(event)
         if self._handling:
             return
         self._handling = True
+        first_error: Exception | None = None
         try:
             while self._events:
-                self._handle_first()
+                error = self._handle_first()
+                first_error = first_error or error
         finally:
             self._handling = False
+        if first_error is not None:
+            raise first_error
 
-    def _handle_first(self) -> None:
+    def _handle_first(self) -> Exception | None:
+        """Handles the first event and returns the first exception of its actions."""
         now, event = self._clock(), self._events.popleft()
+        first_error: Exception | None = None
         for action in self.dispatcher.handle(now, event):
-            self._execute(action, now)
+            try:
+                self._execute(action, now)
+            except Exception as error:  # raised again after the other actions
+                first_error = first_error or error
         elapsed = self._clock() - now
         if elapsed >= SLOW_EVENT_MS:
             self.slow_events += 1
             self._on_slow_event(event, elapsed)
+        return first_error
--- a/heronlug/requests/interfaces.py
+++ b/heronlug/requests/interfaces.py
@@ -1,5 +1,7 @@
 """Defines the interfaces that the core uses: the transport of a protocol, the plug-ins and the event log."""
 
+import traceback
+from collections.abc import Callable
 from typing import Protocol
 
 from heronlug.requests.model import Attempt, FinalAnswer, Request
@@ -38,5 +40,13 @@
         """Logs an event."""
 
 
+def call_isolated(log: EventLog, where: str, call: Callable[[], object]) -> None:
+    """Calls a function, and logs an exception, which must not stop what follows the call."""
+    try:
+        call()
+    except Exception as error:  # any fault of the program
+        log("exception", where=where, error=repr(error), trace=traceback.format_exception(error)[-2:])
+
+
 def log_nothing(event: str, /, **fields: object) -> None:
     """Ignores the event; the default event log."""
--- a/heronlug/storage/sqlite.py
+++ b/heronlug/storage/sqlite.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from heronlug.requests.interfaces import EventLog
+from heronlug.requests.interfaces import EventLog, call_isolated
 from heronlug.storage.clock_steps import follow_clock
 from heronlug.storage.model import DurabilityCallback, JobCallback, StoredRequest
 
@@ -336,7 +336,7 @@
             error = self._commit_changes(changes)
             calls = [call for operation in batch if (call := self._completion(operation, error)) is not None]
             if calls:
-                self._call_soon(partial(_call_all, calls))
+                self._call_soon(partial(self._call_all, calls))
             uncommitted = [change for change in changes if error and change.callback is None]
             if uncommitted and not self._retry_later(uncommitted):
                 return
@@ -349,6 +349,11 @@
             count = min(MAX_COMMIT_OPERATIONS, len(self._operations))
             return [self._operations.popleft() for _ in range(count)]
 
+    def _call_all(self, callbacks: list[Callable[[], None]]) -> None:
+        """Calls the callbacks of a batch on the event loop, each by itself."""
+        for callback in callbacks:
+            call_isolated(self._log, "store", callback)
+
     def _commit_changes(self, changes: list[_Operation]) -> str:
         """Commits the changes of a batch, if any; returns the error text, or an empty string on success."""
         if not changes:
@@ -424,11 +429,6 @@
             return True
 
 
-def _call_all(callbacks: list[Callable[[], None]]) -> None:
-    for callback in callbacks:
-        callback()
-
-
 def compact(path: Path) -> FileSizes:
     """Returns free pages of the file to the file system.
 
--- a/tests/requests/test_core.py
+++ b/tests/requests/test_core.py
@@ -5,11 +5,13 @@
 import unittest
 from typing import Any, cast
 
+import pytest
 from drive import KEYED, ONCE, SAFE, with_settings
 
-from heronlug import CancelAttempt, ListKind, Outcome, ServerState, StartAttempt
+from heronlug import CancelAttempt, ListKind, Outcome, Reject, ServerState, StartAttempt
 from heronlug.backends.connection import ServerConnection
 from heronlug.backends.pool import ConnectionPool
+from heronlug.balancer.events import PeerMessage
 from heronlug.lifecycle.log import MAX_BUFFERED_LINES, Log
 from heronlug.peers.datagrams import PeerSocket
 from heronlug.requests.core import Core
@@ -100,6 +102,24 @@
         self.now += ms
         self.deadlines.run_due()
 
+    def test_action_that_raises_does_not_stop_the_other_actions_and_events(self) -> None:
+        """Guards against a request without an answer because the action for another one raised."""
+        requests = [self.core.accept(number, 0, 1000.0) for number in range(3)]
+        answer = self.transport.answer
+
+        def fail_once(request: Request, *rest: Any) -> None:
+            if request is requests[0]:
+                raise RuntimeError
+            answer(request, *rest)
+
+        self.transport.answer = fail_once  # type: ignore[method-assign,assignment]
+        self.core.events.append(PeerMessage(0, b"queued"))
+        self.dispatcher.actions = [Reject(request.handle) for request in requests]
+        with pytest.raises(RuntimeError):
+            self.core.peer_message(0, b"")
+        assert self.transport.answers == [(number, FinalAnswer.REFUSED, b"") for number in (1, 2)]
+        assert self.dispatcher.events[-1] == PeerMessage(0, b"")
+
     def test_request_that_the_dispatcher_never_answers_fails_at_its_deadline(self) -> None:
         """Failure: a request without any decision stays open for ever, and its attempt and deadline leak."""
         request, attempt = self.accept_and_send()
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -303,3 +303,20 @@
         second.store.read_job(jid, lambda *result: results.append(result))
     second.wait_until_written()
     assert results == [(job, ""), (b"", "the job is not stored"), (b"", "the job is not stored")]
+
+
+def test_callback_that_raises_does_not_stop_the_others(tmp_path: Path) -> None:
+    """Guards against a push or a delivery without an answer because another callback of its commit raised."""
+    opened = OpenedStore(tmp_path / "jobs.sqlite")
+    first_enqueued = threading.Event()
+    opened.store.when_durable(lambda error: None if first_enqueued.wait(5) else None)
+
+    def fail(error: str) -> None:
+        raise RuntimeError(error)
+
+    for jid, callback in (("jid-00001", fail), ("jid-00002", opened.results.append)):
+        opened.store.accept(REQUEST._replace(jid=jid), callback)
+    first_enqueued.set()
+    opened.wait_until_written()
+    assert opened.results == [""]
+    assert opened.events == ["exception"]
