Check each value of a job where it is read, and let no row stop a start

Cause: values were used as they came: SQLite's columns hold any type, datetime raises OverflowError, orjson TypeError, and the start counted on no exception.

Change: each row is checked as it is read; a damaged one ends alone by its effect, as one that cannot be resumed does. A stored time over a year, which only older programs wrote, is limited to that of its class and logged. A field out of its range is refused by an error that names it.

--- a/heronlug/frontends/faktory/job.py
+++ b/heronlug/frontends/faktory/job.py
@@ -23,6 +23,12 @@
 MAX_JID_CHARACTERS = 128
 """Maximum length of a jid in characters."""
 
+MAX_DEPTH = 254
+"""Maximum depth of the values of a job, which is that of orjson."""
+
+MAX_RESERVE_S = 366 * 86_400.0
+"""Maximum time in seconds within which a worker must end a job."""
+
 DEFAULT_QUEUE = "default"
 """The queue for a PUSH or FETCH that names no queue."""
 
@@ -162,7 +168,7 @@
     if not isinstance(queue, str) or not queue or not isinstance(custom, dict):
         msg = "queue is no text, or custom no object"
         raise InvalidArgumentError(msg)
-    encoded = bytes(memoryview(orjson.dumps(payload)))  # a copy, because orjson's buffer is larger than its content
+    encoded = _encode(payload)
     if len(encoded) > http.MAX_BODY:
         raise JobTooLargeError
     return PushArguments(
@@ -171,10 +177,23 @@
         queue,
         custom,
         optional_number(custom, "remaining_ms"),
-        optional_number(payload, "reserve_for"),
+        parse_reserve_s(payload),
     )
 
 
+def _encode(payload: JsonObject) -> bytes:
+    """Returns a job as JSON.
+
+    Raises:
+        InvalidArgumentError: if its values are nested too deeply.
+    """
+    try:
+        return bytes(memoryview(orjson.dumps(payload)))  # a copy, because orjson's buffer is larger than its content
+    except TypeError as error:
+        msg = f"the job is nested more than {MAX_DEPTH} deep"
+        raise InvalidArgumentError(msg) from error
+
+
 def parse_due_at(payload: JsonObject) -> float:
     """Returns the earliest start of a job as Unix time in ms, 0 if the job has none.
 
@@ -186,11 +205,24 @@
         return 0.0
     try:
         return datetime.fromisoformat(str(at)).astimezone().timestamp() * 1000
-    except ValueError as error:
-        msg = "at is no time"
+    except (ValueError, OverflowError) as error:
+        msg = "at is no time from year 1 to 9999 in UTC"
         raise InvalidArgumentError(msg) from error
 
 
+def parse_reserve_s(payload: JsonObject) -> float | None:
+    """Returns the ``reserve_for`` of a job in seconds; None if it has none.
+
+    Raises:
+        InvalidArgumentError: if the value is not a number from 0 to ``MAX_RESERVE_S``.
+    """
+    reserve_s = optional_number(payload, "reserve_for")
+    if reserve_s is not None and reserve_s > MAX_RESERVE_S:
+        msg = f"reserve_for is over {MAX_RESERVE_S:.0f} s"
+        raise InvalidArgumentError(msg)
+    return reserve_s
+
+
 def delivered_form(payload: bytes) -> bytes:
     """Returns the JSON of a job for its worker, which has a queue and a retry count even if the producer gave none.
 
--- a/heronlug/frontends/faktory/job_recovery.py
+++ b/heronlug/frontends/faktory/job_recovery.py
@@ -33,11 +33,25 @@
             if job is not None:
                 job.parents = self._jobs.scheduler.known_parents(each.job.edges)
                 context.memory.hold(job)
-                self._restart(job, each, now)
+                self._restart_or_end(job, each, now)
         known = counts.total() - counts[RecoveryAction.FORGET]
         if known:
             context.log("recovered", jobs=known, **{action.value: count for action, count in counts.items()})
 
+    def _restart_or_end(self, job: Job, recovered: RecoveredJob, now: float) -> None:
+        """Resumes a job; one that cannot be resumed ends alone, failed if it may have run, else refused."""
+        try:
+            self._restart(job, recovered, now)
+        except Exception as error:  # one row must not stop the start
+            self._context.log("exception", where="recovery", jid=job.jid, error=repr(error))
+            if not self._is_in_core(job) and job.state is not JobState.ENDED:
+                may_have_run = bool(recovered.request.first_delivered_at)
+                self._jobs.finish(job, FinalAnswer.FAILED if may_have_run else FinalAnswer.REFUSED)
+
+    def _is_in_core(self, job: Job) -> bool:
+        """Returns whether the core has the job, and ends it at its deadline at the latest."""
+        return any(request.payload is job and not request.closed for request in self._context.core.requests)
+
     def _restart(self, job: Job, recovered: RecoveredJob, now: float) -> None:
         request = recovered.request
         delivered_at = request.first_delivered_at
@@ -49,7 +63,8 @@
             left=round(remaining_ms(request, now)),
         )
         if delivered_at:  # a job is delivered only after its parents have ended
-            deliveries = max(1, request.deliveries)
+            most = self._context.core.settings.max_attempts_of(job.policy)  # a larger number has the same effect
+            deliveries = max(1, min(request.deliveries, most))
             self._jobs.scheduler.resume(job, remaining_ms(request, now), delivered_at, deliveries)
         elif self._jobs.scheduler.may_start(job):
             if recovered.action is RecoveryAction.RESTART:  # the time of a job that had started counts from that start
@@ -82,7 +97,9 @@
     def _remember(self, job: EndedStoredJob, now: float) -> RecoveryAction:
         """Keeps the jid of a job that had ended known for the rest of the configured time, or forgets it."""
         remember_ms = self._context.config.remember_ms
-        since_end_ms = now - job.ended_at
+        if job.damage:
+            self._context.log("job_damaged", jid=job.jid, why=job.damage)
+        since_end_ms = now - (now if job.ended_at is None else job.ended_at)
         if since_end_ms > remember_ms:
             self._context.store.forget(job.jid)
             return RecoveryAction.FORGET
--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -10,7 +10,14 @@
 from heronlug.frontends.faktory.stored_jobs import OpenStoredJob, StoredJobs
 from heronlug.requests.interfaces import EventLog, log_nothing
 from heronlug.storage.memory import MemoryStore
-from heronlug.storage.model import FinalState, RecoveryAction, Store, StoredRequest, recovery_action
+from heronlug.storage.model import (
+    MAX_TIME_ALLOWED_MS,
+    FinalState,
+    RecoveryAction,
+    Store,
+    StoredRequest,
+    recovery_action,
+)
 
 
 class RecoveredJob(NamedTuple):
@@ -95,7 +102,7 @@
     Returns:
         The jobs that were open, each with its recovery action.
     """
-    end_times = _end_times_of_parents(stored)
+    end_times = _end_times_of_parents(stored, now)
     recovered: list[RecoveredJob] = []
     for job in stored.open:
         policy = None  # a damaged job cannot run, like a job whose class no longer exists
@@ -105,8 +112,9 @@
             policy = accepted_policy(job.request, classes, log)
         except DamagedRecordError as error:
             log("job_damaged", jid=job.request.jid, why=str(error))
+        request = _within_longest_time(job.request, policy, log)
         parents = [end_times[edge.parent] for edge in job.edges if edge.parent in end_times]
-        request = _with_release(job.request, parents)
+        request = _with_release(request, parents)
         action = recovery_action(request, policy, now, remember_ms, has_open_parents=None in parents)
         if action in (RecoveryAction.FAIL, RecoveryAction.REJECT):
             final_state = FinalState.FAILED if action is RecoveryAction.FAIL else FinalState.REFUSED
@@ -148,13 +156,23 @@
     return accepted
 
 
-def _end_times_of_parents(stored: StoredJobs) -> dict[str, float | None]:
+def _within_longest_time(request: StoredRequest, policy: RequestClass | None, log: EventLog) -> StoredRequest:
+    """Returns a stored job with at most the time of its class, if its own is longer than any job may have."""
+    if policy is None or request.time_allowed_ms <= MAX_TIME_ALLOWED_MS:
+        return request
+    log("job_time_limited", jid=request.jid, stored_ms=request.time_allowed_ms, ms=policy.deadline)
+    return request._replace(time_allowed_ms=policy.deadline)
+
+
+def _end_times_of_parents(stored: StoredJobs, now: float) -> dict[str, float | None]:
     """Returns the times at which the parents of open jobs ended, None for an open parent.
 
     A parent that is not in the store ended long ago, and is left out.
     """
     parents = {edge.parent for job in stored.open for edge in job.edges}
-    end_times: dict[str, float | None] = {job.jid: job.ended_at for job in stored.ended if job.jid in parents}
+    end_times: dict[str, float | None] = {
+        job.jid: now if job.ended_at is None else job.ended_at for job in stored.ended if job.jid in parents
+    }
     end_times.update((job.request.jid, None) for job in stored.open if job.request.jid in parents)
     return end_times
 
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -14,6 +14,9 @@
 """Called with an empty string once a change is durable, or with the reason why it could not be stored."""
 
 
+MAX_TIME_ALLOWED_MS = 366 * 86_400_000.0
+"""Longest time that a stored request may have; older programs stored what the producer stated, without a bound."""
+
 JobCallback = Callable[[bytes, str], None]
 """Called with the job as JSON and an empty string, or with no bytes and the reason why the job cannot be read."""
 
