Bound what producers and workers send ahead and do not read

What callers saw: at 192 MB, 100 connections that pipeline pushes of 60 KB took the process to 1,030 MB, commands behind a FETCH to 925, 50 clients that read no replies to 168.

Cause: a session read without end while its command waited, up to 256 commands of 256 KB a connection, and wrote replies whether or not they were read. No holder counted it: memory_near_limit said used 0 at 924 MB.

Change: sessions read 16 KB a turn, and not while 16 KB of whole commands wait; nothing is executed while replies are unread, 30 s at most. Commands and replies are in the account, 15% of it for all; beyond that the one that holds most, without a whole command first, gets an error and its close. A worker that leaves while it is not read is noticed within 0.1 s.

--- a/heronlug/frontends/faktory/errors.py
+++ b/heronlug/frontends/faktory/errors.py
@@ -146,6 +146,13 @@
         super().__init__("too many commands at once")
 
 
+class SessionMemoryError(SessionError):
+    """Raised if commands and replies of all connections need too much memory, and this connection holds most of it."""
+
+    def __init__(self) -> None:
+        super().__init__("no memory for the commands of this connection, come back later")
+
+
 class TooManyConnectionsError(SessionError):
     """Raised if the maximum number of connections is reached."""
 
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -17,6 +17,7 @@
 from heronlug.frontends.faktory.reservations import Reservations
 from heronlug.frontends.faktory.resp import JsonObject
 from heronlug.frontends.faktory.session import FaktorySession
+from heronlug.frontends.faktory.session_memory import SessionMemory
 from heronlug.frontends.faktory.stored_jobs import StoredJobs, read_stored_jobs
 from heronlug.frontends.faktory.workers import WorkerTable
 from heronlug.memory.account import MemoryAccount
@@ -37,6 +38,7 @@
         workers: the workers by wid.
         delivery: delivers jobs to workers.
         sessions: the open connections.
+        session_memory: counts what the open connections hold.
         run_due: runs the deadlines that are due; called after each input from the network.
     """
 
@@ -57,6 +59,7 @@
         self.workers = WorkerTable(self.context, self._reservations)
         self.delivery = JobDelivery(self.context, self.workers, self._reservations)
         self.sessions: SlotTable[FaktorySession] = SlotTable()
+        self.session_memory = SessionMemory(memory)
         self.run_due = run_due
 
     @property
--- a/heronlug/frontends/faktory/session.py
+++ b/heronlug/frontends/faktory/session.py
@@ -15,15 +15,19 @@
     InternalError,
     LineTooLongError,
     SessionError,
+    SessionMemoryError,
     TooManyCommandsError,
     TooManyConnectionsError,
 )
 from heronlug.frontends.faktory.resp import NO_JOB, OK, error_reply
+from heronlug.frontends.faktory.session_memory import SessionMemory
 from heronlug.frontends.faktory.session_state import SessionEvent, SessionState, next_state
 from heronlug.frontends.faktory.worker import ReplyCallback, Worker
 from heronlug.frontends.timeout import Timeout
 from heronlug.net import http
 from heronlug.net.connection_state import peer_has_closed
+from heronlug.net.paced_protocol import RECEIVE_BUFFER, PacedProtocol
+from heronlug.net.read_gate import PauseReason, ReadGate
 
 HELLO_TIMEOUT_MS = 15_000.0
 """Time in ms within which a new connection must send HELLO."""
@@ -34,6 +38,18 @@
 MAX_WAITING_COMMANDS = 256
 """Maximum number of commands that may wait on one connection."""
 
+MAX_WAITING_BYTES = 16 * 1024
+"""Size of the waiting commands from which a connection is not read."""
+
+MAX_READ_BYTES = 16 * 1024
+"""Maximum number of bytes that are read from a connection in one iteration of the event loop."""
+
+UNREAD_TIMEOUT_MS = 30_000.0
+"""Time in ms within which a client must read its replies."""
+
+CLOSE_CHECK_INTERVAL_MS = 100.0
+"""Interval in ms between two checks whether a worker that is not read has left."""
+
 SALT_BYTES = 8
 """Number of random bytes in the password salt."""
 
@@ -43,8 +59,10 @@
 
     Attributes:
         run_due: runs the deadlines that are due; called after each input from the network.
+        session_memory: counts what the sessions hold.
     """
 
+    session_memory: SessionMemory
     run_due: Callable[[], None]
 
     def session_opened(self, session: "FaktorySession") -> bool:
@@ -54,7 +72,7 @@
         """Removes a closed session."""
 
 
-class FaktorySession(asyncio.Protocol):
+class FaktorySession(PacedProtocol):
     """Connection of a producer or a worker.
 
     Attributes:
@@ -65,8 +83,11 @@
         queues: queues of the last FETCH.
         frontend: the frontend to which the session belongs.
         salt: the password salt that HI announces.
+        held_bytes: what waiting commands and unread replies hold, in bytes.
     """
 
+    receive_buffer = RECEIVE_BUFFER[:MAX_READ_BYTES]
+
     def __init__(self, frontend: SessionOwner) -> None:
         self.handle = 0
         self.transport: asyncio.Transport | None = None
@@ -76,11 +97,16 @@
         self.frontend = frontend
         self.salt = secrets.token_hex(SALT_BYTES)
         self._state = SessionState.AWAITING_HELLO
+        self.gate = ReadGate(frontend.context.deadlines.clock)
+        self.held_bytes = 0
         self._lines = http.Lines()
         self._commands: deque[bytes] = deque()
+        self._waiting_bytes = 0
         self._executing = False  # a reply during a command must not start the next command recursively
         self._hello_timeout = Timeout(frontend.context.deadlines)
         self._fetch_timeout = Timeout(frontend.context.deadlines)
+        self._unread_timeout = Timeout(frontend.context.deadlines)
+        self._close_check = Timeout(frontend.context.deadlines)
 
     # -- asyncio
 
@@ -88,6 +114,8 @@
         """Sends HI; a client that does not send HELLO in time is disconnected."""
         # uvloop's transport has the same methods but is not a subclass
         self.transport = cast(asyncio.Transport, transport)
+        self.gate.open(self.transport)
+        self.frontend.session_memory.add(self)
         if not self.frontend.session_opened(self):
             self._close_with_error(TooManyConnectionsError())
             return
@@ -103,19 +131,39 @@
         if self.closed:
             return
         try:
-            self._commands.extend(self._lines.feed(data))
+            commands = self._lines.feed(data)
         except ValueError:
             self._close_with_error(LineTooLongError())
+        else:
+            self._commands.extend(commands)
+            self._waiting_bytes += sum(map(len, commands))
         self._execute_waiting()
         if len(self._commands) > MAX_WAITING_COMMANDS and self.transport is not None:
             self._close_with_error(TooManyCommandsError())
         self.frontend.run_due()
 
+    def pause_writing(self) -> None:
+        """Executes no further command until the client has read its replies, which it has to do in time."""
+        self.gate.pause(PauseReason.UNREAD_ANSWERS)
+        self._unread_timeout.start(UNREAD_TIMEOUT_MS, self.abort)
+        self._check_close_later()
+
+    def resume_writing(self) -> None:
+        """Executes the commands that have waited for the client to read its replies."""
+        self._unread_timeout.cancel()
+        self.gate.resume(PauseReason.UNREAD_ANSWERS)
+        if not self._executing:
+            self._execute_waiting()
+        self.frontend.run_due()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Closes the session; the jobs that were fetched on the connection may have run and are reset."""
         self._apply_event(SessionEvent.CLOSED)
-        self._hello_timeout.cancel()
-        self._fetch_timeout.cancel()
+        for timeout in (self._hello_timeout, self._fetch_timeout, self._unread_timeout, self._close_check):
+            timeout.cancel()
+        self._drop_commands()
+        self.gate.close()
+        self.frontend.session_memory.remove(self)
         self.frontend.session_closed(self)
         self.frontend.run_due()
 
@@ -194,24 +242,77 @@
         if self.transport is not None:
             self.transport.abort()
 
+    # -- memory
+
+    @property
+    def has_whole_command(self) -> bool:
+        """Returns whether a whole command waits or is being executed."""
+        return bool(self._commands) or self._state in (SessionState.REPLY_PENDING, SessionState.FETCHING)
+
+    def reject_for_memory(self) -> None:
+        """Closes the session because it holds most; replies that its client does not read are dropped."""
+        wid = self.worker.wid if self.worker is not None else None
+        self.frontend.context.log("session_rejected", held=self.held_bytes, wid=wid, commands=len(self._commands))
+        if self.gate.paused_for(PauseReason.UNREAD_ANSWERS):
+            self._drop_commands()
+            self.abort()
+        else:
+            self._close_with_error(SessionMemoryError())
+
     # -- command execution
 
     def _apply_event(self, event: SessionEvent) -> None:
         self._state = next_state(self._state, event)
 
     def _close_with_error(self, error: SessionError) -> None:
-        self._commands.clear()
+        self._drop_commands()
         self.write(error_reply(error))
         self.close()
 
+    def _drop_commands(self) -> None:
+        self._commands.clear()
+        self._waiting_bytes = 0
+        self._lines = http.Lines()
+
+    @property
+    def _may_execute(self) -> bool:
+        """Returns whether the next command may be executed now."""
+        unread = self.gate.paused_for(PauseReason.UNREAD_ANSWERS)
+        return self._state in (SessionState.AWAITING_HELLO, SessionState.READY) and not unread
+
     def _execute_waiting(self) -> None:
-        while self._commands and self._state in (SessionState.AWAITING_HELLO, SessionState.READY):
-            name, _, argument = self._commands.popleft().strip().partition(b" ")
+        while self._commands and self._may_execute:
+            command = self._commands.popleft()
+            self._waiting_bytes -= len(command)
+            name, _, argument = command.strip().partition(b" ")
             self._executing = True
             try:
                 self._execute(name.decode("ascii", "replace").upper(), argument.strip())
             finally:
                 self._executing = False
+        self._update_memory()
+
+    def _update_memory(self) -> None:
+        """Counts what waits, and reads no further commands while enough of them wait."""
+        unread_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        waiting_bytes = self._waiting_bytes + self._lines.held_bytes
+        self.frontend.session_memory.update(self, waiting_bytes + unread_bytes)
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self.gate.pause(PauseReason.INPUT)
+            self._check_close_later()
+        else:
+            self.gate.resume(PauseReason.INPUT)
+
+    def _check_close_later(self) -> None:
+        """Checks whether a worker has left while it is not read; its jobs go to others then."""
+        if not self._close_check.pending:
+            self._close_check.start(CLOSE_CHECK_INTERVAL_MS, self._check_close)
+
+    def _check_close(self) -> None:
+        if self.reserved_jids and not self.peer_connected:
+            self.abort()
+        elif self.gate.paused and not self.closed:
+            self._check_close_later()
 
     def _execute(self, name: str, argument: bytes) -> None:
         try:
--- a/heronlug/memory/holders.py
+++ b/heronlug/memory/holders.py
@@ -27,5 +27,8 @@
     FAKTORY_JOBS = "faktory_jobs"
     """Known jobs of the Faktory frontend, without their payloads."""
 
+    FAKTORY_SESSIONS = "faktory_sessions"
+    """Connections of producers and workers, their commands that wait, and replies that they have not read."""
+
     FAKTORY_PAYLOADS = "faktory_payloads"
     """Payloads of jobs of the Faktory frontend, unless only the store has them."""
--- a/tests/end_to_end/harness.py
+++ b/tests/end_to_end/harness.py
@@ -224,13 +224,14 @@
             settings[table] = {**SETTINGS[table], **changes.pop(table, {})}
         self.listen = f"127.0.0.1:{free_port()}"
         sockets, listed = changes.pop("sockets", 1024), changes.pop("listed", self.servers)
+        memory_mb = changes.pop("memory_mb", 192)
         check_changes(changes)
         self.raw = {
             "name": "n0",
             "listen": self.listen,
             "discovery": self.discovery.address,
             "seed": "ab12",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": self.endpoint_list(3, *listed),
             "settings": settings,
             **changes,
