Begin no attempt for a client whose close may stand behind unread input

Cause: a connection is not read while enough of its requests wait, so its client's system keeps the rest and the end behind a shut window. Trace: the client in FIN_WAIT1 with 610,747 bytes unsent, here ESTABLISHED with 95,232 unread, client_connected true.

Change: one rule, asked at the start of each attempt and when a dial comes up (Core.is_moot): input that has waited unread for 25 ms forbids it, and the request is given up, refused if it never ran.

--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -185,13 +185,19 @@
             attempt.request.keep()
         if attempt is None:
             self.release(connection)
+        elif self.core.is_moot(attempt):
+            self._return_unwritten(connection, attempt, Outcome.CANCELLED_BEFORE_START)
         elif connection.address == attempt.server.entry.address and self.core.may_write(attempt):
             connection.write(attempt)
         else:
-            connection.attempt = None
-            attempt.exchange = None
-            self.release(connection)
-            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+            self._return_unwritten(connection, attempt, Outcome.CONNECT_FAILED)
+
+    def _return_unwritten(self, connection: ServerConnection, attempt: Attempt, outcome: Outcome) -> None:
+        """Ends an attempt of which nothing was written, and keeps its connection."""
+        connection.attempt = None
+        attempt.exchange = None
+        self.release(connection)
+        self.core.attempt_ended(attempt, outcome)
 
     def release(self, connection: ServerConnection) -> None:
         """Keeps a free connection for the next request until its idle time is over."""
@@ -248,7 +254,10 @@
             waiting = self._waiting.first()
             waiting.attempt.request.keep()
             remaining = waiting.expires_at - self.deadlines.clock()
-            if not self.core.may_write(waiting.attempt):
+            if self.core.is_moot(waiting.attempt):
+                self._waiting.remove(waiting)
+                self.core.attempt_ended(waiting.attempt, Outcome.CANCELLED_BEFORE_START)
+            elif not self.core.may_write(waiting.attempt):
                 self._waiting.remove(waiting)
                 self._fail_unsent(waiting.attempt)
             elif self._send_now(waiting.attempt, max(0.0, remaining)):
--- a/heronlug/emulator/dispatchers.py
+++ b/heronlug/emulator/dispatchers.py
@@ -129,6 +129,10 @@
         """Returns True, since emulated clients wait until their deadline."""
         return True
 
+    def may_hide_disconnect(self, request: Request) -> bool:
+        """Returns False, since emulated clients have no input behind a request."""
+        return False
+
     def answer(self, request: Request, final: FinalAnswer, body: bytes, retry_after: float) -> None:
         """Sends a client its final answer."""
         client_request: ClientRequest = request.payload
--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -144,6 +144,10 @@
         """Returns True: a job stays known by its jid even if its producer has disconnected."""
         return True
 
+    def may_hide_disconnect(self, request: Request) -> bool:
+        """Returns False, for the same reason."""
+        return False
+
     def answer(self, request: Request, final: FinalAnswer, body: bytes, retry_after: float) -> None:
         """Ends a job; the protocol has no message for that, so the end is recorded under the jid and logged."""
         may_have_run = any(attempt.may_have_run for attempt in request.attempts)
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -42,6 +42,12 @@
 MAX_UNREAD_BYTES = 16 * 1024
 """Size of the answers that the client has not read from which on no further request is served, in bytes."""
 
+MAX_UNREAD_MS = 25.0
+"""Time for which input may wait unread before no further attempt begins for its client, in ms.
+
+Together with the time until the input is found unread, it has to stay below the 100 ms that the platform allows.
+"""
+
 EXCESS_TIMEOUT_MS = 2_500.0
 """Time for which a client may have more requests sent than may wait, before those that wait are refused."""
 
@@ -239,6 +245,18 @@
         """Returns whether the client has not closed its side of the connection."""
         return self.transport is None or not peer_has_closed(self.transport)
 
+    @property
+    def may_hide_disconnect(self) -> bool:
+        """Returns whether the client's end may stand behind input that has waited unread.
+
+        The client's system holds both back while there is no room for the input in that of the dispatcher.
+        """
+        unread_since = self.gate.unread_since
+        if unread_since is None or self.transport is None or self.closing:
+            return False
+        waited_ms = self._frontend.deadlines.clock() - unread_since
+        return waited_ms >= MAX_UNREAD_MS and has_unread_input(self.transport)
+
     # -- serving
 
     def answer(self, data: bytes, keep_alive: bool = True) -> None:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -324,6 +324,11 @@
             keep_alive = self._keeps_alive(http_request, connection)
             connection.answer(responses.final_response(final, body, retry_after, close=not keep_alive), keep_alive)
 
+    def may_hide_disconnect(self, request: Request) -> bool:
+        """Returns whether a disconnect of the client may stand behind its unread input."""
+        connection: AnswerableConnection | None = request.payload.connection
+        return connection is not None and connection.may_hide_disconnect
+
     def client_waits(self, request: Request) -> bool:
         """Returns whether the client of a request still waits for its answer."""
         connection: AnswerableConnection | None = request.payload.connection
--- a/heronlug/frontends/http/request.py
+++ b/heronlug/frontends/http/request.py
@@ -29,6 +29,10 @@
     def client_connected(self) -> bool:
         """Returns whether the client has not closed its side of the connection."""
 
+    @property
+    def may_hide_disconnect(self) -> bool:
+        """Returns whether the client's end may stand behind input that has waited unread."""
+
     def answer(self, data: bytes, keep_alive: bool = True) -> None:
         """Writes the response to the current request and, without ``keep_alive``, ends the connection."""
 
--- a/heronlug/lifecycle/transport.py
+++ b/heronlug/lifecycle/transport.py
@@ -34,3 +34,7 @@
     def client_waits(self, request: Request) -> bool:
         """Returns whether the client of a request still waits for the answer."""
         return self.frontend.client_waits(request)
+
+    def may_hide_disconnect(self, request: Request) -> bool:
+        """Returns whether a disconnect of the client may stand behind its unread input."""
+        return self.frontend.may_hide_disconnect(request)
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -255,6 +255,14 @@
             return False
         return attempt.in_flight and not self._is_closed(attempt.request)
 
+    def is_moot(self, attempt: Attempt) -> bool:
+        """Returns whether an attempt must not begin, as its request is closed, or its client may have disconnected.
+
+        A request of such a client is given up: one that never ran is rejected, which is harmless.
+        """
+        request = attempt.request
+        return self._is_closed(request) or self.transport.may_hide_disconnect(request)
+
     def is_non_idempotent(self, attempt: Attempt) -> bool:
         """Returns whether the request of an attempt must not run twice.
 
@@ -386,7 +394,7 @@
             hedged = any(other.in_flight for other in request.attempts[:-1])
             self._log_attempt("attempt_hedged" if hedged else "attempt_retried", attempt)
         beyond_cap = attempt.number >= self.settings.max_attempts_of(request.policy)
-        if now >= request.give_up_at or beyond_cap or self._is_closed(request):
+        if now >= request.give_up_at or beyond_cap or self.is_moot(attempt):
             self.attempt_ended(attempt, Outcome.CANCELLED_BEFORE_START)
         elif self.has_unread_update():
             self.postpone(self._begin_postponed, attempt)
@@ -399,6 +407,8 @@
             return
         if self.has_unread_update():
             self.deadlines.call_after(POSTPONED_MS, self._begin_postponed, attempt)
+        elif self.is_moot(attempt):
+            self.attempt_ended(attempt, Outcome.CANCELLED_BEFORE_START)
         elif self.may_write(attempt):
             self.transport.send(attempt)
         else:
--- a/heronlug/requests/interfaces.py
+++ b/heronlug/requests/interfaces.py
@@ -22,6 +22,9 @@
     def client_waits(self, request: Request) -> bool:
         """Returns whether the client is still connected; False also for a disconnect that has not been read yet."""
 
+    def may_hide_disconnect(self, request: Request) -> bool:
+        """Returns whether so much input of the client is unread that a disconnect may stand behind it, unnoticed."""
+
 
 class Plugins(Protocol):
     """The plug-ins, which may reject requests and observe answers; see :mod:`heronlug.plugins.host`."""
--- a/tests/lifecycle/test_hot_restart.py
+++ b/tests/lifecycle/test_hot_restart.py
@@ -179,6 +179,9 @@
             def client_waits(self, request: Any) -> bool:
                 return True
 
+            def may_hide_disconnect(self, request: Any) -> bool:
+                return False
+
             def answer(self, request: Any, final: Any, body: bytes, retry_after: float) -> None:
                 answers.append(final.value.encode() + b" " + body)
 
--- a/tests/requests/test_core.py
+++ b/tests/requests/test_core.py
@@ -37,6 +37,9 @@
     def client_waits(self, request: Request) -> bool:
         return True
 
+    def may_hide_disconnect(self, request: Request) -> bool:
+        return False
+
     def answer(self, request: Request, final: FinalAnswer, body: bytes, retry_after: float) -> None:
         self.answers.append((request.payload, final, body))
 
