--- a/heronlug/frontends/faktory/session.py
+++ b/heronlug/frontends/faktory/session.py
@@ -244,11 +244,6 @@
 
     # -- memory
 
-    @property
-    def has_whole_command(self) -> bool:
-        """Returns whether a whole command waits or is being executed."""
-        return bool(self._commands) or self._state in (SessionState.REPLY_PENDING, SessionState.FETCHING)
-
     def reject_for_memory(self) -> None:
         """Closes the session because it holds most; replies that its client does not read are dropped."""
         wid = self.worker.wid if self.worker is not None else None
--- a/heronlug/frontends/faktory/session_memory.py
+++ b/heronlug/frontends/faktory/session_memory.py
@@ -24,10 +24,6 @@
 
     held_bytes: int
 
-    @property
-    def has_whole_command(self) -> bool:
-        """Returns whether a whole command waits or is being executed."""
-
     def reject_for_memory(self) -> None:
         """Closes the connection, which then holds nothing."""
 
@@ -57,7 +53,7 @@
     def update(self, session: HoldingSession, size: int) -> None:
         """Sets what the commands and replies of a connection hold, in bytes.
 
-        If all connections hold too much, those that hold most are closed, first the ones without a whole command.
+        If all connections hold too much, those that hold most are closed: who sends one command at a time holds least.
         """
         if session not in self._sessions or size == session.held_bytes:
             return
@@ -65,9 +61,7 @@
         self._set(session, size)
         while grows and self._held_bytes > self._max_bytes:
             self._account.refusals[Holder.FAKTORY_SESSIONS] += 1
-            largest = max(self._sessions, key=lambda each: (not each.has_whole_command, each.held_bytes))
-            if not largest.held_bytes:  # those with a whole command hold all
-                largest = max(self._sessions, key=lambda each: each.held_bytes)
+            largest = max(self._sessions, key=lambda each: each.held_bytes)
             largest.reject_for_memory()
             self._set(largest, 0)
 
--- a/tests/end_to_end/test_faktory_memory.py
+++ b/tests/end_to_end/test_faktory_memory.py
@@ -100,8 +100,8 @@
     run_async(test)
 
 
-def test_shortage_meets_the_connection_that_holds_most_without_a_whole_command() -> None:
-    """Guards against halves of commands that take the memory of those who send whole ones."""
+def test_shortage_meets_the_connection_that_holds_most() -> None:
+    """Guards against halves of commands that take the memory of those who send one command at a time."""
 
     async def test() -> None:
         async with DispatcherHarness(1, memory_mb=32).open() as harness, open_faktory(harness) as address:
