--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -273,6 +273,7 @@
         self.deadlines = Deadlines(lambda: NOW)
         frontend = MagicMock()
         frontend.send.side_effect = self._start_attempt
+        frontend.may_hide_disconnect.return_value = False
         self.core = Core(SETTINGS, 1, frontend, self.deadlines)
         self.sockets = [socket.socket(), socket.socket(type=socket.SOCK_DGRAM)]
         self.application = MagicMock()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,7 @@
     "tests/faults/test_plans.py",
     "tests/faults/test_mutants.py",
     "tests/faults/test_soak.py",
+    "tests/faults/test_faktory_soak.py",
     "tests/frontends/test_faktory_model.py",
     "tests/test_exchanges.py",
     "tests/balancer/test_zone_failover.py",
