Ask once whether the first byte of an attempt may be written

Found in reading again: Core.is_moot and Core.may_write stood one after the other at three places, and each polled the client's socket, so a dialled attempt polled twice. The pool had two ways to end an unwritten attempt.

Core.outcome_if_forbidden answers both in one call, with one poll, for the pool's dial, its waiting attempts and a postponed attempt. The wording says FIN and receive window in place of figures of speech.

--- a/heronlug/backends/pool.py
+++ b/heronlug/backends/pool.py
@@ -185,19 +185,17 @@
             attempt.request.keep()
         if attempt is None:
             self.release(connection)
-        elif self.core.is_moot(attempt):
-            self._return_unwritten(connection, attempt, Outcome.CANCELLED_BEFORE_START)
-        elif connection.address == attempt.server.entry.address and self.core.may_write(attempt):
+            return
+        outcome = self.core.outcome_if_forbidden(attempt)
+        if outcome is None and connection.address != attempt.server.entry.address:
+            outcome = Outcome.CONNECT_FAILED
+        if outcome is None:
             connection.write(attempt)
         else:
-            self._return_unwritten(connection, attempt, Outcome.CONNECT_FAILED)
-
-    def _return_unwritten(self, connection: ServerConnection, attempt: Attempt, outcome: Outcome) -> None:
-        """Ends an attempt of which nothing was written, and keeps its connection."""
-        connection.attempt = None
-        attempt.exchange = None
-        self.release(connection)
-        self.core.attempt_ended(attempt, outcome)
+            connection.attempt = None
+            attempt.exchange = None
+            self.release(connection)
+            self.core.attempt_ended(attempt, outcome)
 
     def release(self, connection: ServerConnection) -> None:
         """Keeps a free connection for the next request until its idle time is over."""
@@ -254,12 +252,10 @@
             waiting = self._waiting.first()
             waiting.attempt.request.keep()
             remaining = waiting.expires_at - self.deadlines.clock()
-            if self.core.is_moot(waiting.attempt):
-                self._waiting.remove(waiting)
-                self.core.attempt_ended(waiting.attempt, Outcome.CANCELLED_BEFORE_START)
-            elif not self.core.may_write(waiting.attempt):
+            outcome = self.core.outcome_if_forbidden(waiting.attempt)
+            if outcome is not None:
                 self._waiting.remove(waiting)
-                self._fail_unsent(waiting.attempt)
+                self.core.attempt_ended(waiting.attempt, outcome)
             elif self._send_now(waiting.attempt, max(0.0, remaining)):
                 self._waiting.remove(waiting)
             else:
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -247,9 +247,9 @@
 
     @property
     def may_hide_disconnect(self) -> bool:
-        """Returns whether the client's end may stand behind input that has waited unread.
+        """Returns whether a FIN of the client may be queued behind input that has waited unread.
 
-        The client's system holds both back while there is no room for the input in that of the dispatcher.
+        While the receive window is closed, the client's kernel sends neither.
         """
         unread_since = self.gate.unread_since
         if unread_since is None or self.transport is None or self.closing:
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -325,7 +325,7 @@
             connection.answer(responses.final_response(final, body, retry_after, close=not keep_alive), keep_alive)
 
     def may_hide_disconnect(self, request: Request) -> bool:
-        """Returns whether a disconnect of the client may stand behind its unread input."""
+        """Returns whether a FIN of the client may be queued behind its unread input."""
         connection: AnswerableConnection | None = request.payload.connection
         return connection is not None and connection.may_hide_disconnect
 
--- a/heronlug/frontends/http/request.py
+++ b/heronlug/frontends/http/request.py
@@ -31,7 +31,7 @@
 
     @property
     def may_hide_disconnect(self) -> bool:
-        """Returns whether the client's end may stand behind input that has waited unread."""
+        """Returns whether a FIN of the client may be queued behind input that has waited unread."""
 
     def answer(self, data: bytes, keep_alive: bool = True) -> None:
         """Writes the response to the current request and, without ``keep_alive``, ends the connection."""
--- a/heronlug/lifecycle/transport.py
+++ b/heronlug/lifecycle/transport.py
@@ -36,5 +36,5 @@
         return self.frontend.client_waits(request)
 
     def may_hide_disconnect(self, request: Request) -> bool:
-        """Returns whether a disconnect of the client may stand behind its unread input."""
+        """Returns whether a FIN of the client may be queued behind its unread input."""
         return self.frontend.may_hide_disconnect(request)
--- a/heronlug/requests/core.py
+++ b/heronlug/requests/core.py
@@ -255,13 +255,14 @@
             return False
         return attempt.in_flight and not self._is_closed(attempt.request)
 
-    def is_moot(self, attempt: Attempt) -> bool:
-        """Returns whether an attempt must not begin, as its request is closed, or its client may have disconnected.
+    def outcome_if_forbidden(self, attempt: Attempt) -> Outcome | None:
+        """Returns the outcome of an attempt whose first byte must not be written, or None if it may be.
 
-        A request of such a client is given up: one that never ran is rejected, which is harmless.
+        If the client may have disconnected unnoticed, the request is given up: one that never ran is rejected.
         """
-        request = attempt.request
-        return self._is_closed(request) or self.transport.may_hide_disconnect(request)
+        if self.transport.may_hide_disconnect(attempt.request):
+            return Outcome.CANCELLED_BEFORE_START
+        return None if self.may_write(attempt) else Outcome.CONNECT_FAILED
 
     def is_non_idempotent(self, attempt: Attempt) -> bool:
         """Returns whether the request of an attempt must not run twice.
@@ -394,7 +395,8 @@
             hedged = any(other.in_flight for other in request.attempts[:-1])
             self._log_attempt("attempt_hedged" if hedged else "attempt_retried", attempt)
         beyond_cap = attempt.number >= self.settings.max_attempts_of(request.policy)
-        if now >= request.give_up_at or beyond_cap or self.is_moot(attempt):
+        moot = now >= request.give_up_at or beyond_cap or self._is_closed(request)
+        if moot or self.transport.may_hide_disconnect(request):
             self.attempt_ended(attempt, Outcome.CANCELLED_BEFORE_START)
         elif self.has_unread_update():
             self.postpone(self._begin_postponed, attempt)
@@ -407,12 +409,10 @@
             return
         if self.has_unread_update():
             self.deadlines.call_after(POSTPONED_MS, self._begin_postponed, attempt)
-        elif self.is_moot(attempt):
-            self.attempt_ended(attempt, Outcome.CANCELLED_BEFORE_START)
-        elif self.may_write(attempt):
-            self.transport.send(attempt)
+        elif (outcome := self.outcome_if_forbidden(attempt)) is not None:
+            self.attempt_ended(attempt, outcome)
         else:
-            self.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+            self.transport.send(attempt)
 
     def _cancel_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.in_flight:
--- a/heronlug/requests/interfaces.py
+++ b/heronlug/requests/interfaces.py
@@ -23,7 +23,7 @@
         """Returns whether the client is still connected; False also for a disconnect that has not been read yet."""
 
     def may_hide_disconnect(self, request: Request) -> bool:
-        """Returns whether so much input of the client is unread that a disconnect may stand behind it, unnoticed."""
+        """Returns whether a disconnect of the client may be unnoticed, because it is queued behind unread input."""
 
 
 class Plugins(Protocol):
