Read the store by one function, and decide once whether a jid is forgotten

Found in reading again: - SqliteStore.load read portions by a second reader beside read_requests, with its own handling of errors. read_requests reads portions now, for the start, store check and store dump, so those hold 32 rows as well. - JobRecovery decided for itself when an ended jid is forgotten, as recovery_action does; both call action_after_end. - The table of a row's types repeated StoredRequest; it is derived from it. - A damage was raised only to be caught three lines on; KnownJobs.items was called by the model test alone, EndedJob.state by nothing.

The model test goes over the open jobs, its assertions as they were: they hold for an ended job by themselves. 163 tests of storage, frontends, compatibility and the command line pass.

--- a/heronlug/frontends/faktory/job_recovery.py
+++ b/heronlug/frontends/faktory/job_recovery.py
@@ -9,7 +9,7 @@
 from heronlug.frontends.faktory.recovery import RecoveredJob, recover_jobs
 from heronlug.frontends.faktory.stored_jobs import EndedStoredJob, StoredJobs
 from heronlug.requests.model import FinalAnswer
-from heronlug.storage.model import RecoveryAction, remaining_ms
+from heronlug.storage.model import RecoveryAction, action_after_end, remaining_ms
 
 
 class JobRecovery:
@@ -99,9 +99,10 @@
         remember_ms = self._context.config.remember_ms
         if job.damage:
             self._context.log("job_damaged", jid=job.jid, why=job.damage)
-        since_end_ms = now - (now if job.ended_at is None else job.ended_at)
-        if since_end_ms > remember_ms:
+        ended_at = now if job.ended_at is None else min(job.ended_at, now)
+        action = action_after_end(ended_at, now, remember_ms)
+        if action is RecoveryAction.FORGET:
             self._context.store.forget(job.jid)
-            return RecoveryAction.FORGET
-        self._jobs.remember(job.jid, FinalAnswer(job.final_state), min(remember_ms, remember_ms - since_end_ms))
-        return RecoveryAction.REMEMBER
+        else:
+            self._jobs.remember(job.jid, FinalAnswer(job.final_state), remember_ms - (now - ended_at))
+        return action
--- a/heronlug/frontends/faktory/known_jobs.py
+++ b/heronlug/frontends/faktory/known_jobs.py
@@ -1,11 +1,9 @@
 """Holds the known jobs by jid: an open job as a whole, a job that has ended as its final answer alone."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from heronlug.frontends.faktory.job import Job
-from heronlug.frontends.faktory.job_state import JobState
 from heronlug.requests.model import FinalAnswer
 
 
@@ -20,11 +18,6 @@
     jid: str
     final_answer: FinalAnswer
 
-    @property
-    def state(self) -> JobState:
-        """Returns the state, which nothing changes any more."""
-        return JobState.ENDED
-
 
 KnownJob = Job | EndedJob
 
@@ -76,18 +69,12 @@
         group = self._ended.get(jid)
         return EndedJob(jid, group.final_answer) if group is not None else None
 
-    def items(self) -> Iterator[tuple[str, KnownJob]]:
-        """Yields all jobs with their jids, the open ones first."""
-        yield from self.open.items()
-        for jid, group in self._ended.items():
-            yield jid, EndedJob(jid, group.final_answer)
-
     def add(self, job: Job) -> None:
         """Adds an open job."""
         self.open[job.jid] = job
 
     def remove(self, jid: str) -> None:
-        """Removes a job, whose jid is not known any more."""
+        """Removes a job, so that its jid is unknown."""
         self.open.pop(jid, None)
         self._ended.pop(jid, None)
 
--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -105,13 +105,7 @@
     end_times = _end_times_of_parents(stored, now)
     recovered: list[RecoveredJob] = []
     for job in stored.open:
-        policy = None  # a damaged job cannot run, like a job whose class no longer exists
-        try:
-            if job.damage:
-                raise DamagedRecordError(job.damage)
-            policy = accepted_policy(job.request, classes, log)
-        except DamagedRecordError as error:
-            log("job_damaged", jid=job.request.jid, why=str(error))
+        policy = _readable_policy(job, classes, log)
         request = _within_longest_time(job.request, policy, log)
         parents = [end_times[edge.parent] for edge in job.edges if edge.parent in end_times]
         request = _with_release(request, parents)
@@ -124,6 +118,18 @@
     return recovered
 
 
+def _readable_policy(job: OpenStoredJob, classes: dict[str, RequestClass], log: EventLog) -> RequestClass | None:
+    """Returns the policy of a stored job; None for a damaged one, which cannot run, like one without a class."""
+    damage = job.damage
+    if not damage:
+        try:
+            return accepted_policy(job.request, classes, log)
+        except DamagedRecordError as error:
+            damage = str(error)
+    log("job_damaged", jid=job.request.jid, why=damage)
+    return None
+
+
 def accepted_policy(
     record: StoredRequest, classes: dict[str, RequestClass], log: EventLog = log_nothing
 ) -> RequestClass | None:
--- a/heronlug/frontends/faktory/stored_jobs.py
+++ b/heronlug/frontends/faktory/stored_jobs.py
@@ -2,34 +2,20 @@
 
 import math
 import sys
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from types import MappingProxyType
-from typing import NamedTuple
+from typing import NamedTuple, get_type_hints
 
 from heronlug.frontends.faktory.errors import CommandError
 from heronlug.frontends.faktory.resp import optional_number, parse_object
 from heronlug.scheduling.chains import Edge, parse_edges
 from heronlug.storage.model import FinalState, StoredRequest
 
-FIELD_TYPES: Mapping[str, type | tuple[type, ...]] = MappingProxyType(
-    {
-        "jid": str,
-        "class_name": str,
-        "queue": str,
-        "job": bytes,
-        "accepted_at": (int, float),
-        "time_allowed_ms": (int, float),
-        "not_before": (int, float),
-        "first_delivered_at": (int, float),
-        "final_state": str,
-        "ended_at": (int, float),
-        "effect": str,
-        "repeat_window_ms": (int, float),
-        "deliveries": int,
-    }
-)
-"""Types of the values of a row."""
+FIELD_TYPES = {
+    name: (int, float) if annotation is float else annotation
+    for name, annotation in get_type_hints(StoredRequest).items()
+}
+"""Types of the values of a row; SQLite stores a number without a fraction as an integer."""
 
 
 class OpenStoredJob(NamedTuple):
--- a/heronlug/storage/model.py
+++ b/heronlug/storage/model.py
@@ -13,7 +13,6 @@
 DurabilityCallback = Callable[[str], None]
 """Called with an empty string once a change is durable, or with the reason why it could not be stored."""
 
-
 MAX_TIME_ALLOWED_MS = 366 * 86_400_000.0
 """Longest time that a stored request may have; older programs stored what the producer stated, without a bound."""
 
@@ -147,8 +146,7 @@
         has_open_parents: whether a parent of the request has not ended.
     """
     if request.final_state:
-        forgotten = now - request.ended_at > remember_ms
-        return RecoveryAction.FORGET if forgotten else RecoveryAction.REMEMBER
+        return action_after_end(request.ended_at, now, remember_ms)
     if policy is None:
         return RecoveryAction.FAIL if request.first_delivered_at else RecoveryAction.REJECT
     if request.first_delivered_at:
@@ -160,6 +158,11 @@
     return RecoveryAction.RESTART if remaining_ms(request, now) > 0 else RecoveryAction.REJECT
 
 
+def action_after_end(ended_at: float, now: float, remember_ms: float) -> RecoveryAction:
+    """Returns the action for a request that has ended; the times are in ms."""
+    return RecoveryAction.FORGET if now - ended_at > remember_ms else RecoveryAction.REMEMBER
+
+
 def _action_after_delivery(request: StoredRequest, policy: RequestClass, now: float) -> RecoveryAction:
     """Returns the action for a request that may have run: the request runs again only if its effect allows that."""
     if policy.effect is Effect.NON_IDEMPOTENT:
--- a/heronlug/storage/sqlite.py
+++ b/heronlug/storage/sqlite.py
@@ -45,14 +45,14 @@
 ) without rowid
 """
 DELETE_ORPHANED_REPEATS = "delete from repeats where jid not in (select jid from jobs)"
-SELECT_REQUESTS = """
+SELECT_PORTION = """
 select jobs.jid, lane, queue, job, accepted_at, remaining, due, delivered_at, final, ended_at,
     coalesce(effect, ''), coalesce(repeat_window, 0.0), coalesce(deliveries, 0)
 from jobs left join repeats on repeats.jid = jobs.jid
+where {} and jobs.jid > ? order by jobs.jid limit ?
 """
-OPEN, ENDED = "final = ''", "final != ''"
-"""Conditions for the requests that have not ended, and for those that have."""
-SELECT_PORTION = "where {} and jobs.jid > ? order by jobs.jid limit ?"
+ALL, OPEN, ENDED = "true", "final = ''", "final != ''"
+"""Conditions for all requests, for those that have not ended, and for those that have."""
 PORTION_ROWS = 32
 """Number of requests that are read at once, of which each may have a job of the largest size."""
 SELECT_JOB = "select job from jobs where jid = ? and final = ''"
@@ -187,27 +187,21 @@
     connection.execute("commit")
 
 
-def read_requests(connection: sqlite3.Connection) -> Iterator[StoredRequest]:
-    """Yields all stored requests.
+def read_requests(connection: sqlite3.Connection, condition: str = ALL) -> Iterator[StoredRequest]:
+    """Yields the stored requests in the order of their jids, of which ``PORTION_ROWS`` at a time are in memory.
 
-    Raises:
-        StoreError: if the file cannot be read.
-    """
-    try:
-        yield from (StoredRequest(*row) for row in connection.execute(SELECT_REQUESTS))
-    except sqlite3.Error as error:
-        raise StoreError(str(error)) from error
-
-
-def _read_portion(connection: sqlite3.Connection, state: str, after_jid: str) -> list[StoredRequest]:
-    """Returns the next requests in the order of their jids; ``state`` is a condition.
+    Args:
+        connection: connection to the store file.
+        condition: the requests to read, as an SQL condition.
 
     Raises:
         StoreError: if the file cannot be read.
     """
+    last_jid = ""
     try:
-        rows = connection.execute(SELECT_REQUESTS + SELECT_PORTION.format(state), (after_jid, PORTION_ROWS))
-        return [StoredRequest(*row) for row in rows]
+        while rows := connection.execute(SELECT_PORTION.format(condition), (last_jid, PORTION_ROWS)).fetchall():
+            last_jid = rows[-1][0]
+            yield from (StoredRequest(*row) for row in rows)
     except sqlite3.Error as error:
         raise StoreError(str(error)) from error
 
@@ -274,11 +268,8 @@
         Raises:
             StoreError: if the file cannot be read.
         """
-        for state in (OPEN, ENDED):
-            last_jid = ""
-            while rows := _read_portion(self._connection, state, last_jid):
-                last_jid = rows[-1].jid
-                yield from rows
+        yield from read_requests(self._connection, OPEN)
+        yield from read_requests(self._connection, ENDED)
 
     def read_job(self, jid: str, callback: JobCallback) -> None:
         """Reads the job of an open request, after all earlier changes."""
--- a/tests/frontends/test_faktory_model.py
+++ b/tests/frontends/test_faktory_model.py
@@ -191,7 +191,7 @@
         self.faktory.turn()
         assert not len(self.faktory.frontend.core.requests), "the process waits for a job"
         kept = {fields["jid"] for fields in self.faktory.logged("job_kept")}
-        for jid, job in self.faktory.frontend.jobs.by_jid.items():
+        for jid, job in self.faktory.frontend.jobs.by_jid.open.items():
             assert job.final_answer is not None or (self.durable and jid in kept), f"{jid} has no end"
             assert job.final_answer is not None or not self._known_deliveries(jid), f"{jid} may have run and is kept"
             ends_by = self._ends_by(jid, self.jobs[jid])
--- a/tests/frontends/test_odd_values.py
+++ b/tests/frontends/test_odd_values.py
@@ -28,7 +28,7 @@
     return value
 
 
-def push_others(faktory: VirtualFaktory, delivered: str = "") -> None:
+def push_others(faktory: VirtualFaktory) -> None:
     for jobtype in JOBS:
         assert faktory.push(f"other-{jobtype}", jobtype) == "OK"
 
