Share the watch for closes of unread connections, and Reservation

Found in reading again: - FaktorySession had its own timer to find a worker that left while it is not read, beside HttpFrontend's check of its paused connections. CloseWatch (heronlug/net) is that check, for both, with one timer a frontend. Workers are checked every 50 ms, as clients were, not every 100. - SessionMemory counted bytes on the session, in a total and in the account. Reservation did that already; the total is derived from the account.

--- a/heronlug/frontends/faktory/frontend.py
+++ b/heronlug/frontends/faktory/frontend.py
@@ -21,6 +21,7 @@
 from heronlug.frontends.faktory.stored_jobs import StoredJobs, read_stored_jobs
 from heronlug.frontends.faktory.workers import WorkerTable
 from heronlug.memory.account import MemoryAccount
+from heronlug.net.close_watch import CloseWatch
 from heronlug.requests.core import Core
 from heronlug.requests.deadlines import Deadlines
 from heronlug.requests.interfaces import EventLog
@@ -39,6 +40,7 @@
         delivery: delivers jobs to workers.
         sessions: the open connections.
         session_memory: counts what the open connections hold.
+        close_watch: notices that the clients of connections that are not read have left.
         run_due: runs the deadlines that are due; called after each input from the network.
     """
 
@@ -60,6 +62,7 @@
         self.delivery = JobDelivery(self.context, self.workers, self._reservations)
         self.sessions: SlotTable[FaktorySession] = SlotTable()
         self.session_memory = SessionMemory(memory)
+        self.close_watch = CloseWatch(deadlines, FaktorySession.abort)
         self.run_due = run_due
 
     @property
--- a/heronlug/frontends/faktory/session.py
+++ b/heronlug/frontends/faktory/session.py
@@ -25,6 +25,7 @@
 from heronlug.frontends.faktory.worker import ReplyCallback, Worker
 from heronlug.frontends.timeout import Timeout
 from heronlug.net import http
+from heronlug.net.close_watch import CloseWatch
 from heronlug.net.connection_state import peer_has_closed
 from heronlug.net.paced_protocol import RECEIVE_BUFFER, PacedProtocol
 from heronlug.net.read_gate import PauseReason, ReadGate
@@ -47,9 +48,6 @@
 UNREAD_TIMEOUT_MS = 30_000.0
 """Time in ms within which a client must read its replies."""
 
-CLOSE_CHECK_INTERVAL_MS = 100.0
-"""Interval in ms between two checks whether a worker that is not read has left."""
-
 SALT_BYTES = 8
 """Number of random bytes in the password salt."""
 
@@ -60,9 +58,11 @@
     Attributes:
         run_due: runs the deadlines that are due; called after each input from the network.
         session_memory: counts what the sessions hold.
+        close_watch: notices that the clients of sessions that are not read have left.
     """
 
     session_memory: SessionMemory
+    close_watch: "CloseWatch[FaktorySession]"
     run_due: Callable[[], None]
 
     def session_opened(self, session: "FaktorySession") -> bool:
@@ -83,7 +83,6 @@
         queues: queues of the last FETCH.
         frontend: the frontend to which the session belongs.
         salt: the password salt that HI announces.
-        held_bytes: what waiting commands and unread replies hold, in bytes.
     """
 
     receive_buffer = RECEIVE_BUFFER[:MAX_READ_BYTES]
@@ -98,7 +97,6 @@
         self.salt = secrets.token_hex(SALT_BYTES)
         self._state = SessionState.AWAITING_HELLO
         self.gate = ReadGate(frontend.context.deadlines.clock)
-        self.held_bytes = 0
         self._lines = http.Lines()
         self._commands: deque[bytes] = deque()
         self._waiting_bytes = 0
@@ -106,7 +104,6 @@
         self._hello_timeout = Timeout(frontend.context.deadlines)
         self._fetch_timeout = Timeout(frontend.context.deadlines)
         self._unread_timeout = Timeout(frontend.context.deadlines)
-        self._close_check = Timeout(frontend.context.deadlines)
 
     # -- asyncio
 
@@ -146,7 +143,7 @@
         """Executes no further command until the client has read its replies, which it has to do in time."""
         self.gate.pause(PauseReason.UNREAD_ANSWERS)
         self._unread_timeout.start(UNREAD_TIMEOUT_MS, self.abort)
-        self._check_close_later()
+        self.frontend.close_watch.add(self)
 
     def resume_writing(self) -> None:
         """Executes the commands that have waited for the client to read its replies."""
@@ -159,10 +156,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Closes the session; the jobs that were fetched on the connection may have run and are reset."""
         self._apply_event(SessionEvent.CLOSED)
-        for timeout in (self._hello_timeout, self._fetch_timeout, self._unread_timeout, self._close_check):
+        for timeout in (self._hello_timeout, self._fetch_timeout, self._unread_timeout):
             timeout.cancel()
         self._drop_commands()
         self.gate.close()
+        self.frontend.close_watch.remove(self)
         self.frontend.session_memory.remove(self)
         self.frontend.session_closed(self)
         self.frontend.run_due()
@@ -192,6 +190,16 @@
         """
         return self.transport is not None and not self.closed and not peer_has_closed(self.transport)
 
+    @property
+    def is_reading_paused(self) -> bool:
+        """Returns whether the connection is not read, so that its end would not be noticed."""
+        return self.gate.paused and not self.closed
+
+    @property
+    def client_connected(self) -> bool:
+        """Returns whether the client has not closed its side; always True while it holds no jobs for others to get."""
+        return not self.reserved_jids or self.peer_connected
+
     # -- operations for commands
 
     def greet(self, wid: str | None) -> None:
@@ -244,10 +252,10 @@
 
     # -- memory
 
-    def reject_for_memory(self) -> None:
+    def reject_for_memory(self, held_bytes: int) -> None:
         """Closes the session because it holds most; replies that its client does not read are dropped."""
         wid = self.worker.wid if self.worker is not None else None
-        self.frontend.context.log("session_rejected", held=self.held_bytes, wid=wid, commands=len(self._commands))
+        self.frontend.context.log("session_rejected", held=held_bytes, wid=wid, commands=len(self._commands))
         if self.gate.paused_for(PauseReason.UNREAD_ANSWERS):
             self._drop_commands()
             self.abort()
@@ -294,21 +302,10 @@
         self.frontend.session_memory.update(self, waiting_bytes + unread_bytes)
         if self._waiting_bytes > MAX_WAITING_BYTES:
             self.gate.pause(PauseReason.INPUT)
-            self._check_close_later()
+            self.frontend.close_watch.add(self)
         else:
             self.gate.resume(PauseReason.INPUT)
 
-    def _check_close_later(self) -> None:
-        """Checks whether a worker has left while it is not read; its jobs go to others then."""
-        if not self._close_check.pending:
-            self._close_check.start(CLOSE_CHECK_INTERVAL_MS, self._check_close)
-
-    def _check_close(self) -> None:
-        if self.reserved_jids and not self.peer_connected:
-            self.abort()
-        elif self.gate.paused and not self.closed:
-            self._check_close_later()
-
     def _execute(self, name: str, argument: bytes) -> None:
         try:
             execute(self, name, argument)
--- a/heronlug/frontends/faktory/session_memory.py
+++ b/heronlug/frontends/faktory/session_memory.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from heronlug.memory.account import MemoryAccount
+from heronlug.memory.account import MemoryAccount, Reservation
 from heronlug.memory.holders import Holder
 
 SESSION_BYTES = 8192
@@ -16,57 +16,55 @@
 
 
 class HoldingSession(Protocol):
-    """A connection that holds commands and replies.
+    """A connection that holds commands and replies."""
 
-    Attributes:
-        held_bytes: what its commands and replies hold, in bytes; changed by :class:`SessionMemory` alone.
-    """
-
-    held_bytes: int
-
-    def reject_for_memory(self) -> None:
-        """Closes the connection, which then holds nothing."""
+    def reject_for_memory(self, held_bytes: int) -> None:
+        """Closes the connection, whose commands and replies hold so many bytes and must not be held any longer."""
 
 
 class SessionMemory:
-    """What the connections hold, in the account of the process."""
+    """The connections and their commands and replies, in the account of the process."""
 
     def __init__(self, account: MemoryAccount) -> None:
         """Creates the part of an account that has no connection yet; its bound follows from the limit as it is now."""
         self._account = account
         self._max_bytes = max(MIN_COMMANDS_BYTES, int(COMMANDS_SHARE * account.limit))
-        self._held_bytes = 0
-        self._sessions: set[HoldingSession] = set()
+        self._reservations: dict[HoldingSession, Reservation] = {}
 
     def add(self, session: HoldingSession) -> None:
         """Counts a connection."""
-        self._sessions.add(session)
-        self._account.hold(Holder.FAKTORY_SESSIONS, SESSION_BYTES)
+        self._reservations[session] = Reservation(self._account, Holder.FAKTORY_SESSIONS)
+        self._reservations[session].hold(SESSION_BYTES)
 
     def remove(self, session: HoldingSession) -> None:
-        """Releases all that a connection holds; has no effect if it is not counted."""
-        if session in self._sessions:
-            self._set(session, 0)
-            self._sessions.remove(session)
-            self._account.release(Holder.FAKTORY_SESSIONS, SESSION_BYTES)
+        """Releases all that a connection holds; has no effect on one that is not counted."""
+        reservation = self._reservations.pop(session, None)
+        if reservation is not None:
+            reservation.release()
 
     def update(self, session: HoldingSession, size: int) -> None:
         """Sets what the commands and replies of a connection hold, in bytes.
 
         If all connections hold too much, those that hold most are closed: who sends one command at a time holds least.
         """
-        if session not in self._sessions or size == session.held_bytes:
+        reservation = self._reservations.get(session)
+        if reservation is None or size == _held_bytes(reservation):
             return
-        grows = size > session.held_bytes
-        self._set(session, size)
-        while grows and self._held_bytes > self._max_bytes:
+        grows = size > _held_bytes(reservation)
+        reservation.hold(SESSION_BYTES + size)
+        while grows and self._total_bytes > self._max_bytes:
             self._account.refusals[Holder.FAKTORY_SESSIONS] += 1
-            largest = max(self._sessions, key=lambda each: each.held_bytes)
-            largest.reject_for_memory()
-            self._set(largest, 0)
-
-    def _set(self, session: HoldingSession, size: int) -> None:
-        growth = size - session.held_bytes
-        self._held_bytes += growth
-        session.held_bytes = size
-        self._account.hold(Holder.FAKTORY_SESSIONS, growth)
+            largest, reservation = max(self._reservations.items(), key=lambda item: item[1].size)
+            held_bytes = _held_bytes(reservation)
+            reservation.hold(SESSION_BYTES)
+            largest.reject_for_memory(held_bytes)
+
+    @property
+    def _total_bytes(self) -> int:
+        """Returns what the commands and replies of all connections hold, in bytes."""
+        return self._account.by_holder[Holder.FAKTORY_SESSIONS] - SESSION_BYTES * len(self._reservations)
+
+
+def _held_bytes(reservation: Reservation) -> int:
+    """Returns what the commands and replies of a connection hold, in bytes."""
+    return reservation.size - SESSION_BYTES
--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -16,6 +16,7 @@
 from heronlug.frontends.http.request import NO_CLASS, AnswerableConnection, HttpRequest
 from heronlug.frontends.http.request_policy import RequestPolicy
 from heronlug.memory.account import MemoryAccount
+from heronlug.net.close_watch import CloseWatch
 from heronlug.net.turn_queue import TurnQueue
 from heronlug.requests.core import Core
 from heronlug.requests.interfaces import EventLog
@@ -25,9 +26,6 @@
 RELIEF_SHARE = 0.05
 """Share of the memory that is released beyond what is missing, when memory is short."""
 
-CLOSE_CHECK_INTERVAL_MS = 50.0
-"""Interval between two checks whether clients have closed connections that are not read, in ms."""
-
 CROWD_EVICTIONS = 8
 """Number of connections that are closed at once for new ones if most connections have a part of a request only."""
 
@@ -102,7 +100,9 @@
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder(self.deadlines.clock, max_connections)
         self._waiting_since: float | None = None  # time since which a new client waits for room
         self._aborted: set[int] = set()  # handles of connections that are aborted and not closed yet
-        self._paused: dict[int, ClientConnection] = {}  # by handle; some may be read again by now
+        self._close_watch: CloseWatch[ClientConnection] = CloseWatch(
+            self.deadlines, lambda connection: connection.abort(CloseReason.CLIENT_CLOSED)
+        )
         self._adoptions: set[asyncio.Task[object]] = set()
         self._exhaustion_logged_at = 0.0
 
@@ -148,7 +148,7 @@
         """Removes an ended connection."""
         self._eviction_order.move(connection, None)
         self._aborted.discard(connection.handle)
-        self._paused.pop(connection.handle, None)
+        self._close_watch.remove(connection)
         self.connections.remove(connection.handle)
 
     def count_close(self, reason: CloseReason) -> None:
@@ -161,20 +161,7 @@
 
     def reading_paused(self, connection: ClientConnection) -> None:
         """Watches for the client's end of a connection that is not read."""
-        if not self._paused:
-            self.deadlines.call_after(CLOSE_CHECK_INTERVAL_MS, self._check_paused)
-        self._paused[connection.handle] = connection
-
-    def _check_paused(self) -> None:
-        """Ends the connections whose clients have left, and checks the others again later."""
-        for connection in list(self._paused.values()):
-            if not connection.is_reading_paused:
-                del self._paused[connection.handle]
-            elif not connection.client_connected:
-                del self._paused[connection.handle]
-                connection.abort(CloseReason.CLIENT_CLOSED)
-        if self._paused:
-            self.deadlines.call_after(CLOSE_CHECK_INTERVAL_MS, self._check_paused)
+        self._close_watch.add(connection)
 
     def relieve_memory(self, missing: int, requester: object, size: int) -> None:
         """Rejects the unfinished requests that hold more than the requester, the largest first, until memory is free.
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -21,9 +21,9 @@
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, MAX_UNREAD_BYTES, ClientConnection
 from heronlug.frontends.http.ending_connection import UNREAD_TIMEOUT_MS
-from heronlug.frontends.http.frontend import CLOSE_CHECK_INTERVAL_MS
 from heronlug.frontends.http.pipeline import MAX_WAITING_BYTES, MAX_WAITING_REQUESTS
 from heronlug.memory.holders import Holder
+from heronlug.net.close_watch import CLOSE_CHECK_INTERVAL_MS
 from heronlug.net.paced_protocol import RECEIVE_BUFFER_BYTES
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
