Release the payload that was read for a delivery nobody got

Found in reading again. What callers would have seen: pushes refused for memory that nobody holds, while jobs whose workers left wait for others.

Cause: a payload is counted before it is read for a delivery. If the attempt was cancelled, or the worker had left before the write, the bytes were dropped and stayed counted until the job ended: two branches ended such a delivery, and neither released it.

Change: one function ends a delivery of which nothing was written, and releases a payload that only the delivery had.

--- a/heronlug/frontends/faktory/delivery.py
+++ b/heronlug/frontends/faktory/delivery.py
@@ -110,13 +110,11 @@
         self, reservation: Reservation, reply: ReplyCallback, payload: bytes, store_failure: str
     ) -> None:
         """Goes on with a delivery once the payload of the job has been read, or could not be read."""
-        job: Job = reservation.attempt.request.payload
-        if self._is_cancelled(reservation):
-            reply(NO_JOB)
-        elif store_failure:
-            self._context.log("job_not_read", jid=job.jid, why=store_failure)
-            self._context.memory.drop_payload(job)
-            self._return_job(reservation, reply)
+        cancelled = self._is_cancelled(reservation)
+        if store_failure and not cancelled:
+            self._context.log("job_not_read", jid=reservation.attempt.request.payload.jid, why=store_failure)
+        if store_failure or cancelled:
+            self._end_unwritten(reservation, reply)
         else:
             self._store_delivery(reservation, reply, payload)
 
@@ -141,10 +139,9 @@
         attempt = reservation.attempt
         job: Job = attempt.request.payload
         core = self._context.core
-        if self._is_cancelled(reservation):
-            reply(NO_JOB)
-        elif store_failure or not reservation.connection.peer_connected or not core.may_write(attempt):
-            self._return_job(reservation, reply)
+        forbidden = self._is_cancelled(reservation) or not reservation.connection.peer_connected
+        if store_failure or forbidden or not core.may_write(attempt):
+            self._end_unwritten(reservation, reply)
         else:
             reservation.written = True
             core.attempt_written()
@@ -159,10 +156,15 @@
         jid = reservation.attempt.request.payload.jid
         return reservation.worker.reservations.get(jid) is not reservation
 
-    def _return_job(self, reservation: Reservation, reply: ReplyCallback) -> None:
-        """Ends a delivery before any byte of the job was written; the core assigns the job again."""
-        self._reservations.release(reservation)
-        self._context.core.attempt_ended(reservation.attempt, Outcome.FULL)
+    def _end_unwritten(self, reservation: Reservation, reply: ReplyCallback) -> None:
+        """Ends a delivery before any byte of the job was written.
+
+        The core assigns the job again, unless it has cancelled the attempt.
+        """
+        self._context.memory.drop_read_payload(reservation.attempt.request.payload)
+        if not self._is_cancelled(reservation):
+            self._reservations.release(reservation)
+            self._context.core.attempt_ended(reservation.attempt, Outcome.FULL)
         reply(NO_JOB)
 
 
--- a/heronlug/frontends/faktory/job_memory.py
+++ b/heronlug/frontends/faktory/job_memory.py
@@ -100,6 +100,11 @@
         job.held_payload_bytes = 0
         job.payload = b""
 
+    def drop_read_payload(self, job: Job) -> None:
+        """Releases the payload of a job that was read for a delivery only."""
+        if not job.payload:
+            self.drop_payload(job)
+
     def release(self, job: Job) -> None:
         """Releases an open job and its payload."""
         self.drop_payload(job)
--- a/tests/frontends/test_job_memory.py
+++ b/tests/frontends/test_job_memory.py
@@ -2,11 +2,11 @@
 
 import gc
 import tracemalloc
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
-from frontends.virtual_faktory import VirtualFaktory
+from frontends.virtual_faktory import DurableStore, VirtualFaktory
 from heronlug.frontends.faktory.errors import JobMemoryError
 from heronlug.memory.holders import Holder
 
@@ -121,3 +121,26 @@
     finally:
         tracemalloc.stop()
     assert held <= counted, f"{held / count:.0f} bytes a job are held, {counted / count:.0f} are counted"
+
+
+@pytest.mark.parametrize("ending", ["read late", "stored late", "not stored"])
+def test_payload_that_was_read_in_vain_is_not_counted(ending: str) -> None:
+    """Guards against an account that counts the payload of a job whose worker left before it was written."""
+    faktory = VirtualFaktory()
+    assert faktory.push_job(large_job(faktory, "job-00001", due_in_ms=1000)) == "OK"
+    faktory.pass_time(1000)
+    worker = faktory.worker("w1")
+    worker.queues = ["q"]
+    faktory.disk_stalled = True
+    assert faktory.fetch("w1", worker) == ""
+    store = cast(DurableStore, faktory.store)
+    if ending != "read late":
+        store.commit_next()  # the job is read, and its delivery waits for the store
+    worker.peer_connected = False
+    if ending != "not stored":
+        faktory.frontend.workers.disconnect(faktory.frontend.workers.by_wid["w1"], worker)
+    faktory.disk_stalled = False
+    faktory.turn()
+    assert worker.received == []
+    assert faktory.finals("job-00001") == []
+    assert faktory.memory.by_holder[Holder.FAKTORY_PAYLOADS] == 0
--- a/tests/frontends/virtual_faktory.py
+++ b/tests/frontends/virtual_faktory.py
@@ -70,10 +70,14 @@
     def commit(self) -> None:
         """Makes all changes durable, also those that the callbacks add."""
         while self._changes:
-            change, callback = self._changes.pop(0)
-            change()
-            if callback is not None:
-                callback("")
+            self.commit_next()
+
+    def commit_next(self) -> None:
+        """Makes the first change durable."""
+        change, callback = self._changes.pop(0)
+        change()
+        if callback is not None:
+            callback("")
 
     def write(self, count: int) -> None:
         """Writes the first changes without a callback, as before a kill."""
