Give a request that had to wait its whole read time-out again

Callers: a client whose request was partly read while the rest had to wait (for its unread answers, its earlier requests, or an upgrade that then did not take its connection) could get 408 and a close, though all of it had been sent. Cause: the time-out could be due between the end of the wait and the next read; _on_timeout asked only whether requests are taken now. Change: the connection notes that its input waits, and starts the time-out anew when the wait ends, in each place where it can end.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -70,6 +70,7 @@
         self.rank: EvictionRank | None = None
         self.ranked_at = 0.0
         self._on_connected = on_connected
+        self._input_waits = False  # because of the client's earlier requests, or the answers to them
         self._input = ClientInput(self, frontend)
         self._reader = self._input.reader
         self.gate = self._input.gate
@@ -102,6 +103,7 @@
         self._hold_unread()
         self._unread_timeout.start(UNREAD_TIMEOUT_MS, lambda: self.abort(CloseReason.UNREAD_ANSWERS))
         if not self.closing:
+            self._update_input_waits()
             self._watch_for_close()
             if not self.serving:
                 self._set_idle()
@@ -112,6 +114,7 @@
         self._answers.release()
         self.gate.resume(PauseReason.UNREAD_ANSWERS)
         if not self.closing:
+            self._update_input_waits()
             if not self.serving:
                 self._set_idle()
             self._frontend.turn_queue.add(self._input, self.parse_more)
@@ -351,6 +354,7 @@
         if self.closing:
             return
         self._input.adjust()
+        self._update_input_waits()
         if self._pipeline.has_room and not self._input.has_unparsed:
             self._excess_timeout.cancel()
         elif not self._excess_timeout.pending:
@@ -358,6 +362,12 @@
         if self.gate.paused:
             self._watch_for_close()
 
+    def _update_input_waits(self) -> None:
+        """Gives a client the whole read time-out for the rest of a request that had to wait."""
+        waited, self._input_waits = self._input_waits, not self.takes_requests
+        if waited and not self._input_waits and self._reader.reading:
+            self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
+
     def _refuse_excess(self) -> None:
         """Fails the request that is being served and refuses those that wait, as the client has sent too many.
 
--- a/heronlug/frontends/http/transferable_connection.py
+++ b/heronlug/frontends/http/transferable_connection.py
@@ -104,12 +104,13 @@
         """Stops reading until another process continues the connection, unless requests have to be served first."""
         if self._state is ConnectionState.IDLE and not self.has_waiting_input and self.can_hand_over(unfinished=True):
             self.gate.pause(PauseReason.HANDOVER)
-            self._watch_for_close()
+            self._adjust_input()
 
     def end_hold(self) -> None:
         """Reads again, and serves what has come meanwhile, because no other process continues the connection."""
         if self._state is ConnectionState.IDLE and self.gate.paused_for(PauseReason.HANDOVER):
             self.gate.resume(PauseReason.HANDOVER)
+            self._adjust_input()
             self._frontend.turn_queue.add(self._input, self.parse_more)
 
     def reclaim(self) -> None:
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -19,7 +19,12 @@
 from heronlug.frontends.http.client_input import PARSER_CALLS_PER_TURN
 from heronlug.frontends.http.client_state import ClientState
 from heronlug.frontends.http.close_reason import CloseReason
-from heronlug.frontends.http.connection import EXCESS_TIMEOUT_MS, MAX_UNREAD_BYTES, ClientConnection
+from heronlug.frontends.http.connection import (
+    EXCESS_TIMEOUT_MS,
+    MAX_UNREAD_BYTES,
+    READ_TIMEOUT_MS,
+    ClientConnection,
+)
 from heronlug.frontends.http.ending_connection import UNREAD_TIMEOUT_MS
 from heronlug.frontends.http.pipeline import MAX_WAITING_BYTES, MAX_WAITING_REQUESTS
 from heronlug.memory.holders import Holder
@@ -280,6 +285,50 @@
     run_async(test)
 
 
+def test_request_that_waited_behind_unread_answers_is_not_incomplete_when_they_are_read() -> None:
+    """Guards against a client whose sent request fails as incomplete because its read time-out ran while it waited."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            client.send(HEALTH_CHECK[:20])
+            await harness.settle()
+            connection = connection_of(harness)
+            connection.pause_writing()
+            client.send(HEALTH_CHECK[20:])
+            await harness.settle()
+            assert connection.is_reading_request
+            harness.stall(READ_TIMEOUT_MS)
+            connection.resume_writing()
+            harness.application.turn()
+            await harness.settle()
+            assert statuses(client.received) == [b"200"]
+
+    run_async(test)
+
+
+def test_request_that_waited_for_an_upgrade_is_not_incomplete_when_the_upgrade_ends() -> None:
+    """Guards against a client whose sent request fails as incomplete because no other process took its connection."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client = await harness.client()
+            request = request_bytes("t1", "safe", 4000)
+            client.send(request[:20])
+            await harness.settle()
+            connection = connection_of(harness)
+            connection.hold_for_transfer()
+            client.send(request[20:])
+            await harness.settle()
+            assert connection.is_reading_request
+            harness.stall(READ_TIMEOUT_MS)
+            connection.end_hold()
+            harness.application.turn()
+            assert await answer_all(harness, 1) == ["t1"]
+
+    run_async(test)
+
+
 def test_unread_answers_are_dropped_when_memory_is_short() -> None:
     """Guards against whole requests that are refused while answers that nobody reads keep their memory."""
 
