Fix the kernel's buffers in the tests of clients that read no answers

Cause: these tests stop when answers have waited for some turns of the loop, and then pass 60 s of the test's clock in some ms. The kernel's window probe comes after 0.2 s and may deliver more; the connection then rightly goes on, and its 30 s begin again. Traced: resume_writing at 0, 900 or 15,950 ms of that clock. Change: fixed buffers at both ends, and the answers have to wait for 0.5 s of real time. All assertions as before.

--- a/tests/end_to_end/harness.py
+++ b/tests/end_to_end/harness.py
@@ -109,9 +109,14 @@
 class BlockingClient:
     """A client on a blocking socket: the effect of each call is in the kernel when the call returns."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, receive_buffer_bytes: int = 0) -> None:
+        """Connects; the kernel takes as many answers as it likes unless ``receive_buffer_bytes`` is not 0."""
         host, port = address.split(":")
-        self.sock = socket.create_connection((host, int(port)), TIMEOUT_S)
+        self.sock = socket.socket()
+        self.sock.settimeout(TIMEOUT_S)
+        if receive_buffer_bytes:  # before the connection is made, so that the window never grows
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        self.sock.connect((host, int(port)))
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # sent bytes arrive immediately
 
     def send(self, data: bytes) -> None:
@@ -326,9 +331,9 @@
         call.send(self.list_response(3))
         await self.settle()
 
-    def blocking_client(self) -> BlockingClient:
+    def blocking_client(self, receive_buffer_bytes: int = 0) -> BlockingClient:
         """Opens a connection of a client on a blocking socket."""
-        return BlockingClient(self.listen)
+        return BlockingClient(self.listen, receive_buffer_bytes)
 
     def stall(self, duration_ms: float) -> None:
         """Advances the clock without a turn of the loop."""
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import socket
+import time
 
 import pytest
 
 from end_to_end.harness import (
-    SETTLE_TURNS,
     BlockingClient,
     DispatcherHarness,
     StandInConnection,
@@ -33,6 +33,12 @@
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 
+KERNEL_BUFFER_BYTES = 16 * 1024
+"""Size of the kernel's buffers for the answers of a client that reads none, at either end of the connection."""
+
+WINDOW_PROBE_S = 0.5
+"""Time in which the kernel probes a closed window and may deliver some more, in seconds; its first probe: 0.2 s."""
+
 MAX_OVERSHOOT = 7
 """Requests that a piece of input may hold beyond the limit of waiting requests."""
 
@@ -220,7 +226,7 @@
     """A client that sends health checks as fast as the dispatcher reads them."""
 
     def __init__(self, harness: DispatcherHarness) -> None:
-        self.connection = harness.blocking_client()
+        self.connection = harness.blocking_client(KERNEL_BUFFER_BYTES)
         self.connection.sock.setblocking(False)
         self._cut = 0  # bytes of the last health check that have been sent
 
@@ -235,12 +241,13 @@
     await harness.settle()
     connection = connection_of(harness)
     assert connection.transport is not None
-    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
-    turns = 0
-    while turns < SETTLE_TURNS:  # the system may take some more of the answers
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+    unread_since = time.monotonic()
+    while time.monotonic() < unread_since + WINDOW_PROBE_S:
         client.send()
         await harness.turn_once()
-        turns = turns + 1 if connection.has_unread_answers else 0
+        if not connection.has_unread_answers:
+            unread_since = time.monotonic()
     return connection
 
 
