Keep a served client while silent connections are about to make room

Callers: at the limit of connections an ordinary client's answer carried "Connection: close", while a crowd that says nothing held the other connections. Cause: an answer makes room when no connection can be closed now; silent ones in their grace of 100 ms, and those aborted but not closed yet, did not count, though they make room a moment later. Both cases of the new test failed each time before: "Connection: close" in the answer. Change: both kinds count; a new client waits at most the grace longer. Without the count of aborted ones the second case fails.

--- a/heronlug/frontends/http/frontend.py
+++ b/heronlug/frontends/http/frontend.py
@@ -346,8 +346,10 @@
         return request.keep_alive and not (ends_when_idle and not connection.has_unanswered_input)
 
     def _answer_makes_room(self) -> bool:
-        """Returns whether a client waits for room, and no connection can be closed for it now."""
-        if not self.clients_wait() or self._eviction_order.first() is not None:
+        """Returns whether a client waits for room, and no connection can be closed for it now or soon."""
+        if not self.clients_wait() or self._aborted:
+            return False
+        if self._eviction_order.first() is not None or self._eviction_order.has_silent_in_grace:
             return False
         return not self._queued_requests_leave_soon()
 
--- a/tests/end_to_end/test_closed_connections.py
+++ b/tests/end_to_end/test_closed_connections.py
@@ -10,6 +10,8 @@
 import pytest
 
 from end_to_end.harness import BlockingClient, DispatcherHarness, done, request_bytes, request_id_of, run_async, until
+from heronlug.frontends.http.close_reason import CloseReason
+from heronlug.frontends.http.eviction import NEW_CONNECTION_GRACE_MS
 from heronlug.frontends.http.frontend import MAX_ROOM_WAIT_MS
 
 HEALTH_CHECK = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -150,6 +152,33 @@
     run_async(test)
 
 
+@pytest.mark.parametrize("being_closed", [False, True])
+def test_connection_stays_while_silent_ones_are_about_to_make_room(being_closed: bool) -> None:
+    """Guards against the close of a served connection because all silent ones are new, or are just being closed."""
+
+    async def test() -> None:
+        async with DispatcherHarness(1, sockets=96).open() as harness:
+            client = harness.blocking_client()
+            client.send(request_bytes("t1", "safe", 4000))
+            await harness.settle()
+            silent = [harness.blocking_client() for _ in range(20)]
+            await until(lambda: bool(harness.logged("too_many_clients")), "no room")
+            if being_closed:
+                harness.stall(NEW_CONNECTION_GRACE_MS)
+                frontend = harness.application.frontend
+                while frontend._evict(CloseReason.CONNECTION_LIMIT):
+                    pass
+            server_connection, _ = await harness.servers["h1"].request()
+            server_connection.send_now(done("t1"))
+            await harness.settle()
+            received = client.received()
+            assert received.endswith(b"ok")
+            assert b"Connection: close" not in received
+            del silent
+
+    run_async(test)
+
+
 @pytest.mark.parametrize(("waited_ms", "closes"), [(0.0, False), (MAX_ROOM_WAIT_MS, True)])
 def test_clients_with_queued_requests_make_room_before_those_with_one(waited_ms: float, closes: bool) -> None:
     """Guards against the close of polite clients' connections while one that queues requests keeps its own."""
