Play clients that close behind unread requests, and judge the late attempts

Traced: the others' connections wait up to 0.34 s among some 400 handed over with 64 KB each. The kinds that seeds draw stay as they were, so that seeds play the same runs.

--- a/heronlug/faults/abuse/clients.py
+++ b/heronlug/faults/abuse/clients.py
@@ -7,6 +7,7 @@
 import secrets
 import socket
 import sys
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -42,8 +43,13 @@
 """Time for which a connection may stay open after the end of the abuse, in seconds."""
 LEAVE_AFTER_S = (0.005, 0.3)
 """Minimum and maximum time after which a client leaves with its requests unread, in seconds."""
+SEND_WITHIN_S = 1.0
+"""Time after which a client closes its connection although it could not send all of its requests, in seconds."""
 
-
+CLOSED_AT = "closed at"
+"""Name among the figures of the Unix times at which clients closed their connections, by client id."""
+CLIENT_ID_END = "-"
+"""Ends the id of the client at the beginning of a request id."""
 REPEAT_HELD_S = (0.02, 0.2)
 """Minimum and maximum time for which a client waits for the answer to a repeated id, in seconds."""
 LEAVE_RUNNING_AFTER_S = (0.012, 0.03)
@@ -98,6 +104,7 @@
         self.sock = sock
         self.opened_at = asyncio.get_running_loop().time()
         self.ended = asyncio.Event()
+        self.client_id = ""  # with which the ids of its requests begin, if no attempt may begin after its close
         self.answers = Answers(statuses)
 
     async def send(self, data: bytes) -> bool:
@@ -131,6 +138,7 @@
         self._statuses: Counter[int] = Counter()
         self._counts: Counter[str] = Counter()
         self._abandoned_ids: list[str] = []
+        self._closed_at: dict[str, float] = {}
         self._ends_at = 0.0
 
     async def run(self) -> dict[str, Any]:
@@ -139,7 +147,7 @@
         clients = [asyncio.create_task(self._client()) for _ in range(self._config.abuse.clients)]
         await asyncio.gather(*clients)
         statuses = {str(status): count for status, count in sorted(self._statuses.items())}
-        return {**dict(sorted(self._counts.items())), "statuses": statuses}
+        return {**dict(sorted(self._counts.items())), "statuses": statuses, CLOSED_AT: self._closed_at}
 
     @property
     def _over(self) -> bool:
@@ -177,6 +185,8 @@
                     with suppress(asyncio.CancelledError):
                         await reading
             self._judge(connection)
+        if connection.client_id:
+            self._closed_at[connection.client_id] = time.time()
 
     def _judge(self, connection: Connection) -> None:
         """Counts a connection without a whole request that got neither an error nor a close in time."""
@@ -283,6 +293,17 @@
             await connection.hold(self._rng.uniform(*LEAVE_RUNNING_AFTER_S))
             self._abandoned_ids.append(request_id)
 
+    async def closes_behind_unread(self, connection: Connection) -> None:
+        """Sends more than is read at once, and closes the connection."""
+        count, body_bytes = self._rng.choice(payloads.PIPELINES)
+        connection.client_id = secrets.token_hex(8)
+        name = self._class_name()
+        request_ids = [f"{connection.client_id}{CLIENT_ID_END}{number}" for number in range(count)]
+        requests = [payloads.request(name, body_bytes, request_id=each) for each in request_ids]
+        with suppress(TimeoutError):
+            await asyncio.wait_for(connection.send(b"".join(requests)), SEND_WITHIN_S)
+        await connection.hold(self._rng.uniform(*LEAVE_AFTER_S))
+
 
 ACTIONS: dict[AbuseKind, Callable[[Abusers, Connection], Awaitable[None]]] = {
     kind: getattr(Abusers, kind.value) for kind in AbuseKind
@@ -294,7 +315,8 @@
     """Runs the clients that the first argument describes, and prints their figures."""
     config: AbuserConfig = msgspec.json.decode(sys.argv[1], type=AbuserConfig)
     figures = uvloop.run(Abusers(config).run())
-    print(msgspec.json.encode(figures).decode())
+    with open(sys.stdout.fileno(), "wb", closefd=False) as output:  # an unbuffered stdout loses what a pipe cannot take
+        output.write(msgspec.json.encode(figures))
 
 
 if __name__ == "__main__":
--- a/heronlug/faults/abuse/payloads.py
+++ b/heronlug/faults/abuse/payloads.py
@@ -14,6 +14,8 @@
 """Number of requests sent at once: one that runs, and those behind it."""
 MAX_CHUNKED_BYTES = 360 * 1024
 """Size of the largest body in chunks of one byte, in bytes on the wire."""
+PIPELINES = ((5, 60_000), (15, 60_000), (300, 2_000), (40, 2))
+"""Numbers of requests that are sent at once, with the size of their bodies in bytes."""
 LARGE_BODY_BYTES = 60 * 1024 * 1024
 """Announced size of a body that is too large, in bytes."""
 CHUNK = b"1\r\nx\r\n"
--- a/heronlug/faults/abuse/plan.py
+++ b/heronlug/faults/abuse/plan.py
@@ -49,6 +49,9 @@
     REPEATED_ID = "repeated_id"
     """Leaves while its request runs, and sends a request with the same id on a new connection."""
 
+    CLOSES_BEHIND_UNREAD = "closes_behind_unread"
+    """Sends more than is read at once, and closes the connection in order while its kernel holds the rest."""
+
 
 HOLDING_KINDS = frozenset(
     {AbuseKind.HALF_BODY, AbuseKind.MANY_FIELDS, AbuseKind.LONG_FIELD, AbuseKind.SILENT, AbuseKind.LARGE_BODY}
--- a/heronlug/faults/abuse/process.py
+++ b/heronlug/faults/abuse/process.py
@@ -3,12 +3,12 @@
 import asyncio
 import subprocess
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from heronlug.faults.abuse.clients import AbuserConfig
+from heronlug.faults.abuse.clients import CLOSED_AT, AbuserConfig
 from heronlug.faults.abuse.plan import Abuse
 from heronlug.standins.ports import process_start_lock
 
@@ -23,10 +23,12 @@
     Attributes:
         abuse: What its clients do.
         figures: What its clients counted; empty until the process has ended.
+        closed_at: Unix time at which a client closed its connection, in seconds, by client id.
     """
 
     abuse: Abuse
-    figures: dict[str, Any]
+    figures: dict[str, Any] = field(default_factory=dict)
+    closed_at: dict[str, float] = field(default_factory=dict)
 
     async def run(self, port: int, seed: int, class_names: list[str]) -> None:
         """Waits for the start of the abuse, and runs its clients to their end.
@@ -51,3 +53,4 @@
             msg = f"{self.abuse.kind.value}: the process of the clients ended with status {child.returncode}"
             raise RuntimeError(msg)
         self.figures = msgspec.json.decode(output)
+        self.closed_at = self.figures.pop(CLOSED_AT)
--- a/heronlug/faults/pressure/plan.py
+++ b/heronlug/faults/pressure/plan.py
@@ -18,6 +18,8 @@
 """Limits of memory in MB and of descriptors."""
 FLOODS = frozenset({AbuseKind.SOUND_FLOOD, AbuseKind.UNSOUND_FLOOD, AbuseKind.HEALTH_FLOOD, AbuseKind.UNREAD_ANSWERS})
 """Kinds that a few clients play at full speed."""
+DRAWN_KINDS = tuple(kind for kind in AbuseKind if kind is not AbuseKind.CLOSES_BEHIND_UNREAD)
+"""Kinds that a seed draws; another kind here would change what all seeds draw."""
 FLOODING_CLIENTS = (1, 4)
 """Minimum and maximum number of drawn clients that flood."""
 UPGRADED_SHARE = 0.3
@@ -47,7 +49,7 @@
     """Returns the run that a seed determines: one or two kinds of abuse, by few clients or by a crowd."""
     rng = Random(seed)
     memory_mb, sockets = rng.choice(LIMITS)
-    abuses = tuple(_draw_abuse(rng, kind, sockets) for kind in rng.sample(list(AbuseKind), rng.choice([1, 1, 2])))
+    abuses = tuple(_draw_abuse(rng, kind, sockets) for kind in rng.sample(DRAWN_KINDS, rng.choice([1, 1, 2])))
     plan = make_plan(seed, memory_mb, sockets, abuses)
     if rng.random() < UPGRADED_SHARE:
         return replace(plan, upgrades=series(2, CALM_S + 1.0, 3.0, rng), log_level="info")
--- a/heronlug/faults/pressure/verdict.py
+++ b/heronlug/faults/pressure/verdict.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from heronlug.faults.abuse.clients import CLIENT_ID_END
 from heronlug.faults.upgrades.clients import End, RequestRecord
 from heronlug.faults.upgrades.run import UpgradeReport
 
@@ -19,6 +20,8 @@
 """Latency that may be added to that, in ms."""
 MAX_KEPT_MB = 8.0
 """Memory that a process may keep above what it had before the abuse, in MB."""
+MAX_NOTICE_S = 0.1
+"""Time after a client's close within which an attempt for it may begin, in seconds."""
 CALM_AFTER_S = 5.0
 """Time after the last abuse from which a process may keep no more than that, in seconds."""
 
@@ -42,6 +45,7 @@
     _judge_rest(report, abused)
     _judge_service(report, abused)
     _judge_abusers(report)
+    _judge_attempts(report)
     return report
 
 
@@ -119,6 +123,26 @@
             report.violations.append(f"{abuse.kind.value}: {figures['unanswered']} sound requests got no answer")
 
 
+def _judge_attempts(report: UpgradeReport) -> None:
+    """Judges the attempts for clients that had closed their connections."""
+    if not report.closed_at:
+        return
+    late_s = [
+        attempt.began_at - report.closed_at[client_id]
+        for attempt in report.attempts
+        if (client_id := attempt.request_id.partition(CLIENT_ID_END)[0]) in report.closed_at
+    ]
+    report.figures |= {"attempts for clients that close": len(late_s), "latest s": round(max(late_s, default=0.0), 3)}
+    too_late = [seconds for seconds in late_s if seconds > MAX_NOTICE_S]
+    if too_late:
+        report.violations.append(
+            f"closes: {len(too_late)} attempts began up to {max(too_late):.2f} s after their client's close, "
+            f"at most {MAX_NOTICE_S:g} s allowed"
+        )
+    if not late_s:
+        report.violations.append("closes: no attempt began for a client that closes")
+
+
 def _latencies_ms(records: Iterable[RequestRecord]) -> list[float]:
     return [1000 * (record.ended_at - record.sent_at) for record in records if record.end is not None]
 
--- a/heronlug/faults/upgrades/run.py
+++ b/heronlug/faults/upgrades/run.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import uvloop
 
@@ -29,6 +29,18 @@
 """Time within which clients notice that the process of their connection was killed, in seconds."""
 
 
+class Attempt(NamedTuple):
+    """An attempt at a server, also one that it turned away.
+
+    Attributes:
+        request_id: Id of the request.
+        began_at: Unix time at which its last byte arrived, in seconds.
+    """
+
+    request_id: str
+    began_at: float
+
+
 @dataclass
 class UpgradeReport:
     """The result of an upgrade run.
@@ -42,6 +54,8 @@
         load_began_at: Unix time at which the load began, in seconds.
         usage: What the processes of the dispatcher held.
         abuse_figures: What the abusive clients counted, in the order of the plan.
+        closed_at: Unix time at which a client closed its connection, in seconds, by client id.
+        attempts: All attempts, in order of time.
     """
 
     plan: UpgradePlan
@@ -52,6 +66,8 @@
     load_began_at: float = 0.0
     usage: UsageSampler = field(default_factory=lambda: UsageSampler(list))
     abuse_figures: list[dict[str, Any]] = field(default_factory=list)
+    closed_at: dict[str, float] = field(default_factory=dict)
+    attempts: list[Attempt] = field(default_factory=list)
 
     def count(self, end: End) -> int:
         """Returns the number of requests with this end."""
@@ -78,9 +94,10 @@
         self._dispatcher = UpgradedDispatcher(folder, {}, sources, plan.single_core, plan.clock_steps_s, plan.log_level)
         self._crowd = Crowd(plan, self._port)
         self._usage = UsageSampler(self._dispatcher.running_pids)
-        self._abusers = [AbuserProcess(abuse, {}) for abuse in plan.abuses]
+        self._abusers = [AbuserProcess(abuse) for abuse in plan.abuses]
         self._load_began_at = 0.0
         self._non_idempotent_ids: set[str] = set()
+        self._attempts: list[Attempt] = []
 
     async def play(self) -> UpgradeReport:
         """Plays the run.
@@ -141,6 +158,7 @@
         self._dispatcher.configuration = self._configuration(discovery)
 
     def _behaviour(self, begun: Begun) -> Behaviour:
+        self._attempts.append(Attempt(begun.txn, time.time()))
         if EFFECTS.get(begun.request_class) == "once":
             self._non_idempotent_ids.add(begun.txn)
         if sum(server.running for server in self._servers) >= self.plan.servers * self.plan.slots:
@@ -192,6 +210,8 @@
             load_began_at=self._load_began_at,
             usage=self._usage,
             abuse_figures=[abusers.figures for abusers in self._abusers],
+            closed_at={name: at for abusers in self._abusers for name, at in abusers.closed_at.items()},
+            attempts=self._attempts,
         )
         report.violations += self._dispatcher.failures
         report.violations += [
--- a/tests/faults/test_pressure.py
+++ b/tests/faults/test_pressure.py
@@ -57,6 +57,13 @@
     play_and_expect_no_violation(plan)
 
 
+@pytest.mark.parametrize("upgrades", [0, 1])
+def test_no_attempt_begins_for_clients_that_close_behind_unread_requests(upgrades: int) -> None:
+    """Guards against attempts for clients that have left, whose close waits in their own kernel."""
+    plan = plan_of(AbuseKind.CLOSES_BEHIND_UNREAD, 100)
+    play_and_expect_no_violation(replace(plan, upgrades=series(upgrades, CALM_S + 2.0, 1.0, Random(1))))
+
+
 @pytest.mark.parametrize("seed", [40, 61])
 def test_floods_and_crowds_with_upgrades_keep_memory_and_service(seed: int) -> None:
     """Guards against a flooded connection that is read without end by the process that adopts it."""
