Count from the last arrival how long a new connection's input has waited

Callers: a client that connects at the limit of connections, sends more than the window takes and closes, got an attempt up to 0.76 s after its close (0.1 s). Cause: the rule against attempts behind a hidden close counts from when a connection was first not read; one in the accept queue, or in another process of an upgrade, never was, so its time began with the accept. The new test, two kinds of clients that close before the accept, failed each time before. Change: the time begins with the last arrival, as the kernel tells it.

--- a/heronlug/frontends/http/client_input.py
+++ b/heronlug/frontends/http/client_input.py
@@ -7,7 +7,7 @@
 from heronlug.frontends.http.request_reader import ReadPhase, RequestReader, RequestReceiver
 from heronlug.memory.account import MemoryAccount, MemoryShortError, Reservation
 from heronlug.memory.holders import Holder
-from heronlug.net.connection_state import input_age_ms
+from heronlug.net.connection_state import has_unread_input, input_age_ms
 from heronlug.net.paced_protocol import RECEIVE_BUFFER_BYTES
 from heronlug.net.read_gate import PauseReason, ReadGate
 from heronlug.net.turn_queue import TurnQueue
@@ -92,9 +92,14 @@
         self._small_reads = 0
 
     def open(self, transport: asyncio.Transport) -> None:
-        """Sets the transport, which reads already."""
+        """Sets the transport, which reads already.
+
+        What has arrived by now may have waited for long, in the accept queue or in another process.
+        """
         self._transport = transport
         self.gate.open(transport)
+        if has_unread_input(transport):
+            self.gate.unread_since = self._deadlines.clock() - input_age_ms(transport)
 
     def close(self) -> None:
         """Drops what has been read and breaks the reference cycles; the input is unusable."""
--- a/tests/end_to_end/test_close_behind_unread.py
+++ b/tests/end_to_end/test_close_behind_unread.py
@@ -42,6 +42,15 @@
     return client
 
 
+def leave_before_accept(harness: DispatcherHarness, data: bytes, ending: str) -> BlockingClient:
+    """Gives all bytes to the client's kernel, and closes, before the dispatcher accepts the connection."""
+    client = harness.blocking_client()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * 1024 * KB)
+    client.send(data)
+    client.leave(ending)
+    return client
+
+
 async def end_attempts(harness: DispatcherHarness, outcome: Outcome) -> None:
     """Ends all attempts that have begun."""
     for server in harness.servers.values():
@@ -75,3 +84,22 @@
             client.sock.close()
 
     run_async(test)
+
+
+@pytest.mark.parametrize(("count", "size"), [(15, BODY_BYTES), (300, 2000)])
+def test_no_attempt_begins_for_a_connection_that_was_closed_before_it_was_accepted(count: int, size: int) -> None:
+    """Guards against attempts for a client that has left while its connection waited for room in the accept queue."""
+
+    async def test() -> None:
+        async with DispatcherHarness(2).open() as harness:
+            harness.input_age_ms = NOTICED_WITHIN_MS
+            data = b"".join(request_with_body(number, size) for number in range(count))
+            client = leave_before_accept(harness, data, "fin")
+            for _ in range(20):
+                await harness.pass_time(50)
+                await asyncio.sleep(0.002)
+            assert not any(server.requests for server in harness.servers.values())
+            assert not len(harness.application.core.requests)
+            client.sock.close()
+
+    run_async(test)
