--- a/tests/end_to_end/test_close_behind_unread.py
+++ b/tests/end_to_end/test_close_behind_unread.py
@@ -27,10 +27,19 @@
     return head.replace(b": 2\r\n", b": %d\r\n" % size)[:-2] + b"b" * size
 
 
-async def leave_behind(harness: DispatcherHarness, data: bytes, ending: str) -> BlockingClient:
-    """Gives all bytes to the client's kernel while the dispatcher reads what it wants, and closes."""
+def requests_with_bodies(count: int, size: int) -> bytes:
+    return b"".join(request_with_body(number, size) for number in range(count))
+
+
+def client_with_large_buffer(harness: DispatcherHarness) -> BlockingClient:
     client = harness.blocking_client()
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * 1024 * KB)
+    return client
+
+
+async def leave_behind(harness: DispatcherHarness, data: bytes, ending: str) -> BlockingClient:
+    """Gives all bytes to the client's kernel while the dispatcher reads what it wants, and closes."""
+    client = client_with_large_buffer(harness)
     client.sock.setblocking(False)
     sent = 0
     while sent < len(data):
@@ -44,13 +53,26 @@
 
 def leave_before_accept(harness: DispatcherHarness, data: bytes, ending: str) -> BlockingClient:
     """Gives all bytes to the client's kernel, and closes, before the dispatcher accepts the connection."""
-    client = harness.blocking_client()
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * 1024 * KB)
+    client = client_with_large_buffer(harness)
     client.send(data)
     client.leave(ending)
     return client
 
 
+async def pass_both_times(harness: DispatcherHarness, step_ms: float) -> None:
+    """Advances the harness's clock in 20 steps, and lets the kernel act after each."""
+    for _ in range(20):
+        await harness.pass_time(step_ms)
+        await asyncio.sleep(0.002)
+
+
+async def expect_no_attempt(harness: DispatcherHarness) -> None:
+    """Expects that no attempt begins within a second, and that all requests are given up."""
+    await pass_both_times(harness, 50)
+    assert not any(server.requests for server in harness.servers.values())
+    assert not len(harness.application.core.requests)
+
+
 async def end_attempts(harness: DispatcherHarness, outcome: Outcome) -> None:
     """Ends all attempts that have begun."""
     for server in harness.servers.values():
@@ -70,17 +92,10 @@
 
     async def test() -> None:
         async with DispatcherHarness(2).open() as harness:
-            data = b"".join(request_with_body(number, size) for number in range(count))
-            client = await leave_behind(harness, data, ending)
-            for _ in range(20):
-                await harness.pass_time(NOTICED_WITHIN_MS / 20)
-                await asyncio.sleep(0.002)
+            client = await leave_behind(harness, requests_with_bodies(count, size), ending)
+            await pass_both_times(harness, NOTICED_WITHIN_MS / 20)
             await end_attempts(harness, outcome)
-            for _ in range(20):
-                await harness.pass_time(50)
-                await asyncio.sleep(0.002)
-            assert not any(server.requests for server in harness.servers.values())
-            assert not len(harness.application.core.requests)
+            await expect_no_attempt(harness)
             client.sock.close()
 
     run_async(test)
@@ -93,13 +108,8 @@
     async def test() -> None:
         async with DispatcherHarness(2).open() as harness:
             harness.input_age_ms = NOTICED_WITHIN_MS
-            data = b"".join(request_with_body(number, size) for number in range(count))
-            client = leave_before_accept(harness, data, "fin")
-            for _ in range(20):
-                await harness.pass_time(50)
-                await asyncio.sleep(0.002)
-            assert not any(server.requests for server in harness.servers.values())
-            assert not len(harness.application.core.requests)
+            client = leave_before_accept(harness, requests_with_bodies(count, size), "fin")
+            await expect_no_attempt(harness)
             client.sock.close()
 
     run_async(test)
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 
 import pytest
 
@@ -292,22 +293,34 @@
     run_async(test)
 
 
+async def send_in_halves(
+    harness: DispatcherHarness,
+    request: bytes,
+    begin_wait: Callable[[ClientConnection], None],
+    end_wait: Callable[[ClientConnection], None],
+) -> StandInConnection:
+    """Sends a request whose second half waits unread until its read time-out is due, and returns the client."""
+    client = await harness.client()
+    client.send(request[:20])
+    await harness.settle()
+    connection = connection_of(harness)
+    begin_wait(connection)
+    client.send(request[20:])
+    await harness.settle()
+    assert connection.is_reading_request
+    harness.stall(READ_TIMEOUT_MS)
+    end_wait(connection)
+    harness.application.turn()
+    return client
+
+
 def test_request_that_waited_behind_unread_answers_is_not_incomplete_when_they_are_read() -> None:
     """Guards against a client whose sent request fails as incomplete because its read time-out ran while it waited."""
 
     async def test() -> None:
         async with DispatcherHarness().open() as harness:
-            client = await harness.client()
-            client.send(HEALTH_CHECK[:20])
-            await harness.settle()
-            connection = connection_of(harness)
-            connection.pause_writing()
-            client.send(HEALTH_CHECK[20:])
-            await harness.settle()
-            assert connection.is_reading_request
-            harness.stall(READ_TIMEOUT_MS)
-            connection.resume_writing()
-            harness.application.turn()
+            waits = ClientConnection.pause_writing, ClientConnection.resume_writing
+            client = await send_in_halves(harness, HEALTH_CHECK, *waits)
             await harness.settle()
             assert statuses(client.received) == [b"200"]
 
@@ -319,18 +332,8 @@
 
     async def test() -> None:
         async with DispatcherHarness().open() as harness:
-            client = await harness.client()
-            request = request_bytes("t1", "safe", 4000)
-            client.send(request[:20])
-            await harness.settle()
-            connection = connection_of(harness)
-            connection.hold_for_transfer()
-            client.send(request[20:])
-            await harness.settle()
-            assert connection.is_reading_request
-            harness.stall(READ_TIMEOUT_MS)
-            connection.end_hold()
-            harness.application.turn()
+            waits = ClientConnection.hold_for_transfer, ClientConnection.end_hold
+            await send_in_halves(harness, request_bytes("t1", "safe", 4000), *waits)
             assert await answer_all(harness, 1) == ["t1"]
 
     run_async(test)
