Parse the input of adopted connections in their turns, as any other large read

Cause: the successor parsed all that its predecessor had read from a connection in the callback that opens it. Several dozen connections are opened in one iteration of the loop, and an answer needs several iterations.

The new test of the turn failed before (calls were not 0); the one of the read time-out passes on both.

Why it works: the bytes take the way of a large read, which waits for its turn of 2 ms an iteration; the read time-out still runs from the stated time.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -157,10 +157,11 @@
 
     def request_began(self) -> None:
         """Starts the read time-out at the first byte of a request."""
-        self._reading_since = self._frontend.deadlines.clock()
+        adopted_since, self._adopted_reading_since = self._adopted_reading_since, None
+        self._reading_since = self._frontend.deadlines.clock() if adopted_since is None else adopted_since
         self._sent_continue = False
         if self.has_sent_request:  # the read time-out of the first request started at the connect
-            self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
+            self._start_waiting()
 
     def head_complete(self, expects_continue: bool) -> None:
         """Sends 100 Continue if the client expects it and no request is being served."""
@@ -365,6 +366,8 @@
     def _update_input_waits(self) -> None:
         """Gives a client the whole read time-out for the rest of a request that had to wait."""
         waited, self._input_waits = self._input_waits, not self.takes_requests
+        if self._input_waits:
+            self._adopted_reading_since = None
         if waited and not self._input_waits and self._reader.reading:
             self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
 
--- a/heronlug/frontends/http/transferable_connection.py
+++ b/heronlug/frontends/http/transferable_connection.py
@@ -28,6 +28,7 @@
         self.opened_at = frontend.deadlines.clock()
         self._adopted_state: ClientState | None = None  # until the transport is set
         self._reading_since = 0.0
+        self._adopted_reading_since: float | None = None  # until the bytes that another process has read are parsed
         self._sent_continue = False
 
     @property
@@ -168,8 +169,8 @@
         """Serves the next request that waits."""
         raise NotImplementedError
 
-    def _receive(self, data: bytes) -> None:
-        """Parses bytes from the client in this turn."""
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes from the client, many of them in a later turn."""
         raise NotImplementedError
 
     # -- internals
@@ -184,15 +185,13 @@
         return self._adopted_state is not None and bool(self._adopted_state.partial_request)
 
     def _read_adopted_bytes(self, state: ClientState) -> None:
-        """Parses the bytes that another process has read; the time-out of a request runs from its first byte."""
+        """Reads the bytes that another process has read; the time-out of a request runs from its first byte."""
         self._adopted_state = None
         if self.closing:
             return
         if state.partial_request:
             began_at = self._frontend.deadlines.clock() - state.reading_ms
             self.gate.unread_since = began_at
-            self._receive(state.partial_request)
-            self._reading_since = began_at
-        if self._input.reader.reading:
-            self._start_waiting()
+            self._adopted_reading_since = began_at
+            self.data_received(state.partial_request)
         self._serve_next()
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections.abc import Callable
+from unittest import mock
 
 import pytest
 
@@ -22,6 +23,7 @@
 from heronlug.frontends.http.close_reason import CloseReason
 from heronlug.frontends.http.connection import (
     EXCESS_TIMEOUT_MS,
+    LARGE_READ_BYTES,
     MAX_UNREAD_BYTES,
     READ_TIMEOUT_MS,
     ClientConnection,
@@ -223,6 +225,48 @@
     run_async(test)
 
 
+def test_large_input_of_an_adopted_client_is_parsed_in_its_turn() -> None:
+    """Guards against an upgrade that parses the input of all its connections before it serves the next request."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            own, client = socket.socketpair()
+            frontend = harness.application.frontend
+            with mock.patch.object(frontend.turn_queue, "add"):
+                frontend.adopt(own, ClientState(served=True, partial_request=many_requests(100)))
+                await harness.settle()
+                connection = connection_of(harness)
+                assert not connection._reader.calls
+            connection.parse_more()
+            await next_request(harness)
+            client.close()
+            await harness.settle()
+
+    run_async(test)
+
+
+@pytest.mark.parametrize("size", [100, LARGE_READ_BYTES + 1])
+def test_read_timeout_of_a_request_runs_on_in_the_process_that_adopts_its_client(size: int) -> None:
+    """Guards against a client that gets the whole read time-out again with each upgrade."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            own, client = socket.socketpair()
+            client.setblocking(False)
+            partial = b"POST /safe HTTP/1.1\r\nX-Txn: t\r\nContent-Length: 60000\r\n\r\n" + bytes(size)
+            state = ClientState(served=True, partial_request=partial, reading_ms=READ_TIMEOUT_MS - 500)
+            harness.application.frontend.adopt(own, state)
+            await harness.pass_time(490)
+            with pytest.raises(BlockingIOError):
+                client.recv(1)
+            await harness.pass_time(20)
+            assert client.recv(1000).startswith(b"HTTP/1.1 408 ")
+            client.close()
+            await harness.settle()
+
+    run_async(test)
+
+
 class UnreadingClient:
     """A client that sends health checks as fast as the dispatcher reads them."""
 
