Do not take the wait of a partly read request along into the next process

Callers saw: 408 before the read time-out of 2.5 s was over, if the request's input had waited in the dispatcher and its connection was then handed over in an upgrade.

Evidence: the new test lets half a request wait 2.5 s, adopts the connection by its state, and sends the last byte 10 ms before the time-out. Before: the connection was closed (BrokenPipeError); now the request reaches a server.

Why it works: the time-out and the time it is counted from are set together.

--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -369,6 +369,7 @@
         if self._input_waits:
             self._adopted_reading_since = None
         if waited and not self._input_waits and self._reader.reading:
+            self._reading_since = self._frontend.deadlines.clock()
             self._timeout.start(READ_TIMEOUT_MS, self._on_timeout)
 
     def _refuse_excess(self) -> None:
--- a/tests/end_to_end/test_fast_clients.py
+++ b/tests/end_to_end/test_fast_clients.py
@@ -383,6 +383,30 @@
     run_async(test)
 
 
+def test_request_that_waited_is_not_incomplete_in_the_process_that_adopts_its_client() -> None:
+    """Guards against a handover that counts the time for which a request waited in the previous process."""
+
+    async def test() -> None:
+        async with DispatcherHarness().open() as harness:
+            client, request = await harness.client(), request_bytes("t1", "safe", 4000)
+            for part in (HEALTH_CHECK, request[:-1]):
+                client.send(part)
+                await harness.settle()
+            connection = connection_of(harness)
+            connection.pause_writing()
+            harness.stall(READ_TIMEOUT_MS)
+            connection.resume_writing()
+            own, adopted_client = socket.socketpair()
+            harness.application.frontend.adopt(own, connection.client_state())
+            await harness.pass_time(READ_TIMEOUT_MS - 10)
+            adopted_client.send(request[-1:])
+            assert request_id_of((await next_request(harness))[1]) == "t1"
+            adopted_client.close()
+            await harness.settle()
+
+    run_async(test)
+
+
 def test_unread_answers_are_dropped_when_memory_is_short() -> None:
     """Guards against whole requests that are refused while answers that nobody reads keep their memory."""
 
