--- a/heronlug/frontends/http/eviction.py
+++ b/heronlug/frontends/http/eviction.py
@@ -109,7 +109,7 @@
         may still be in transit. Served connections are kept until its grace is over, and for ``MIN_IDLE_MS``.
         """
         silent = self._first_of(EvictionRank.SILENT)
-        in_grace = silent is not None and self._is_in_grace(silent)
+        in_grace = self._is_in_grace(silent)
         min_unfinished_ms = MIN_UNFINISHED_IN_CROWD_MS if self.in_crowd else MIN_UNFINISHED_MS
         return (
             self._first_of(EvictionRank.REJECTED)
@@ -122,16 +122,15 @@
     @property
     def has_silent_in_grace(self) -> bool:
         """Returns whether a silent connection can be evicted within ``NEW_CONNECTION_GRACE_MS``, but not now."""
-        silent = self._first_of(EvictionRank.SILENT)
-        return silent is not None and self._is_in_grace(silent)
+        return self._is_in_grace(self._first_of(EvictionRank.SILENT))
 
     @property
     def in_crowd(self) -> bool:
         """Returns whether over half of the connections that the dispatcher may have are unfinished ones."""
         return len(self._by_rank[EvictionRank.UNFINISHED]) > self._crowd_size
 
-    def _is_in_grace(self, connection: Connection) -> bool:
-        return self._clock() - connection.opened_at < NEW_CONNECTION_GRACE_MS
+    def _is_in_grace(self, connection: Connection | None) -> bool:
+        return connection is not None and self._clock() - connection.opened_at < NEW_CONNECTION_GRACE_MS
 
     def _first_in_rank_for(self, rank: EvictionRank, time_ms: float) -> Connection | None:
         """Returns the first connection of a rank if it has been there for this time, else None."""
--- a/heronlug/frontends/http/transferable_connection.py
+++ b/heronlug/frontends/http/transferable_connection.py
@@ -110,9 +110,7 @@
     def end_hold(self) -> None:
         """Reads again, and serves what has come meanwhile, because no other process continues the connection."""
         if self._state is ConnectionState.IDLE and self.gate.paused_for(PauseReason.HANDOVER):
-            self.gate.resume(PauseReason.HANDOVER)
-            self._adjust_input()
-            self._frontend.turn_queue.add(self._input, self.parse_more)
+            self._read_again()
 
     def reclaim(self) -> None:
         """Reads again after another process has not taken over the connection."""
@@ -123,10 +121,10 @@
             self._apply_event(ConnectionEvent.RECLAIMED)
             self._set_idle()
             self._start_waiting()
-        if not (was_offered and self._frontend.transferring):
-            self.gate.resume(PauseReason.HANDOVER)
-            self._frontend.turn_queue.add(self._input, self.parse_more)  # requests may have waited meanwhile
-        self._adjust_input()
+        if was_offered and self._frontend.transferring:
+            self._adjust_input()
+        else:
+            self._read_again()
 
     def detach(self) -> None:
         """Closes this process's descriptor without writing, after another process has taken over the connection."""
@@ -175,6 +173,12 @@
 
     # -- internals
 
+    def _read_again(self) -> None:
+        """Reads again, and serves the requests that have waited meanwhile."""
+        self.gate.resume(PauseReason.HANDOVER)
+        self._adjust_input()
+        self._frontend.turn_queue.add(self._input, self.parse_more)
+
     def _can_read_elsewhere(self) -> bool:
         """Returns whether another process can read the rest of a request that is partly read."""
         return self._input.reader.knows_partial_request and not self._sent_continue
