Remove an indirection and a dead condition that the last changes left behind

The hook data_received stood twice (PacedProtocol has it), ClientConnection._receive had one caller left, accepted_policy is only asked for open jobs, and the Faktory soak read VmHWM by itself, for which memory_mb exists; a process that has ended still fails it. No change of behaviour.

--- a/heronlug/frontends/faktory/recovery.py
+++ b/heronlug/frontends/faktory/recovery.py
@@ -130,10 +130,8 @@
     return None
 
 
-def accepted_policy(
-    record: StoredRequest, classes: dict[str, RequestClass], log: EventLog = log_nothing
-) -> RequestClass | None:
-    """Returns the request class of a stored job, with the effect that it was accepted under.
+def accepted_policy(record: StoredRequest, classes: dict[str, RequestClass], log: EventLog) -> RequestClass | None:
+    """Returns the request class of an open stored job, with the effect that it was accepted under.
 
     Args:
         record: the stored job.
@@ -147,7 +145,7 @@
         DamagedRecordError: if the stored effect is not valid.
     """
     policy = classes.get(record.class_name)
-    if policy is None or not record.effect or record.final_state:
+    if policy is None or not record.effect:
         return policy
     try:
         effect = Effect(record.effect)
--- a/heronlug/frontends/http/connection.py
+++ b/heronlug/frontends/http/connection.py
@@ -126,7 +126,7 @@
         elif len(data) > LARGE_READ_BYTES:
             self._handle_input(partial(self._input.receive_later, data))
         else:
-            self._receive(data)
+            self._handle_input(partial(self._input.receive, data))
 
     def parse_more(self) -> None:
         """Parses further bytes that have been read before."""
@@ -305,9 +305,6 @@
 
     # -- internals
 
-    def _receive(self, data: bytes) -> None:
-        self._handle_input(partial(self._input.receive, data))
-
     @property
     def _serves_later(self) -> bool:
         """Returns whether no request is served now: for another process, or because the client does not read."""
--- a/heronlug/frontends/http/transferable_connection.py
+++ b/heronlug/frontends/http/transferable_connection.py
@@ -167,10 +167,6 @@
         """Serves the next request that waits."""
         raise NotImplementedError
 
-    def data_received(self, data: bytes) -> None:
-        """Parses bytes from the client, many of them in a later turn."""
-        raise NotImplementedError
-
     # -- internals
 
     def _read_again(self) -> None:
--- a/tests/faults/test_faktory_soak.py
+++ b/tests/faults/test_faktory_soak.py
@@ -20,6 +20,7 @@
 import pytest
 from exchange import SETTINGS
 
+from heronlug.faults.upgrades.usage import memory_mb
 from heronlug.loadgen.faktory import FaktoryClient, FaktoryError
 from heronlug.standins.ports import free_port
 
@@ -178,8 +179,9 @@
 
 
 def peak_mb(process: "subprocess.Popen[bytes]") -> float:
-    status = Path(f"/proc/{process.pid}/status").read_text().splitlines()
-    return next(int(line.split()[1]) / 1024 for line in status if line.startswith("VmHWM:"))
+    peak = memory_mb(process.pid)["VmHWM"]
+    assert peak, "the process has ended"
+    return peak
 
 
 @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEED_COUNT))
